--- a/yewcross-control/src/config.rs
+++ b/yewcross-control/src/config.rs
@@ -203,4 +203,3 @@
     }
     false
 }
-
--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -49,26 +49,25 @@
     }
     let holder = format!("{}#{:x}", c.st.name, c.owner.me);
     let sent = c.w.now();
-    let fs: Vec<Fut<'static, _>> = l
-        .1
-        .core
-        .now
-        .iter()
-        .filter_map(|d| c.members.by_disk(d).map(|n| (d.clone(), n)))
-        .map(|(d, n)| {
-            let (me, h) = (c.clone(), holder.clone());
-            let f: Fut<'static, _> = Box::pin(async move {
-                let a = Ask::Duty { name: DUTIES[i].into(), holder: h.clone() };
-                let r = if d == me.vault.id {
-                    grant(&me, DUTIES[i], &h)
-                } else {
-                    me.peers.ask(n.peer, &a, &[], DUTY_RENEW / 2).await.map(|x| x.0).unwrap_or(Tell::Ok)
-                };
-                matches!(r, Tell::Duty { granted: true })
-            });
-            f
-        })
-        .collect();
+    let fs: Vec<Fut<'static, _>> =
+        l.1.core
+            .now
+            .iter()
+            .filter_map(|d| c.members.by_disk(d).map(|n| (d.clone(), n)))
+            .map(|(d, n)| {
+                let (me, h) = (c.clone(), holder.clone());
+                let f: Fut<'static, _> = Box::pin(async move {
+                    let a = Ask::Duty { name: DUTIES[i].into(), holder: h.clone() };
+                    let r = if d == me.vault.id {
+                        grant(&me, DUTIES[i], &h)
+                    } else {
+                        me.peers.ask(n.peer, &a, &[], DUTY_RENEW / 2).await.map(|x| x.0).unwrap_or(Tell::Ok)
+                    };
+                    matches!(r, Tell::Duty { granted: true })
+                });
+                f
+            })
+            .collect();
     let (k, rx) = (fs.len(), c.w.fan(fs));
     let mut yes = 0;
     for _ in 0..k {
@@ -90,7 +89,7 @@
 }
 
 pub async fn run(c: Arc<Control>) {
-    for i in 0..DUTIES.len() {
+    for (i, duty) in DUTIES.into_iter().enumerate() {
         let me = c.clone();
         c.w.go(async move {
             me.w.sleep(me.w.rand() % DUTY_RENEW).await;
@@ -100,9 +99,9 @@
                 }
                 // Others' turns come first to whoever ranks first, so that one of them gets a majority.
                 let all = me.members.alive(yewcross::startup::Role::Core);
-                let rank = yewcross::hash::ranked(DUTIES[i], all.iter().map(|n| n.name.as_str())).iter().position(|n| *n == me.st.name);
+                let rank = yewcross::hash::ranked(duty, all.iter().map(|n| n.name.as_str())).iter().position(|n| *n == me.st.name);
                 let held = me.on_duty(i);
-                if held || rank == Some(0) || me.w.rand() % 4 == 0 {
+                if held || rank == Some(0) || me.w.rand().is_multiple_of(4) {
                     renew(&me, i).await;
                 }
                 me.w.sleep(DUTY_RENEW + me.w.rand() % (100 * MS)).await;
@@ -145,20 +144,16 @@
         .owner
         .change("list", PEER_WAIT, |seq, v| {
             let old: List = serde_json::from_slice(v).unwrap_or_default();
-            if old.rev >= list.rev && seq > 0 {
-                Step::Keep(())
-            } else {
-                Step::Write(serde_json::to_vec(&list).unwrap_or_default(), ())
-            }
+            if old.rev >= list.rev && seq > 0 { Step::Keep(()) } else { Step::Write(serde_json::to_vec(&list).unwrap_or_default(), ()) }
         })
         .await;
-    if got.is_ok() {
-        if let Ok((seq, epoch, raw)) = c.owner.read("list", PEER_WAIT).await {
-            if seq > c.book.page("list").seq {
-                config::carry(c, "list", seq, epoch, &raw).await;
-            }
-            *c.duties.etag.lock().unwrap() = r.header("etag").map(|v| v.as_str().to_string()).unwrap_or_default();
+    if got.is_ok()
+        && let Ok((seq, epoch, raw)) = c.owner.read("list", PEER_WAIT).await
+    {
+        if seq > c.book.page("list").seq {
+            config::carry(c, "list", seq, epoch, &raw).await;
         }
+        *c.duties.etag.lock().unwrap() = r.header("etag").map(|v| v.as_str().to_string()).unwrap_or_default();
     }
     patience.unwrap_or(LIST_EVERY)
 }
--- a/yewcross-control/src/layout.rs
+++ b/yewcross-control/src/layout.rs
@@ -57,10 +57,7 @@
             return Err((Code::Conflict, format!("{} is founded otherwise or cannot be reached", n.name)));
         }
     }
-    let got = c
-        .owner
-        .change("layout", PUT_WAIT, |s, _| if s == 0 { Step::Write(raw.clone(), ()) } else { Step::Keep(()) })
-        .await;
+    let got = c.owner.change("layout", PUT_WAIT, |s, _| if s == 0 { Step::Write(raw.clone(), ()) } else { Step::Keep(()) }).await;
     got.map_err(|_| (Code::Undecided, "founding is not yet decided; send it again".to_string()))?;
     let empty = serde_json::to_vec(&ConfigDoc::default()).unwrap_or_default();
     let first = c.owner.change("config", PUT_WAIT, |s, _| if s == 0 { Step::Write(empty.clone(), ()) } else { Step::Keep(()) }).await;
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -94,10 +94,10 @@
         let members = Members::new(w, &st, &peers, &vault.id);
         let book = Book::new(w);
         for d in DOCS {
-            if let Some((_, b)) = vault.load("local", d).await.map_err(disk)? {
-                if let Ok((seq, epoch, raw)) = serde_json::from_slice::<(u64, Epoch, String)>(&b) {
-                    book.adopt(d, seq, epoch, raw.into_bytes());
-                }
+            if let Some((_, b)) = vault.load("local", d).await.map_err(disk)?
+                && let Ok((seq, epoch, raw)) = serde_json::from_slice::<(u64, Epoch, String)>(&b)
+            {
+                book.adopt(d, seq, epoch, raw.into_bytes());
             }
         }
         replica.lay.store(book.layout.load().0, SeqCst);
--- a/yewcross-control/src/operator.rs
+++ b/yewcross-control/src/operator.rs
@@ -42,9 +42,9 @@
         (Method::Post, ["v1", "disks", d, "admit"]) => begin(&c, Move::Admit(d.to_string())).await,
         (Method::Post, ["v1", "disks", d, "replace", n]) => begin(&c, Move::Replace(d.to_string(), n.to_string())).await,
         (Method::Get, ["v1", "disks", d]) => disk(&c, d).await,
-        (_, ["health" | "metrics"]) | (_, ["v1", "status" | "layout" | "checkpoint" | "found" | "config", ..]) | (_, ["v1", "disks", ..]) => {
-            no(Code::WrongVerb, "")
-        }
+        (_, ["health" | "metrics"])
+        | (_, ["v1", "status" | "layout" | "checkpoint" | "found" | "config", ..])
+        | (_, ["v1", "disks", ..]) => no(Code::WrongVerb, ""),
         _ => no(Code::UnknownPath, &j.path),
     }
 }
@@ -69,8 +69,11 @@
                 reply(200, &json!({"version": seq, "tree": yewcross::tree::Tree::read(d.text.as_bytes()).ok()}))
             } else {
                 let tree: Value = serde_json::from_str(&d.text).unwrap_or(Value::Null);
-                reply(200, &json!({"version": seq, "put": d.put, "note": d.note,
-                    "past": d.past.iter().map(|p| json!({"version": p.0, "put": p.1})).collect::<Vec<_>>(), "config": tree}))
+                reply(
+                    200,
+                    &json!({"version": seq, "put": d.put, "note": d.note,
+                    "past": d.past.iter().map(|p| json!({"version": p.0, "put": p.1})).collect::<Vec<_>>(), "config": tree}),
+                )
             };
             r.insert_header("etag", format!("\"{seq}\""));
             r
--- a/yewcross-control/src/store.rs
+++ b/yewcross-control/src/store.rs
@@ -137,6 +137,7 @@
     Spent(u64),
 }
 
+#[allow(clippy::large_enum_variant)]
 enum Pre {
     Go(Begun, Vec<u8>, Option<Run>),
     Kept(Code, String),
@@ -476,7 +477,10 @@
             r.trim(&mut x);
             x.len()
         };
-        assert_eq!([cut(Rule::All), cut(Rule::Turns(2)), cut(Rule::Turns(9)), cut(Rule::Tokens(4)), cut(Rule::Tokens(1))], [24, 16, 24, 16, 8]);
+        assert_eq!(
+            [cut(Rule::All), cut(Rule::Turns(2)), cut(Rule::Turns(9)), cut(Rule::Tokens(4)), cut(Rule::Tokens(1))],
+            [24, 16, 24, 16, 8]
+        );
         let m = |j: &str| Mark { job: j.into(), digest: "d".into(), nonce: 1, code: Code::Done, used: 3 };
         let mut r = Record { hist: h.clone(), head: Head { epoch: 7, ..Default::default() } };
         r.head.marks.extend([m("a"), m("b")]);
--- a/yewcross-front/src/back.rs
+++ b/yewcross-front/src/back.rs
@@ -56,6 +56,7 @@
     }
 }
 
+#[allow(clippy::large_enum_variant)]
 pub enum Sent {
     Answered(Response),
     Lost,
@@ -79,9 +80,12 @@
     }
 }
 
+/// Since when a connection lies idle.
+type Idle = (u64, Back<Verified>);
+
 #[derive(Default)]
 pub struct Pool {
-    idle: Mutex<BTreeMap<(String, SocketAddr), Vec<(u64, Back<Verified>)>>>,
+    idle: Mutex<BTreeMap<(String, SocketAddr), Vec<Idle>>>,
 }
 
 const IDLE_EACH: usize = 8;
@@ -144,7 +148,17 @@
     }
 }
 
-pub async fn ask_once(w: &World, p: &Pool, service: &str, server: &str, to: SocketAddr, path: &str, body: Vec<u8>, us: u64) -> Option<Vec<u8>> {
+#[allow(clippy::too_many_arguments)]
+pub async fn ask_once(
+    w: &World,
+    p: &Pool,
+    service: &str,
+    server: &str,
+    to: SocketAddr,
+    path: &str,
+    body: Vec<u8>,
+    us: u64,
+) -> Option<Vec<u8>> {
     let b = p.get(w, service, server, to).await.ok()?;
     let Sent::Answered(mut r) = b.send(w, path, body, us).await else { return None };
     let ok = r.status().is_success();
--- a/yewcross-front/src/judge.rs
+++ b/yewcross-front/src/judge.rs
@@ -116,13 +116,10 @@
 
 /// Where the session would go were its home away: the judges' own pick without it, occupancy left out so that it stays put.
 pub fn spill<'a>(servers: &'a [Server], key: &str, home: &Home, w: &Weights) -> Option<&'a Server> {
-    servers
-        .iter()
-        .filter(|s| s.at.server != home.server && s.report.cache > 0)
-        .max_by_key(|s| {
-            let near = (s.at.site == home.site) as u64;
-            (w.standing * standing(s) / 4096, near * w.site, yewcross::hash::weigh(key, &s.at.server))
-        })
+    servers.iter().filter(|s| s.at.server != home.server && s.report.cache > 0).max_by_key(|s| {
+        let near = (s.at.site == home.site) as u64;
+        (w.standing * standing(s) / 4096, near * w.site, yewcross::hash::weigh(key, &s.at.server))
+    })
 }
 
 pub struct Home {
@@ -137,7 +134,8 @@
 
     fn server(n: &str, site: &str, running: u32) -> Server {
         let at = Listed { server: n.into(), service: "llm".into(), addr: ([127, 0, 0, 1], 1).into(), site: site.into(), leaving: false };
-        let report = Report { server: n.into(), inst: 1, slots: 4, running, cache: 100_000, per_k: 120_000, per_out: 1000, ..Default::default() };
+        let report =
+            Report { server: n.into(), inst: 1, slots: 4, running, cache: 100_000, per_k: 120_000, per_out: 1000, ..Default::default() };
         Server { at, report, age: 0, mine: 0, slow: 0 }
     }
 
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -36,8 +36,33 @@
 }
 
 counts!(
-    turns, done, replayed, lost, broken, cancelled, lookups, found, strangers, polls, warm, partly, cold, moved_warm, moved_partly, moved_cold, moved_short,
-    imports, imports_failed, import_us, pushes, push_failed, push_skipped, push_within, push_across, note_refused, drops
+    turns,
+    done,
+    replayed,
+    lost,
+    broken,
+    cancelled,
+    lookups,
+    found,
+    strangers,
+    polls,
+    warm,
+    partly,
+    cold,
+    moved_warm,
+    moved_partly,
+    moved_cold,
+    moved_short,
+    imports,
+    imports_failed,
+    import_us,
+    pushes,
+    push_failed,
+    push_skipped,
+    push_within,
+    push_across,
+    note_refused,
+    drops
 );
 
 pub struct Front {
--- a/yewcross-front/src/line.rs
+++ b/yewcross-front/src/line.rs
@@ -77,6 +77,7 @@
     }
 
     /// Waits for room. Refuses at once what is bound to be too late; `room` gives free and all slots.
+    #[allow(clippy::too_many_arguments)]
     pub async fn enter<'a>(
         &'a self,
         w: &World,
--- a/yewcross-front/src/lookup.rs
+++ b/yewcross-front/src/lookup.rs
@@ -161,10 +161,8 @@
             let Ok(x) = serde_json::from_value::<Found>(v) else { return refuse(Code::MayHaveRun, "", 0) };
             let stamp = Stamp { job: b.job.clone(), ..x.stamp };
             let v = json!({"code": Code::Done.number(), "value": x.value, "stamp": stamp});
-            if once {
-                if let Some(c) = close(&f, &key, &b.job, nonce, epoch, Code::Done, horizon, &v).await {
-                    return refuse(c, "", c.back());
-                }
+            if once && let Some(c) = close(&f, &key, &b.job, nonce, epoch, Code::Done, horizon, &v).await {
+                return refuse(c, "", c.back());
             }
             f.counts.found.fetch_add(1, SeqCst);
             reply(200, &v)
@@ -188,7 +186,8 @@
 #[allow(clippy::too_many_arguments)]
 async fn close(f: &Arc<Front>, key: &str, job: &str, nonce: u64, epoch: u64, code: Code, until: u64, v: &Value) -> Option<Code> {
     let kept = if code == Code::Done { serde_json::to_vec(v).unwrap_or_default() } else { vec![] };
-    let a = Ask::Commit(Commit { key: key.into(), job: job.into(), epoch, nonce, code, used: 0, rule: Rule::All, kv: Kv::default(), hist: 0 });
+    let a =
+        Ask::Commit(Commit { key: key.into(), job: job.into(), epoch, nonce, code, used: 0, rule: Rule::All, kv: Kv::default(), hist: 0 });
     loop {
         match f.store(key, &a, &kept, 1).await {
             Some((Tell::Committed, _)) => return None,
--- a/yewcross-front/src/news.rs
+++ b/yewcross-front/src/news.rs
@@ -1,8 +1,8 @@
 //! What is known of the servers: home nodes poll and tell, everyone keeps a table.
 
 use crate::Front;
-use std::collections::BTreeMap;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross::ask::*;
@@ -123,7 +123,7 @@
 impl Front {
     /// Parts reports into those that say something new and the names of the rest; now and then all are told whole.
     fn fresh(&self, got: Vec<Report>) -> (Vec<Report>, Vec<String>) {
-        let whole = self.w.now() / REPORT_EVERY % NEWS_WHOLE == 0;
+        let whole = (self.w.now() / REPORT_EVERY).is_multiple_of(NEWS_WHOLE);
         let mut told = self.told.lock().unwrap();
         let (new, old): (Vec<Report>, Vec<Report>) = got.into_iter().partition(|r| {
             let plain = Report { seq: 0, age: 0, ..r.clone() };
@@ -157,7 +157,8 @@
     f.lines.wake(svc);
     if relay {
         f.members.alive(Role::Front).into_iter().filter(|n| n.site == f.st.site && n.name != f.st.name).for_each(|n| {
-            let (p, a) = (f.peers.clone(), Ask::News { service: svc.to_string(), reports: reports.clone(), same: same.clone(), relay: false });
+            let (p, a) =
+                (f.peers.clone(), Ask::News { service: svc.to_string(), reports: reports.clone(), same: same.clone(), relay: false });
             f.w.go(async move {
                 let _ = p.ask(n.peer, &a, &[], PEER_WAIT).await;
             });
--- a/yewcross-front/src/turn.rs
+++ b/yewcross-front/src/turn.rs
@@ -86,9 +86,7 @@
         _ if !name_ok(&b.job) => bad("job"),
         _ if b.messages.is_empty() => bad("messages"),
         _ if b.max_output == Some(0) => bad("max_output"),
-        _ if !(HORIZON_MIN..=HORIZON_MAX).contains(&b.horizon_ms) => {
-            Err((Code::BadHorizon, format!("{HORIZON_MIN} to {HORIZON_MAX} ms")))
-        }
+        _ if !(HORIZON_MIN..=HORIZON_MAX).contains(&b.horizon_ms) => Err((Code::BadHorizon, format!("{HORIZON_MIN} to {HORIZON_MAX} ms"))),
         _ => Ok(()),
     }
 }
@@ -345,14 +343,8 @@
         if servers.iter().all(|s| not.contains(&s.at.server)) {
             return None;
         }
-        let case = Case {
-            key: &g.r.key,
-            site: &f.st.site,
-            tokens: tokens(g.hist.len() + g.ask.len()),
-            max_out: g.r.max_out,
-            kv: &g.kv,
-            left,
-        };
+        let case =
+            Case { key: &g.r.key, site: &f.st.site, tokens: tokens(g.hist.len() + g.ask.len()), max_out: g.r.max_out, kv: &g.kv, left };
         let Some(p) = judge::pick(&servers, &case, &w, not) else {
             let could = servers.iter().filter(|s| !not.contains(&s.at.server));
             let hopeless = could.map(|s| judge::takes(s, &case, &judge::warmth(s, &case))).all(|t| t > left);
@@ -385,11 +377,11 @@
                 continue;
             }
         };
-        if let Warmth::Import(r) = &p.warmth {
-            if !kv::import(f, &b, &g.r.key, r, left).await {
-                g.kv.replica = None;
-                continue;
-            }
+        if let Warmth::Import(r) = &p.warmth
+            && !kv::import(f, &b, &g.r.key, r, left).await
+        {
+            g.kv.replica = None;
+            continue;
         }
         return Some((p, b));
     }
@@ -424,8 +416,7 @@
     if !r.status().is_success() {
         let v = f.w.within(BACK_WAIT, yewcross::http::body(&mut r, 64 << 10)).await.and_then(|v| v.ok()).unwrap_or_default();
         let v: Value = serde_json::from_slice(&v).unwrap_or_default();
-        let said = v["refused"] == json!(true)
-            && serde_json::from_value::<Stamp>(v["stamp"].clone()).is_ok_and(|s| b.stamped(&s, &job));
+        let said = v["refused"] == json!(true) && serde_json::from_value::<Stamp>(v["stamp"].clone()).is_ok_and(|s| b.stamped(&s, &job));
         return if said { Shot::NotRun(Box::new(g)) } else { Shot::Lost(Box::new(g), false) };
     }
     let mut lines = Lines::of(&mut r);
@@ -488,7 +479,8 @@
         mark: placed,
     };
     let pushed = f.replicas.lock().unwrap().get(&g.r.key).cloned();
-    let replica = pushed.or(g.kv.replica.clone()).filter(|r| r.weights == home.weights && r.server != home.server && g.kv.program == g.r.b.program);
+    let replica =
+        pushed.or(g.kv.replica.clone()).filter(|r| r.weights == home.weights && r.server != home.server && g.kv.program == g.r.b.program);
     let kv = Kv { home: Some(home), replica, program: g.r.b.program.clone() };
     let c = Commit {
         key: g.r.key.clone(),
--- a/yewcross-lab/src/caller.rs
+++ b/yewcross-lab/src/caller.rs
@@ -169,7 +169,15 @@
     let a = Ask { program: format!("{service}/{method}"), session: key.into(), job: job.into(), horizon_ms, ..Default::default() };
     let mut s = blank(w, "lookup", &a);
     let body = json!({"service": service, "method": method, "key": key, "horizon_ms": horizon_ms, "job": job});
-    let r = http::fetch(w, to, http_types::Method::Post, "/v1/lookup", &[], serde_json::to_vec(&body).unwrap_or_default(), horizon_ms * MS + 3 * SEC);
+    let r = http::fetch(
+        w,
+        to,
+        http_types::Method::Post,
+        "/v1/lookup",
+        &[],
+        serde_json::to_vec(&body).unwrap_or_default(),
+        horizon_ms * MS + 3 * SEC,
+    );
     if let Ok((status, r, b)) = r.await {
         s.config = version(&r);
         let v: Value = serde_json::from_slice(&b).unwrap_or(Value::Null);
@@ -210,7 +218,7 @@
         if d.stop.load(SeqCst) {
             return;
         }
-        if w.rand() % 6 == 0 {
+        if w.rand().is_multiple_of(6) {
             // Once only: the same id again and again, at any front, whatever was said.
             let (s, _, _) = sh.mix.lookups[w.pick(sh.mix.lookups.len())].clone();
             let job = format!("{name}-once-{t}");
@@ -224,7 +232,7 @@
             let seen = lookup(&w, fronts[at], &s, &m, &format!("k{}", w.rand() % 1000), "", 1500).await;
             d.seen.lock().unwrap().push(seen);
         }
-        if w.rand() % 4 == 0 {
+        if w.rand().is_multiple_of(4) {
             at = w.pick(fronts.len());
         }
         let n = if t == 0 { first } else { later };
@@ -237,10 +245,10 @@
             horizon_ms: 6000,
             text,
             max_output: max,
-            stream: w.rand() % 4 != 0,
+            stream: !w.rand().is_multiple_of(4),
         };
         let mut tries = 0;
-        let twin = w.rand() % 8 == 0;
+        let twin = w.rand().is_multiple_of(8);
         let before = known.len();
         if twin {
             // An impatient caller: the same job at another front at the same time.
@@ -266,7 +274,7 @@
                     known.push(mark(&line));
                     false
                 }
-                Heard::Code(c) => (3000..4000).contains(c) || *c == 5001 || *c == 4002 || (*c == 4001 && w.rand() % 2 == 0),
+                Heard::Code(c) => (3000..4000).contains(c) || *c == 5001 || *c == 4002 || (*c == 4001 && w.rand().is_multiple_of(2)),
                 Heard::Cut | Heard::Nothing => true,
             };
             unsure += (s.heard != Heard::Done && s.ran != "not_run") as usize;
--- a/yewcross-lab/src/fleet.rs
+++ b/yewcross-lab/src/fleet.rs
@@ -50,7 +50,8 @@
     }
 
     fn spawn(&mut self, name: &str, prog: &str, args: &[String]) -> Result<(), String> {
-        let log = std::fs::File::options().create(true).append(true).open(self.dir.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
+        let log =
+            std::fs::File::options().create(true).append(true).open(self.dir.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
         let err = log.try_clone().map_err(|e| e.to_string())?;
         let k = Command::new(self.bin.join(prog))
             .args(args)
@@ -148,7 +149,11 @@
         while self.w.now() < t1 + 20 * SEC {
             let mut ok = 0;
             for f in self.sh.of(Role::Front) {
-                ok += self.get(f.http, "/health").await.is_some_and(|v| v["serving"] == json!(true) && v["versions"]["list"].as_u64() > Some(0)) as usize;
+                ok += self
+                    .get(f.http, "/health")
+                    .await
+                    .is_some_and(|v| v["serving"] == json!(true) && v["versions"]["list"].as_u64() > Some(0))
+                    as usize;
             }
             if ok == self.sh.of(Role::Front).len() {
                 break;
@@ -176,9 +181,30 @@
 }
 
 fn gain(a: &BTreeMap<String, u64>, b: &BTreeMap<String, u64>) -> Value {
-    let keys = ["done", "lost", "warm", "partly", "cold", "moved_warm", "moved_partly", "moved_cold", "moved_short", "imports", "imports_failed", "pushes",
-        "push_within", "push_across", "messages", "bytes_within", "bytes_across", "syncs"];
-    keys.iter().map(|k| (k.to_string(), json!(b.get(*k).unwrap_or(&0) - a.get(*k).unwrap_or(&0).min(b.get(*k).unwrap_or(&0))))).collect::<serde_json::Map<_, _>>().into()
+    let keys = [
+        "done",
+        "lost",
+        "warm",
+        "partly",
+        "cold",
+        "moved_warm",
+        "moved_partly",
+        "moved_cold",
+        "moved_short",
+        "imports",
+        "imports_failed",
+        "pushes",
+        "push_within",
+        "push_across",
+        "messages",
+        "bytes_within",
+        "bytes_across",
+        "syncs",
+    ];
+    keys.iter()
+        .map(|k| (k.to_string(), json!(b.get(*k).unwrap_or(&0) - a.get(*k).unwrap_or(&0).min(b.get(*k).unwrap_or(&0)))))
+        .collect::<serde_json::Map<_, _>>()
+        .into()
 }
 
 /// The newcomer's tour: a fleet comes up, serves, loses a server to a drain, to load, and to a kill.
--- a/yewcross-lab/src/grind.rs
+++ b/yewcross-lab/src/grind.rs
@@ -69,11 +69,11 @@
             let k = format!("k{k}");
             let mut got = None;
             for n in me.names(Role::Store) {
-                if let Some(c) = me.control(&n).filter(|_| me.sim.up(me.sim.find(&n))) {
-                    if let Ok((_, _, v)) = c.owner.read(&k, 5 * SEC).await {
-                        got = Some(ids(&v));
-                        break;
-                    }
+                if let Some(c) = me.control(&n).filter(|_| me.sim.up(me.sim.find(&n)))
+                    && let Ok((_, _, v)) = c.owner.read(&k, 5 * SEC).await
+                {
+                    got = Some(ids(&v));
+                    break;
                 }
             }
             en.lock().unwrap().insert(k, got);
@@ -81,8 +81,8 @@
         *ov.lock().unwrap() = true;
     });
     lab.sim.run(300 * SEC, || *over.lock().unwrap());
-    let g = Ground { ops: ops.lock().unwrap().clone(), ends: ends.lock().unwrap().clone(), hash: lab.sim.hash(), log: lab.sim.log() };
-    g
+
+    Ground { ops: ops.lock().unwrap().clone(), ends: ends.lock().unwrap().clone(), hash: lab.sim.hash(), log: lab.sim.log() }
 }
 
 /// Changes run as part of the machine's own life and die with it.
@@ -189,7 +189,10 @@
         let g = grind(seed, &acts, 3, 24);
         let v = judge(&g);
         let (n, won, no, unsure) = figures(&g);
-        let mut out = format!("seed {seed} {acts:?}: {} of {n} changes {won} won, {no} refused, {unsure} undecided", if v.is_empty() { "holds" } else { "BROKEN" });
+        let mut out = format!(
+            "seed {seed} {acts:?}: {} of {n} changes {won} won, {no} refused, {unsure} undecided",
+            if v.is_empty() { "holds" } else { "BROKEN" }
+        );
         if trace {
             g.log.iter().for_each(|(t, n, l)| out += &format!("\n  {:>10.3} {n}: {l}", *t as f64 / 1e6));
         }
--- a/yewcross-lab/src/main.rs
+++ b/yewcross-lab/src/main.rs
@@ -1,7 +1,7 @@
 use std::path::PathBuf;
+use strum::IntoEnumIterator;
 use yewcross::real::Real;
 use yewcross::startup::exit;
-use strum::IntoEnumIterator;
 use yewcross_lab::proof::{Act, Plan};
 use yewcross_lab::{fleet, grind, platform, proof, standin};
 
--- a/yewcross-lab/src/proof.rs
+++ b/yewcross-lab/src/proof.rs
@@ -248,10 +248,16 @@
     pub async fn whole(&self, secs: u64) -> bool {
         let end = self.sim.now() + secs * SEC;
         while self.sim.now() < end {
-            let v: Vec<Arc<Control>> = self.procs.lock().unwrap().iter().filter_map(|(n, p)| match p {
-                Proc::Control(c) if self.sim.up(self.sim.find(n)) => Some(c.clone()),
-                _ => None,
-            }).collect();
+            let v: Vec<Arc<Control>> = self
+                .procs
+                .lock()
+                .unwrap()
+                .iter()
+                .filter_map(|(n, p)| match p {
+                    Proc::Control(c) if self.sim.up(self.sim.find(n)) => Some(c.clone()),
+                    _ => None,
+                })
+                .collect();
             let l = v.iter().map(|c| c.book.layout.load().0).max().unwrap_or(0);
             let mut ok = !v.is_empty();
             for c in &v {
@@ -375,11 +381,19 @@
                 v.iter().for_each(|n| self.boot(n));
                 self.hard("all stores");
             }
-            Act::LoseStoreDisk | Act::LoseCoreDisk | Act::RotStore | Act::CoreElsewhere | Act::StoreElsewhere if !self.whole(30).await => s.note("not whole in time; act left out"),
+            Act::LoseStoreDisk | Act::LoseCoreDisk | Act::RotStore | Act::CoreElsewhere | Act::StoreElsewhere if !self.whole(30).await => {
+                s.note("not whole in time; act left out")
+            }
             Act::LoseStoreDisk => restart(self.any(Role::Store), true, true, 2).await,
             Act::LoseCoreDisk => restart(self.any(Role::Core), true, true, 2).await,
             Act::FreezeFront | Act::FreezeCore | Act::FreezeStore => {
-                let r = if a == Act::FreezeFront { Role::Front } else if a == Act::FreezeCore { Role::Core } else { Role::Store };
+                let r = if a == Act::FreezeFront {
+                    Role::Front
+                } else if a == Act::FreezeCore {
+                    Role::Core
+                } else {
+                    Role::Store
+                };
                 let m = s.find(&self.any(r));
                 s.freeze(m);
                 self.hard(name);
@@ -392,7 +406,7 @@
                 self.hard(name);
                 for _ in 0..6 {
                     let f = Faults { lose: 2, ..Default::default() };
-                    self.back(&self.any_back(s.rand() % 2 == 0)).into_iter().for_each(|b| b.fault(f.clone()));
+                    self.back(&self.any_back(s.rand().is_multiple_of(2))).into_iter().for_each(|b| b.fault(f.clone()));
                     self.op.sleep(500 * MS).await;
                 }
             }
@@ -485,7 +499,13 @@
             }
             Act::SiteCut => {
                 let z = self.sh.sites[1 + s.rand() as usize % 3].clone();
-                let all = || self.sh.nodes.iter().map(|n| (n.name.clone(), n.site.clone())).chain(self.sh.backs.iter().map(|b| (b.server.clone(), b.site.clone())));
+                let all = || {
+                    self.sh
+                        .nodes
+                        .iter()
+                        .map(|n| (n.name.clone(), n.site.clone()))
+                        .chain(self.sh.backs.iter().map(|b| (b.server.clone(), b.site.clone())))
+                };
                 let (x, y): (Vec<_>, Vec<_>) = all().partition(|n| n.1 == z);
                 let ids = |v: Vec<(String, String)>| v.iter().map(|n| s.find(&n.0)).collect::<Vec<_>>();
                 s.split(&ids(x), &ids(y));
@@ -536,7 +556,7 @@
                         x.put(&core, base, &m).await;
                     });
                     self.op.sleep(s.rand() % (30 * MS)).await;
-                    restart(c, s.rand() % 2 == 0, false, 2).await;
+                    restart(c, s.rand().is_multiple_of(2), false, 2).await;
                     nap(4).await;
                 }
             }
@@ -569,7 +589,7 @@
                 }
             }
             Act::StallDisk | Act::FullDisk => {
-                let n = self.any(if s.rand() % 2 == 0 { Role::Core } else { Role::Store });
+                let n = self.any(if s.rand().is_multiple_of(2) { Role::Core } else { Role::Store });
                 let m = s.find(&n);
                 let on = |v: bool| s.disk(m, |d| if a == Act::StallDisk { d.stalled = v } else { d.full = v });
                 on(true);
@@ -615,9 +635,8 @@
             }
             Act::Flood => {
                 let w = self.sim.boot(self.sim.machine("flood", &self.sh.sites[1], addr(903, 0).ip()));
-                (0..40 * self.sh.backs.iter().filter(|b| b.model).count()).for_each(|i| {
-                    w.go(caller::session(w.clone(), self.sh.clone(), self.diary.clone(), 8000 + i, 2))
-                });
+                (0..40 * self.sh.backs.iter().filter(|b| b.model).count())
+                    .for_each(|i| w.go(caller::session(w.clone(), self.sh.clone(), self.diary.clone(), 8000 + i, 2)));
                 nap(10).await;
             }
             Act::ClockJump => {
@@ -803,10 +822,16 @@
     let seen = lab.diary.seen.lock().unwrap().clone();
     let puts: Vec<u64> = lab.acks.lock().unwrap().iter().filter(|a| a.code == 1000).map(|a| (a.at - a.sent) / 1000).collect();
     let knocks = lab.ledger.knocks.lock().unwrap().clone();
-    let last: Vec<u64> = lab.left.lock().unwrap().iter().map(|l| {
-        let mine = knocks.iter().filter(|k| k.1.starts_with(&format!("{} ", l.1)) && k.0 >= l.0).map(|k| (k.0 - l.0) / 1000);
-        mine.max().unwrap_or(0)
-    }).collect();
+    let last: Vec<u64> = lab
+        .left
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|l| {
+            let mine = knocks.iter().filter(|k| k.1.starts_with(&format!("{} ", l.1)) && k.0 >= l.0).map(|k| (k.0 - l.0) / 1000);
+            mine.max().unwrap_or(0)
+        })
+        .collect();
     let figures = json!({"callers": caller::sum(&seen), "fronts": sums, "messages": msgs, "bytes_within": near, "bytes_across": far,
         "syncs": syncs, "odd_frames": odd, "kinds": kinds, "in_force_ms": puts, "leaving_to_last_job_ms": last, "polls": lab.sim.polls(), "sizes": format!("{:?}", lab.sim.sizes())});
     let end = over.lock().unwrap().2;
@@ -847,7 +872,13 @@
         v.push("0 the tier was not founded".into());
     }
     e.seen.iter().filter(|s| !s.fault.is_empty()).for_each(|s| {
-        let n = if s.fault.starts_with("forgot") { 5 } else if s.fault.contains("piece") || s.fault.contains("digest") { 6 } else { 1 };
+        let n = if s.fault.starts_with("forgot") {
+            5
+        } else if s.fault.contains("piece") || s.fault.contains("digest") {
+            6
+        } else {
+            1
+        };
         v.push(format!("{n} {} at {}: {}", s.job, s.at, s.fault));
     });
     v.extend(twice(e));
@@ -856,7 +887,10 @@
     v.extend(leaving(e));
     v.extend(in_force(e));
     v.extend(acked(e));
-    e.runs.iter().filter(|r| r.server.starts_with('x')).for_each(|r| v.push(format!("10 {} ran at {} which nobody allowed", r.job, r.server)));
+    e.runs
+        .iter()
+        .filter(|r| r.server.starts_with('x'))
+        .for_each(|r| v.push(format!("10 {} ran at {} which nobody allowed", r.job, r.server)));
     v.extend(dropped(e));
     v.extend(back_in_time(e));
     v.extend(prompt_finals(e));
@@ -967,7 +1001,8 @@
     let crowded = e.log.iter().any(|l| l.2 == "act flood" || l.2 == "act crowd");
     for (t, what) in &e.hard {
         for kind in ["turn", "lookup"] {
-            let x: Vec<&Seen> = e.seen.iter().filter(|s| s.kind == kind && s.at >= t + 9 * SEC && s.at < t + 14 * SEC && s.at + 6 * SEC < e.end).collect();
+            let x: Vec<&Seen> =
+                e.seen.iter().filter(|s| s.kind == kind && s.at >= t + 9 * SEC && s.at < t + 14 * SEC && s.at + 6 * SEC < e.end).collect();
             let later = e.hard.iter().any(|h| h.0 > *t && h.0 < t + 14 * SEC);
             let ok = x.iter().filter(|s| s.heard == Heard::Done).count();
             // In a crowd many are rightly told to come back; then some of each class must get through.
@@ -994,7 +1029,9 @@
     let held = e.seen.iter().filter(given_up).filter(|s| s.took > s.horizon * 6 / 10 && !struck(s));
     no_time
         .map(|s| format!("13 {} was refused with {:?} and no time to come back", s.job, s.heard))
-        .chain(held.map(|s| format!("13 {} was held {} of {} ms and then refused with {:?}", s.job, s.took / 1000, s.horizon / 1000, s.heard)))
+        .chain(
+            held.map(|s| format!("13 {} was held {} of {} ms and then refused with {:?}", s.job, s.took / 1000, s.horizon / 1000, s.heard)),
+        )
         .collect()
 }
 
--- a/yewcross-lab/src/rogue.rs
+++ b/yewcross-lab/src/rogue.rs
@@ -49,7 +49,11 @@
         "program": v["program"], "prompt": "hello\t", "max_output": v["max_output"], "horizon_ms": 6000});
     let got = fetch(&r.w, b, http_types::Method::Post, "/turn", &[], q.to_string().into_bytes(), 5 * SEC).await;
     let text = got.map(|x| String::from_utf8_lossy(&x.2).into_owned()).unwrap_or_default();
-    let whole: String = text.lines().filter_map(|l| serde_json::from_str::<Value>(l).ok()).filter_map(|l| l["text"].as_str().map(|s| s.to_string())).collect();
+    let whole: String = text
+        .lines()
+        .filter_map(|l| serde_json::from_str::<Value>(l).ok())
+        .filter_map(|l| l["text"].as_str().map(|s| s.to_string()))
+        .collect();
     json!({"text": whole})
 }
 
@@ -61,7 +65,10 @@
         let key = v["key"].as_str().unwrap_or("");
         return match r.sin {
             Sin::RefusesAll => refuse(yewcross::code::Code::NoServer, "", 1),
-            _ => reply(200, &json!({"code": 1000, "value": format!("{key}={}", &digest(key.as_bytes())[..8]), "stamp": {"server": "l1", "job": job}})),
+            _ => reply(
+                200,
+                &json!({"code": 1000, "value": format!("{key}={}", &digest(key.as_bytes())[..8]), "stamp": {"server": "l1", "job": job}}),
+            ),
         };
     }
     let server = match r.sin {
@@ -92,7 +99,7 @@
         if r.sin == Sin::RepeatsPiece {
             let _ = tx.try_send(p);
         }
-        if r.sin != Sin::Drops || n % 7 > 0 {
+        if r.sin != Sin::Drops || !n.is_multiple_of(7) {
             let _ = tx.try_send(format!("{e}\n").into_bytes());
         }
         stream(rx)
--- a/yewcross-lab/src/shape.rs
+++ b/yewcross-lab/src/shape.rs
@@ -100,7 +100,8 @@
     });
     let used: Vec<(&str, &str)> = lk.iter().take(lookups).cloned().collect();
     let mut services = json!({"llm": {"kind": "model", "allow": ["m*"], "line": 64}});
-    used.iter().for_each(|(s, m)| services[*s] = json!({"kind": "lookup", "allow": ["l*"], "methods": [m, "confirm"], "once": ["confirm"]}));
+    used.iter()
+        .for_each(|(s, m)| services[*s] = json!({"kind": "lookup", "allow": ["l*"], "methods": [m, "confirm"], "once": ["confirm"]}));
     let (common, rare) = if kow { ("chargeback", "onboarding") } else { ("cliptag", "commentary") };
     let config = json!({
         "families": {"talk": {"set": {"horizon_ms": 6000, "max_output": 128}, "under": {
@@ -111,10 +112,7 @@
         "fronts": nodes.iter().filter(|n| n.role == Role::Front).map(|n| n.name.clone()).collect::<Vec<_>>(),
     });
     let mix = Mix {
-        turns: vec![
-            (common.into(), common.into(), 6, 36_000, 400, 64),
-            (rare.into(), rare.into(), 1, 2_000, 200, 32),
-        ],
+        turns: vec![(common.into(), common.into(), 6, 36_000, 400, 64), (rare.into(), rare.into(), 1, 2_000, 200, 32)],
         lookups: used.iter().map(|(s, m)| (s.to_string(), m.to_string(), 4)).collect(),
     };
     Some(Shape { name: name.into(), sites, nodes, backs, platform, config: config.to_string(), gap, mix })
--- a/yewcross-lab/src/sim.rs
+++ b/yewcross-lab/src/sim.rs
@@ -440,7 +440,9 @@
             g.tasks.remove(&id);
             Some(f)
         } else {
-            g.tasks.get_mut(&id).map(|s| s.fut = Some(f));
+            if let Some(s) = g.tasks.get_mut(&id) {
+                s.fut = Some(f);
+            }
             None
         };
         drop(g);
@@ -504,8 +506,12 @@
         let p = format!("{path}/");
         let here = |k: &String| k.starts_with(&p) && !k[p.len()..].contains('/');
         self.safe.retain(|k, _| !here(k));
-        let add: Vec<(String, Arc<Vec<u8>>)> =
-            self.live.iter().filter(|x| here(x.0)).map(|(k, f)| (k.clone(), if f.synced { f.data.clone() } else { Arc::default() })).collect();
+        let add: Vec<(String, Arc<Vec<u8>>)> = self
+            .live
+            .iter()
+            .filter(|x| here(x.0))
+            .map(|(k, f)| (k.clone(), if f.synced { f.data.clone() } else { Arc::default() }))
+            .collect();
         self.safe.extend(add);
     }
 }
@@ -668,7 +674,11 @@
         Nap { sim: self.sim.clone(), at, set: false }
     }
 
-    fn on_disk<T: Send + 'static>(&self, us: u64, f: impl FnOnce(&mut Disk) -> io::Result<T> + Send + 'static) -> Fut<'static, io::Result<T>> {
+    fn on_disk<T: Send + 'static>(
+        &self,
+        us: u64,
+        f: impl FnOnce(&mut Disk) -> io::Result<T> + Send + 'static,
+    ) -> Fut<'static, io::Result<T>> {
         let (sim, m) = (self.sim.clone(), self.who.0);
         let us = us + sim.rand() % (us / 2 + 1);
         Box::pin(async move {
--- a/yewcross-lab/src/standin.rs
+++ b/yewcross-lab/src/standin.rs
@@ -383,7 +383,8 @@
     let e = s.s.lock().unwrap().cache.get(&text(&v, "session")).cloned();
     match e.filter(|e| e.digest == text(&v, "digest")) {
         Some(e) => {
-            let base = v["base"].as_str().and_then(|b| s.s.lock().unwrap().saved.get(&text(&v, "session")).filter(|x| x.0 == b).map(|x| x.1));
+            let base =
+                v["base"].as_str().and_then(|b| s.s.lock().unwrap().saved.get(&text(&v, "session")).filter(|x| x.0 == b).map(|x| x.1));
             let bytes = e.tokens.saturating_sub(base.unwrap_or(0)) * KV_TOKEN_BYTES;
             s.s.lock().unwrap().saved.insert(text(&v, "session"), (e.digest.clone(), e.tokens));
             s.w.sleep(bytes / 4_000).await;
@@ -399,9 +400,7 @@
     let (Some(e), Ok(to)) = (e.filter(|e| e.digest == text(&v, "digest")), text(&v, "to").parse::<SocketAddr>()) else {
         return reply(404, &json!({"ok": false, "bytes": 0}));
     };
-    let offer = |base: &str| {
-        json!({"session": session, "digest": e.digest, "len": e.len, "tokens": e.tokens, "base": base, "target": text(&v, "target")})
-    };
+    let offer = |base: &str| json!({"session": session, "digest": e.digest, "len": e.len, "tokens": e.tokens, "base": base, "target": text(&v, "target")});
     let mut bytes = 0;
     for base in [text(&v, "base"), String::new()] {
         let ask = serde_json::to_vec(&offer(&base)).unwrap_or_default();
--- a/yewcross-lab/tests/proof.rs
+++ b/yewcross-lab/tests/proof.rs
@@ -10,9 +10,8 @@
 
 #[test]
 fn both_deployments_keep_the_twelve() {
-    let plans = ["kowhai", "consorcio"].into_iter().flat_map(|sh| {
-        Act::iter().enumerate().map(move |(i, a)| Plan::new(70 + i as u64, sh, &[a]))
-    });
+    let plans =
+        ["kowhai", "consorcio"].into_iter().flat_map(|sh| Act::iter().enumerate().map(move |(i, a)| Plan::new(70 + i as u64, sh, &[a])));
     assert_eq!(sweep(plans.collect(), false), 0);
 }
 
--- a/yewcross-lab/tests/real.rs
+++ b/yewcross-lab/tests/real.rs
@@ -53,7 +53,8 @@
         let fronts: Vec<_> = f.sh.of(Role::Front).iter().map(|n| (n.name.clone(), n.http)).collect();
         let (f1, f2) = (fronts[0].1, fronts[1].1);
         until(&w, 10, "the platform's list", async || {
-            matches!(caller::turn(&w, f1, &ask("warm")).await.heard, Heard::Done) && matches!(caller::turn(&w, f2, &ask("warm2")).await.heard, Heard::Done)
+            matches!(caller::turn(&w, f1, &ask("warm")).await.heard, Heard::Done)
+                && matches!(caller::turn(&w, f2, &ask("warm2")).await.heard, Heard::Done)
         })
         .await;
 
@@ -78,10 +79,7 @@
         let t0 = w.now();
         until(&w, 4, "the lease to pass", async || w.now() > t0 + 2 * SEC).await;
         f.signal("front1", "-CONT");
-        until(&w, 5, "front1 to serve again", async || {
-            f.get(f1, "/health").await.is_some_and(|v| v["serving"] == json!(true))
-        })
-        .await;
+        until(&w, 5, "front1 to serve again", async || f.get(f1, "/health").await.is_some_and(|v| v["serving"] == json!(true))).await;
 
         // Another server at a known server's address is never given a job.
         let b = f.sh.backs.iter().find(|b| b.model).cloned().unwrap();
--- a/yewcross-lab/tests/transcripts.rs
+++ b/yewcross-lab/tests/transcripts.rs
@@ -98,15 +98,36 @@
         one("a lookup", "POST", "/v1/lookup", "", r#"{"service":"settlement","method":"status","key":"k1","horizon_ms":1000}"#),
         one("an unknown method", "POST", "/v1/lookup", "", r#"{"service":"settlement","method":"erase","key":"k1","horizon_ms":1000}"#),
         one("once only, no id", "POST", "/v1/lookup", "", r#"{"service":"settlement","method":"confirm","key":"k1","horizon_ms":1000}"#),
-        one("once only", "POST", "/v1/lookup", "", r#"{"service":"settlement","method":"confirm","key":"k1","horizon_ms":1000,"job":"o1"}"#),
-        one("once only, again", "POST", "/v1/lookup", "", r#"{"service":"settlement","method":"confirm","key":"k1","horizon_ms":1000,"job":"o1"}"#),
-        one("once only, another key", "POST", "/v1/lookup", "", r#"{"service":"settlement","method":"confirm","key":"k2","horizon_ms":1000,"job":"o1"}"#),
+        one(
+            "once only",
+            "POST",
+            "/v1/lookup",
+            "",
+            r#"{"service":"settlement","method":"confirm","key":"k1","horizon_ms":1000,"job":"o1"}"#,
+        ),
+        one(
+            "once only, again",
+            "POST",
+            "/v1/lookup",
+            "",
+            r#"{"service":"settlement","method":"confirm","key":"k1","horizon_ms":1000,"job":"o1"}"#,
+        ),
+        one(
+            "once only, another key",
+            "POST",
+            "/v1/lookup",
+            "",
+            r#"{"service":"settlement","method":"confirm","key":"k2","horizon_ms":1000,"job":"o1"}"#,
+        ),
         one("the budget runs out", "POST", p, "", &turn("t", "j1", "x", "")),
         one("and is spent", "POST", p, "", &turn("t", "j2", "x", "")),
         one("the session ends", "POST", "/v1/session/end", "", r#"{"program":"chargeback","session":"s"}"#),
         one("health", "GET", "/health", "", ""),
     ];
-    approve("yewcross-lab/tests/callers.txt", &play(Role::Front, steps, |t| t["budgets"]["chargeback"] = serde_json::json!({"tokens": 60})));
+    approve(
+        "yewcross-lab/tests/callers.txt",
+        &play(Role::Front, steps, |t| t["budgets"]["chargeback"] = serde_json::json!({"tokens": 60})),
+    );
 }
 
 #[test]
--- a/yewcross-plan/src/lib.rs
+++ b/yewcross-plan/src/lib.rs
@@ -173,7 +173,8 @@
     let home = kv.home.as_ref()?;
     let at = servers.iter().find(|s| s.at.server == home.server)?;
     let h = Home { server: home.server.clone(), site: at.at.site.clone() };
-    (home.tokens >= fam.kv_min_tokens && fam.kv_share).then(|| judge::spill(servers, key, &h, &Weights::from(fam)).map(|s| s.at.server.clone()))?
+    (home.tokens >= fam.kv_min_tokens && fam.kv_share)
+        .then(|| judge::spill(servers, key, &h, &Weights::from(fam)).map(|s| s.at.server.clone()))?
 }
 
 fn allowed(t: &Tree, servers: &BTreeMap<String, Vec<Server>>, svc: &str) -> Vec<Server> {
@@ -192,7 +193,11 @@
         let (had, has) = (v0.iter().any(|s| s.at.server == home.server), v1.iter().any(|s| s.at.server == home.server));
         if had && !has {
             let warm = kv.replica.as_ref().filter(|r| v1.iter().any(|s| s.at.server == r.server && s.report.inst == r.inst));
-            p.homes.push(Moved { what: key.clone(), was: home.server.clone(), is: warm.map(|r| r.server.clone()).unwrap_or("cold".into()) });
+            p.homes.push(Moved {
+                what: key.clone(),
+                was: home.server.clone(),
+                is: warm.map(|r| r.server.clone()).unwrap_or("cold".into()),
+            });
             continue;
         }
         let s0 = spill(&f0.eff, &v0, &key, &kv);
@@ -287,7 +292,10 @@
     duties(c, p, &[gone].into(), &cores);
     let disk = c.nodes.iter().find(|n| n.name == gone).map(|n| n.disk.clone()).unwrap_or_default();
     let keys: BTreeSet<&str> = c.held.values().flatten().map(|h| h.key.as_str()).collect();
-    p.owners = keys.iter().filter(|k| Copies::of(k, &c.layout.store, 0, STORE_COPIES, |_| None).now.first().is_some_and(|s| s.disk == disk)).count() as u64;
+    p.owners = keys
+        .iter()
+        .filter(|k| Copies::of(k, &c.layout.store, 0, STORE_COPIES, |_| None).now.first().is_some_and(|s| s.disk == disk))
+        .count() as u64;
 }
 
 pub fn plan(c: &Checkpoint, ch: &Change) -> Plan {
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -10,28 +10,78 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize, strum::IntoStaticStr)]
 pub enum Ask {
-    Probe { dig: u64 },
-    Second { to: SocketAddr },
-    Table { nodes: Vec<Node> },
+    Probe {
+        dig: u64,
+    },
+    Second {
+        to: SocketAddr,
+    },
+    Table {
+        nodes: Vec<Node>,
+    },
     Reg(RegAsk),
     /// A node tells which documents it holds and asks whether a core disk holds newer ones.
-    Newer { have: Vec<(String, u64)>, front: bool },
-    Doc { name: String, hops: u8 },
-    Adopt { name: String, seq: u64, epoch: Epoch },
-    Grants { name: String, seq: u64 },
+    Newer {
+        have: Vec<(String, u64)>,
+        front: bool,
+    },
+    Doc {
+        name: String,
+        hops: u8,
+    },
+    Adopt {
+        name: String,
+        seq: u64,
+        epoch: Epoch,
+    },
+    Grants {
+        name: String,
+        seq: u64,
+    },
     Found,
-    Duty { name: String, holder: String },
+    Duty {
+        name: String,
+        holder: String,
+    },
     Begin(Begin),
     Commit(Commit),
-    Abort { key: String, job: String, nonce: u64 },
-    Note { key: String, epoch: u64, kv: Kv },
-    Look { key: String },
+    Abort {
+        key: String,
+        job: String,
+        nonce: u64,
+    },
+    Note {
+        key: String,
+        epoch: u64,
+        kv: Kv,
+    },
+    Look {
+        key: String,
+    },
     /// The session is over: its history goes, its once-only marks stay.
-    End { key: String },
-    Expire { key: String },
-    Reserve { budget: String, entry: String, amount: u64, limit: u64, key: String, job: String, nonce: u64 },
-    Settle { budget: String, entry: String, used: Option<u64> },
-    Tend { key: String },
+    End {
+        key: String,
+    },
+    Expire {
+        key: String,
+    },
+    Reserve {
+        budget: String,
+        entry: String,
+        amount: u64,
+        limit: u64,
+        key: String,
+        job: String,
+        nonce: u64,
+    },
+    Settle {
+        budget: String,
+        entry: String,
+        used: Option<u64>,
+    },
+    Tend {
+        key: String,
+    },
     /// Reports that differ from what was told before, and the servers whose do not.
     News {
         service: String,
@@ -40,7 +90,9 @@
         same: Vec<String>,
         relay: bool,
     },
-    SweepDone { layout: u64 },
+    SweepDone {
+        layout: u64,
+    },
     /// A disk found damaged files: whoever holds the same keys should mend it now.
     SweepNow,
 }
@@ -49,22 +101,52 @@
 pub enum Tell {
     No(Code),
     Ok,
-    Probe { dig: u64, nodes: Vec<Node> },
-    Second { heard: bool },
-    Table { nodes: Vec<Node> },
+    Probe {
+        dig: u64,
+        nodes: Vec<Node>,
+    },
+    Second {
+        heard: bool,
+    },
+    Table {
+        nodes: Vec<Node>,
+    },
     Reg(RegTell),
-    Newer { newest: Vec<(String, u64)>, sure: bool },
-    Doc { seq: u64, epoch: Epoch },
-    Adopted { seq: u64 },
-    Grants { seq: u64, fronts: Vec<(String, u64)> },
-    Duty { granted: bool },
+    Newer {
+        newest: Vec<(String, u64)>,
+        sure: bool,
+    },
+    Doc {
+        seq: u64,
+        epoch: Epoch,
+    },
+    Adopted {
+        seq: u64,
+    },
+    Grants {
+        seq: u64,
+        fronts: Vec<(String, u64)>,
+    },
+    Duty {
+        granted: bool,
+    },
     Begun(Begun),
     /// A kept outcome follows as blob.
-    Kept { code: Code },
+    Kept {
+        code: Code,
+    },
     Committed,
-    Ended { kv: Kv },
-    Look { open: Vec<(String, u64)>, done: Vec<(String, u64, u64)> },
-    Swept { done: bool, left: u64 },
+    Ended {
+        kv: Kv,
+    },
+    Look {
+        open: Vec<(String, u64)>,
+        done: Vec<(String, u64, u64)>,
+    },
+    Swept {
+        done: bool,
+        left: u64,
+    },
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/yewcross/src/http.rs
+++ b/yewcross/src/http.rs
@@ -46,10 +46,7 @@
 pub fn refuse(c: Code, why: &str, back: u64) -> Response {
     let ran: &str = c.ran().into();
     let name: &str = c.into();
-    let mut r = reply(
-        c.http(),
-        &json!({"code": c.number(), "name": name, "ran": ran, "text": c.text(), "why": why, "retry_after": back}),
-    );
+    let mut r = reply(c.http(), &json!({"code": c.number(), "name": name, "ran": ran, "text": c.text(), "why": why, "retry_after": back}));
     if back > 0 {
         r.insert_header("retry-after", back.to_string());
     }
--- a/yewcross/src/member.rs
+++ b/yewcross/src/member.rs
@@ -162,7 +162,10 @@
     async fn swap(&self, to: SocketAddr) -> Option<()> {
         let r = self.peers.ask(to, &Ask::Table { nodes: self.all() }, &[], PEER_WAIT).await;
         match r {
-            Ok((Tell::Table { nodes }, _)) => Some(self.merge(nodes)),
+            Ok((Tell::Table { nodes }, _)) => {
+                self.merge(nodes);
+                Some(())
+            }
             _ => None,
         }
     }
@@ -238,11 +241,8 @@
     fn expire(&self) {
         let t = self.w.now();
         let g = self.table.lock().unwrap();
-        let due: Vec<(String, u64)> = g
-            .values()
-            .filter(|(n, s)| n.state == State::Suspect && t > s + SUSPECT_FOR)
-            .map(|(n, _)| (n.name.clone(), n.born))
-            .collect();
+        let due: Vec<(String, u64)> =
+            g.values().filter(|(n, s)| n.state == State::Suspect && t > s + SUSPECT_FOR).map(|(n, _)| (n.name.clone(), n.born)).collect();
         let old: Vec<String> =
             g.values().filter(|(n, s)| n.state == State::Gone && t > s + GONE_KEPT).map(|(n, _)| n.name.clone()).collect();
         drop(g);
--- a/yewcross/src/real.rs
+++ b/yewcross/src/real.rs
@@ -57,9 +57,8 @@
         let ex = Arc::new(smol::Executor::new());
         (0..threads).for_each(|i| {
             let ex = ex.clone();
-            let _ = std::thread::Builder::new()
-                .name(format!("yew-{i}"))
-                .spawn(move || smol::block_on(ex.run(std::future::pending::<()>())));
+            let _ =
+                std::thread::Builder::new().name(format!("yew-{i}")).spawn(move || smol::block_on(ex.run(std::future::pending::<()>())));
         });
         World(Arc::new(Real { ex, t0: Instant::now(), root: PathBuf::from(root) }))
     }
@@ -118,10 +117,10 @@
         self.blocking(a, move |a| std::fs::rename(a, b))
     }
     fn remove(&self, path: &str) -> Fut<'static, io::Result<()>> {
-        self.blocking(path, |p| std::fs::remove_file(p))
+        self.blocking(path, std::fs::remove_file)
     }
     fn get(&self, path: &str) -> Fut<'static, io::Result<Vec<u8>>> {
-        self.blocking(path, |p| std::fs::read(p))
+        self.blocking(path, std::fs::read)
     }
     fn list(&self, dir: &str) -> Fut<'static, io::Result<Vec<String>>> {
         self.blocking(dir, |p| {
@@ -135,7 +134,7 @@
         })
     }
     fn mkdir(&self, dir: &str) -> Fut<'static, io::Result<()>> {
-        self.blocking(dir, |p| std::fs::create_dir_all(p))
+        self.blocking(dir, std::fs::create_dir_all)
     }
     fn log(&self, line: &str) {
         spdlog::info!("{}", line);
--- a/yewcross/src/reg.rs
+++ b/yewcross/src/reg.rs
@@ -20,7 +20,11 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum RegAsk {
-    Promise { key: String, epoch: Epoch, lay: u64 },
+    Promise {
+        key: String,
+        epoch: Epoch,
+        lay: u64,
+    },
     /// With `delta` the blob only says what changed since the version before.
     Accept {
         key: String,
@@ -31,10 +35,24 @@
         delta: bool,
     },
     /// A value that a majority already holds, for a copy that may not vote.
-    Fill { key: String, epoch: Epoch, seq: u64, lay: u64 },
-    Confirm { key: String, epoch: Epoch, lay: u64 },
+    Fill {
+        key: String,
+        epoch: Epoch,
+        seq: u64,
+        lay: u64,
+    },
+    Confirm {
+        key: String,
+        epoch: Epoch,
+        lay: u64,
+    },
     /// Forgets an emptied key that all copies hold as emptied.
-    Drop { key: String, epoch: Epoch, seq: u64, lay: u64 },
+    Drop {
+        key: String,
+        epoch: Epoch,
+        seq: u64,
+        lay: u64,
+    },
 }
 
 impl RegAsk {
@@ -49,9 +67,14 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RegTell {
-    Promised { accepted: Epoch, seq: u64 },
+    Promised {
+        accepted: Epoch,
+        seq: u64,
+    },
     Accepted,
-    Refused { promised: Epoch },
+    Refused {
+        promised: Epoch,
+    },
     OldLayout,
     Damaged,
     Away,
@@ -79,10 +102,13 @@
 
 const SHARDS: usize = 64;
 
+/// Slots by the hash of their key.
+type Shelf = BTreeMap<u128, (String, Slot)>;
+
 pub struct Replica {
     w: World,
     pub vault: Arc<Vault>,
-    shards: Vec<Arc<futures_util::lock::Mutex<BTreeMap<u128, (String, Slot)>>>>,
+    shards: Vec<Arc<futures_util::lock::Mutex<Shelf>>>,
     /// Layouts older than this are refused.
     pub lay: AtomicU64,
 }
@@ -229,11 +255,8 @@
             return (RegTell::Away, vec![]);
         }
         let promised = n.accepted == x.accepted && n.seq == x.seq;
-        let r = if promised {
-            (RegTell::Promised { accepted: n.accepted, seq: n.seq }, n.value.to_vec())
-        } else {
-            (RegTell::Accepted, vec![])
-        };
+        let r =
+            if promised { (RegTell::Promised { accepted: n.accepted, seq: n.seq }, n.value.to_vec()) } else { (RegTell::Accepted, vec![]) };
         g.insert(h, (key, n));
         r
     }
@@ -336,7 +359,13 @@
     }
 
     /// Sends each copy the question, with only the delta where there is one and the copy can use it.
-    async fn ballot(&self, c: &Copies, a: RegAsk, blob: &Arc<Vec<u8>>, delta: Option<Arc<Vec<u8>>>) -> async_channel::Receiver<(String, RegTell, Vec<u8>)> {
+    async fn ballot(
+        &self,
+        c: &Copies,
+        a: RegAsk,
+        blob: &Arc<Vec<u8>>,
+        delta: Option<Arc<Vec<u8>>>,
+    ) -> async_channel::Receiver<(String, RegTell, Vec<u8>)> {
         let fs = c
             .all()
             .into_iter()
@@ -367,7 +396,13 @@
     }
 
     /// Puts one question to all copies; `Ok` once both majorities said yes.
-    async fn poll(&self, c: &Copies, a: RegAsk, blob: &Arc<Vec<u8>>, delta: Option<Arc<Vec<u8>>>) -> Result<Vec<(String, RegTell, Vec<u8>)>, Poll> {
+    async fn poll(
+        &self,
+        c: &Copies,
+        a: RegAsk,
+        blob: &Arc<Vec<u8>>,
+        delta: Option<Arc<Vec<u8>>>,
+    ) -> Result<Vec<(String, RegTell, Vec<u8>)>, Poll> {
         let rx = self.ballot(c, a, blob, delta).await;
         let (mut yes, mut p) = (vec![], Poll::default());
         for _ in 0..c.all().len() {
@@ -420,7 +455,15 @@
         Ok(())
     }
 
-    async fn write(&self, key: &str, c: &Copies, epoch: Epoch, seq: u64, v: &Arc<Vec<u8>>, delta: Option<Arc<Vec<u8>>>) -> Result<(), Poll> {
+    async fn write(
+        &self,
+        key: &str,
+        c: &Copies,
+        epoch: Epoch,
+        seq: u64,
+        v: &Arc<Vec<u8>>,
+        delta: Option<Arc<Vec<u8>>>,
+    ) -> Result<(), Poll> {
         self.poll(c, RegAsk::Accept { key: key.into(), epoch, seq, lay: c.lay, delta: false }, v, delta).await.map(|_| ())
     }
 
@@ -490,7 +533,8 @@
 
     /// Empties a key for good: first on all copies, and only then do they forget it.
     pub async fn erase(&self, key: &str, over: impl Fn(&[u8]) -> bool) -> bool {
-        let got = self.change(key, PEER_WAIT, |_, v| if v.is_empty() || !over(v) { Step::Keep(v.is_empty()) } else { Step::Write(vec![], true) });
+        let got =
+            self.change(key, PEER_WAIT, |_, v| if v.is_empty() || !over(v) { Step::Keep(v.is_empty()) } else { Step::Write(vec![], true) });
         if got.await != Ok(true) || !self.tend(key).await {
             return false;
         }
@@ -539,11 +583,7 @@
             return false;
         }
         if !hurt.is_empty() {
-            let some = Copies {
-                lay: c.lay,
-                now: c.all().into_iter().filter(|s| hurt.contains(&s.disk)).collect(),
-                old: vec![],
-            };
+            let some = Copies { lay: c.lay, now: c.all().into_iter().filter(|s| hurt.contains(&s.disk)).collect(), old: vec![] };
             let rx = self.ballot(&some, RegAsk::Fill { key: key.into(), epoch: e, seq: h.seq, lay: c.lay }, &h.value, None).await;
             for _ in 0..hurt.len() {
                 if let Ok((d, RegTell::Accepted, _)) = rx.recv().await {
--- a/yewcross/src/tree.rs
+++ b/yewcross/src/tree.rs
@@ -63,17 +63,21 @@
         if self == Rule::All {
             return;
         }
-    let ends: Vec<usize> = hist.iter().enumerate().filter(|x| *x.1 == b'\n').map(|x| x.0 + 1).collect();
-    let cut = match self {
-        Rule::All => 0,
-        Rule::Turns(n) => ends.len().checked_sub(n + 1).map(|i| ends[i]).unwrap_or(0),
-        Rule::Tokens(n) => {
-            let over = hist.len().saturating_sub(n as usize * TOKEN_BYTES);
-            if over == 0 { 0 } else { ends.iter().take(ends.len().saturating_sub(1)).find(|e| **e >= over).or(ends.iter().rev().nth(1)).cloned().unwrap_or(0) }
-        }
-    };
-    hist.drain(..cut);
-}
+        let ends: Vec<usize> = hist.iter().enumerate().filter(|x| *x.1 == b'\n').map(|x| x.0 + 1).collect();
+        let cut = match self {
+            Rule::All => 0,
+            Rule::Turns(n) => ends.len().checked_sub(n + 1).map(|i| ends[i]).unwrap_or(0),
+            Rule::Tokens(n) => {
+                let over = hist.len().saturating_sub(n as usize * TOKEN_BYTES);
+                if over == 0 {
+                    0
+                } else {
+                    ends.iter().take(ends.len().saturating_sub(1)).find(|e| **e >= over).or(ends.iter().rev().nth(1)).cloned().unwrap_or(0)
+                }
+            }
+        };
+        hist.drain(..cut);
+    }
 }
 
 settings!(Family {
@@ -251,7 +255,10 @@
         .unwrap();
         let c = &t.families["chargeback"];
         assert_eq!((c.eff.horizon_ms, c.eff.max_output), (4000, 200));
-        assert_eq!((c.from["horizon_ms"].as_str(), c.from["max_output"].as_str(), c.from["class"].as_str()), ("chat", "chargeback", "default"));
+        assert_eq!(
+            (c.from["horizon_ms"].as_str(), c.from["max_output"].as_str(), c.from["class"].as_str()),
+            ("chat", "chargeback", "default")
+        );
         assert!(t.services["llm"].allows("m7") && !t.services["llm"].allows("x7"));
         let e = Tree::read(
             br#"{"families":{"a":{"set":{"horizon_ms":1,"nope":2},"under":{"b":{"set":{"service":"gone"}}}}},
--- a/yewcross/src/vault.rs
+++ b/yewcross/src/vault.rs
@@ -90,8 +90,7 @@
                 let _ = self.w.remove(&format!("{dir}/{f}")).await;
                 continue;
             }
-            let Some((n, v)) = f.rsplit_once('-').and_then(|(n, v)| Some((n.to_string(), u64::from_str_radix(v, 16).ok()?)))
-            else {
+            let Some((n, v)) = f.rsplit_once('-').and_then(|(n, v)| Some((n.to_string(), u64::from_str_radix(v, 16).ok()?))) else {
                 continue;
             };
             let b = self.w.get(&format!("{dir}/{f}")).await.ok().and_then(|b| unseal(&b));
--- a/yewcross/src/wire.rs
+++ b/yewcross/src/wire.rs
@@ -143,9 +143,9 @@
             self.w.go(async move {
                 let read = async {
                     while let Ok(Some(r)) = capnp_futures::serialize::try_read_message(&mut rd, limits()).await {
-                        unpack(&r, me.speak).filter(|(_, reply, _)| *reply).and_then(|(id, _, p)| {
-                            k.wait.lock().unwrap().remove(&id).map(|s| s.try_send(p))
-                        });
+                        unpack(&r, me.speak)
+                            .filter(|(_, reply, _)| *reply)
+                            .and_then(|(id, _, p)| k.wait.lock().unwrap().remove(&id).map(|s| s.try_send(p)));
                     }
                 };
                 let write = async {
@@ -241,8 +241,7 @@
                     let (b, x) = h.hear(p).await;
                     let out = pack(v, id, true, &me.me, &me.site, &b, &x);
                     me.tally.sent.fetch_add(1, Relaxed);
-                    if near { &me.tally.bytes_within } else { &me.tally.bytes_across }
-                        .fetch_add(out.len() as u64, Relaxed);
+                    if near { &me.tally.bytes_within } else { &me.tally.bytes_across }.fetch_add(out.len() as u64, Relaxed);
                     let _ = tx.send(out).await;
                 });
             }
