Count every shot against its budget; never say "not run" after one may have run

A reservation goes back only once its shot is barred for good. - A begin given up and arriving late began anyway and blocked its session; barred now. - A reservation whose job never began was charged in full by the audit: 200 spent where 0 ran. Given back after barring, unless its record may have been forgotten meanwhile. - A run cut short for want of a listener settled what had been passed on; now the server's stamped word, else all of it. - Ids older than the last 1,024 of a session ran again; all are remembered now (16 bytes each, up to 65,536; 3010 after).

Ruled out: settling the lost shot by what was forwarded (the server may go on); a Bloom filter for old ids (it would refuse new ones). The stand-in's ledger now counts output as it is made, so cut and killed runs weigh too. Checker 4 judges by budget (two programs on one, raised and lowered under way, repeatable families, every act).

--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -214,13 +214,13 @@
         match a {
             Ask::Begin(b) => return self.begin(b).await,
             Ask::Commit(c) => (self.commit(c, blob).await, vec![]),
-            Ask::Abort { key, job, nonce } => (self.abort(&key, &job, nonce).await, vec![]),
+            Ask::Abort { key, job, nonce, budget } => (self.abort(&key, &job, nonce, budget).await, vec![]),
             Ask::Note { key, epoch, kv } => (self.note(&key, epoch, kv).await, vec![]),
             Ask::Look { key } => (self.look(&key).await, vec![]),
             Ask::End { key } => (self.end(&key).await, vec![]),
             Ask::Expire { key } => (self.expire(&key).await, vec![]),
-            Ask::Reserve { budget, entry, amount, limit, key, job, nonce } => {
-                let o = store::Open { amount, key, job, nonce, at: self.w.wall() };
+            Ask::Reserve { budget, entry, amount, limit, key, job, nonce, keep } => {
+                let o = store::Open { amount, key, job, nonce, at: self.w.wall(), keep };
                 (self.reserve(budget.trim_start_matches("budget/"), &entry, o, limit).await, vec![])
             }
             Ask::Settle { budget, entry, used } => (self.settle(&budget, &entry, used).await, vec![]),
--- a/yewcross-control/src/store.rs
+++ b/yewcross-control/src/store.rs
@@ -41,16 +41,28 @@
     /// ms after `touched` until the record may be forgotten.
     #[serde(default)]
     pub keep: u64,
+    /// Shots that may never begin any more.
+    #[serde(default)]
+    pub barred: VecDeque<u64>,
+    /// Lines of bare ids.
+    #[serde(default)]
+    olds: usize,
 }
 
 /// One line for each thing that may change by itself, so that a change is a small delta of the value:
-/// history, kept outcomes, marks, the rest.
+/// history, bare ids of jobs whose marks are gone, kept outcomes, marks, the rest.
 #[derive(Clone, Debug, Default)]
 pub struct Record {
     pub hist: Vec<u8>,
+    /// Ids of jobs older than the marks, 16 hex digits each.
+    pub old: Vec<u8>,
     pub head: Head,
 }
 
+fn bare(job: &str) -> String {
+    format!("{:016x}", yewcross::hash::weigh(job, ""))
+}
+
 fn line(v: &mut Vec<u8>, x: &impl Serialize) {
     v.extend(serde_json::to_vec(x).unwrap_or_default());
     v.push(b'\n');
@@ -73,25 +85,55 @@
             tail -= l.len();
             serde_json::from_slice(l).into_iter().for_each(|m| head.kept.push_front(m));
         });
-        Record { hist: v[..tail].to_vec(), head }
+        let ids: usize = lines.by_ref().take(head.olds).map(|l| l.len()).sum();
+        Record { hist: v[..tail - ids].to_vec(), old: v[tail - ids..tail].to_vec(), head }
     }
     pub fn write(&self) -> Vec<u8> {
         let mut v = self.hist.clone();
+        v.extend(&self.old);
+        let olds = self.old.iter().filter(|b| **b == b'\n').count();
         self.head.kept.iter().for_each(|k| line(&mut v, k));
         self.head.marks.iter().for_each(|m| line(&mut v, m));
-        line(&mut v, &(&self.head, self.head.marks.len(), self.head.kept.len()));
+        line(&mut v, &(&Head { olds, ..self.head.clone() }, self.head.marks.len(), self.head.kept.len()));
         v
     }
     fn close(&mut self, code: Code, used: u64) -> Option<Run> {
         self.head.running.take().inspect(|r| {
             self.head.marks.push_back(Mark { job: r.job.clone(), digest: r.digest.clone(), nonce: r.nonce, code, used });
             while self.head.marks.len() > MARKS_KEPT {
-                self.head.marks.pop_front();
+                let m = self.head.marks.pop_front();
+                m.iter().for_each(|m| grow(&mut self.old, &bare(&m.job)));
             }
         })
     }
 }
 
+/// Ids stand in lines of a fixed length, so that a change stays a small delta.
+fn grow(old: &mut Vec<u8>, id: &str) {
+    let last = old.split_inclusive(|b| *b == b'\n').next_back().map_or(0, |l| l.len());
+    if last > 0 && last <= 16 * OLD_LINE {
+        old.pop();
+    }
+    old.extend(id.as_bytes());
+    old.push(b'\n');
+}
+
+impl Record {
+    fn ran_before(&self, job: &str) -> bool {
+        let id = bare(job);
+        self.old.split(|b| *b == b'\n').any(|l| l.chunks(16).any(|x| x == id.as_bytes()))
+    }
+    fn full(&self) -> bool {
+        self.old.len() >= 17 * OLD_KEPT
+    }
+    fn bar(&mut self, nonce: u64) {
+        self.head.barred.push_back(nonce);
+        while self.head.barred.len() > BARS_KEPT {
+            self.head.barred.pop_front();
+        }
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Open {
     pub amount: u64,
@@ -99,6 +141,8 @@
     pub job: String,
     pub nonce: u64,
     pub at: u64,
+    #[serde(default)]
+    pub keep: u64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -165,19 +209,22 @@
             let r = Record::read(&v);
             r.head.marks.iter().any(|m| m.job == b.job) || r.head.running.as_ref().is_some_and(|x| self.w.wall() < x.until)
         });
-        let reserve = b.budget.clone().filter(|_| !seen);
-        if let Some((name, limit)) = &reserve {
+        let mut reserve = b.budget.clone().filter(|_| !seen);
+        if let Some((name, limit)) = reserve.clone() {
             let a = Ask::Reserve {
                 budget: name.clone(),
                 entry: entry(&b),
                 amount: b.max_out,
-                limit: *limit,
+                limit,
                 key: b.key.clone(),
                 job: b.job.clone(),
                 nonce: b.nonce,
+                keep: b.keep,
             };
-            match (self.route)(purse_key(name), a).await {
+            match (self.route)(purse_key(&name), a).await {
                 Some(Tell::Ok) => {}
+                // Given back already: this shot may be looked at, and not begun.
+                Some(Tell::No(Code::Conflict)) => reserve = None,
                 Some(Tell::No(c)) => return (Tell::No(c), vec![]),
                 _ => return (Tell::No(Code::StoreAway), vec![]),
             }
@@ -198,6 +245,12 @@
                         (c, _) => Pre::No(c),
                     });
                 }
+                if r.head.barred.contains(&b.nonce) {
+                    return Step::Keep(Pre::No(Code::StoreAway));
+                }
+                if r.ran_before(&b.job) {
+                    return Step::Keep(Pre::No(Code::Forgotten));
+                }
                 let mut closed = None;
                 if let Some(x) = &r.head.running {
                     if x.job == b.job && x.digest != b.digest {
@@ -216,6 +269,9 @@
                         return Step::Write(r.write(), Pre::No(Code::MayHaveRun));
                     }
                 }
+                if r.full() {
+                    return Step::Keep(Pre::No(Code::SessionFull));
+                }
                 if b.budget.is_some() && reserve.is_none() {
                     return Step::Keep(Pre::No(Code::StoreAway));
                 }
@@ -252,14 +308,12 @@
                 free(self);
                 (Tell::Kept { code }, k.into_bytes())
             }
+            // The front may ask again with this very shot: it keeps its reservation until it is barred.
+            Ok(Pre::No(Code::StoreAway)) | Err(Trouble::NotDone) => (Tell::No(Code::StoreAway), vec![]),
             Ok(Pre::No(c)) => {
                 free(self);
                 (Tell::No(c), vec![])
             }
-            Err(Trouble::NotDone) => {
-                free(self);
-                (Tell::No(Code::StoreAway), vec![])
-            }
             Err(Trouble::Undecided) => (Tell::No(Code::Undecided), vec![]),
         }
     }
@@ -301,23 +355,36 @@
         }
     }
 
-    /// The front will not dispatch this run: as if it had never begun.
-    pub async fn abort(self: &Arc<Self>, key: &str, job: &str, nonce: u64) -> Tell {
+    /// This shot will never be dispatched: as if it had not begun, and it never can begin any more. Only then is its
+    /// reservation given back.
+    pub async fn abort(self: &Arc<Self>, key: &str, job: &str, nonce: u64, budget: Option<String>) -> Tell {
+        let wall = self.w.wall();
         let got = self
             .owner
             .change(key, PEER_WAIT, |_, v| {
                 let mut r = Record::read(v);
-                match r.head.running.take_if(|x| x.job == job && x.nonce == nonce) {
-                    Some(x) => Step::Write(r.write(), x.budget),
-                    None => Step::Keep(None),
+                if r.head.marks.iter().any(|m| m.job == job && m.nonce == nonce) || r.ran_before(job) {
+                    return Step::Keep(false);
+                }
+                if r.head.barred.contains(&nonce) {
+                    return Step::Keep(true);
+                }
+                r.head.running.take_if(|x| x.job == job && x.nonce == nonce);
+                r.bar(nonce);
+                if r.head.keep == 0 {
+                    (r.head.touched, r.head.keep) = (wall, BAR_KEPT);
                 }
+                Step::Write(r.write(), true)
             })
             .await;
-        got.map(|b| {
-            b.into_iter().for_each(|n| self.settle_soon(&n, format!("{key}|{job}|{nonce}"), Some(0)));
-            Tell::Ok
-        })
-        .unwrap_or(Tell::No(Code::Undecided))
+        match got {
+            Ok(true) => {
+                budget.iter().for_each(|n| self.settle_soon(n, format!("{key}|{job}|{nonce}"), Some(0)));
+                Tell::Ok
+            }
+            Ok(false) => Tell::No(Code::Conflict),
+            Err(_) => Tell::No(Code::Undecided),
+        }
     }
 
     pub async fn note(&self, key: &str, epoch: u64, kv: Kv) -> Tell {
@@ -376,22 +443,21 @@
             .owner
             .change(&purse_key(budget), PEER_WAIT, |_, v| {
                 let mut p = Purse::read(v);
-                if p.open.contains_key(e) || p.recent.iter().any(|x| x == e) {
-                    return Step::Keep(true);
+                if p.open.contains_key(e) {
+                    return Step::Keep(Tell::Ok);
+                }
+                if p.recent.iter().any(|x| x == e) {
+                    return Step::Keep(Tell::No(Code::Conflict));
                 }
                 let held: u64 = p.open.values().map(|o| o.amount).sum();
                 if p.spent + held >= limit {
-                    return Step::Keep(false);
+                    return Step::Keep(Tell::No(Code::BudgetSpent));
                 }
                 p.open.insert(e.into(), o.clone());
-                Step::Write(p.write(), true)
+                Step::Write(p.write(), Tell::Ok)
             })
             .await;
-        match got {
-            Ok(true) => Tell::Ok,
-            Ok(false) => Tell::No(Code::BudgetSpent),
-            Err(_) => Tell::No(Code::StoreAway),
-        }
+        got.unwrap_or(Tell::No(Code::StoreAway))
     }
 
     pub async fn settle(&self, budget: &str, e: &str, used: Option<u64>) -> Tell {
@@ -433,12 +499,22 @@
     pub async fn audit(self: &Arc<Self>, budget: &str) {
         let Some(v) = self.owner.hint(&purse_key(budget)) else { return };
         let wall = self.w.wall();
-        for (e, o) in Purse::read(&v).open.into_iter().filter(|x| wall > x.1.at + 30_000) {
+        for (e, o) in Purse::read(&v).open.into_iter().filter(|x| wall > x.1.at + AUDIT_AFTER) {
             let Some(Tell::Look { open, done }) = (self.route)(o.key.clone(), Ask::Look { key: o.key.clone() }).await else { continue };
             if open.iter().any(|x| x.0 == o.job && x.1 == o.nonce) {
                 continue;
             }
-            let used = done.iter().find(|x| x.0 == o.job && x.1 == o.nonce).map(|x| x.2);
+            let mut used = done.iter().find(|x| x.0 == o.job && x.1 == o.nonce).map(|x| x.2);
+            // Never begun, as far as the record tells, and the record cannot have been forgotten since: once it is
+            // barred it never will be.
+            if used.is_none() && wall < o.at + o.keep {
+                let a = Ask::Abort { key: o.key.clone(), job: o.job.clone(), nonce: o.nonce, budget: None };
+                match (self.route)(o.key.clone(), a).await {
+                    Some(Tell::Ok) => used = Some(0),
+                    Some(Tell::No(Code::Conflict)) => {}
+                    _ => continue,
+                }
+            }
             self.settle(budget, &e, used).await;
         }
     }
@@ -482,7 +558,7 @@
             [24, 16, 24, 16, 8]
         );
         let m = |j: &str| Mark { job: j.into(), digest: "d".into(), nonce: 1, code: Code::Done, used: 3 };
-        let mut r = Record { hist: h.clone(), head: Head { epoch: 7, ..Default::default() } };
+        let mut r = Record { hist: h.clone(), old: vec![], head: Head { epoch: 7, ..Default::default() } };
         r.head.marks.extend([m("a"), m("b")]);
         r.head.kept.push_back(("b".into(), "x\ny".into()));
         let b = Record::read(&r.write());
@@ -490,4 +566,25 @@
         assert_eq!(b.head.marks.iter().map(|m| m.job.as_str()).collect::<Vec<_>>(), ["a", "b"]);
         assert_eq!(Record::read(&[]).head.epoch, 0);
     }
+
+    #[test]
+    fn every_id_of_a_session_is_remembered_and_costs_a_small_delta() {
+        let mut r = Record { hist: b"one\ntwo\n".to_vec(), ..Default::default() };
+        let run =
+            |i: usize| Run { job: format!("j{i}"), digest: "d".into(), nonce: 1, front: "f".into(), until: 0, max_out: 0, budget: None };
+        (0..MARKS_KEPT + 200).for_each(|i| {
+            r.head.running = Some(run(i));
+            r.close(Code::Done, 1);
+        });
+        let was = r.write();
+        let mut b = Record::read(&was);
+        assert_eq!((b.hist.as_slice(), b.head.marks.len(), b.old.len()), (&b"one\ntwo\n"[..], MARKS_KEPT, 200 * 16 + 4));
+        assert!((0..200).all(|i| b.ran_before(&format!("j{i}"))) && !b.ran_before("j200") && !b.ran_before("never"));
+        b.head.running = Some(run(5000));
+        b.close(Code::Done, 1);
+        let d = yewcross::delta::diff(&was, &b.write()).len();
+        assert!(d < 2000, "{d}");
+        b.old = vec![b'0'; 17 * OLD_KEPT];
+        assert!(b.full());
+    }
 }
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -250,13 +250,13 @@
         last
     }
 
-    /// Tells the store that a begun job will not be dispatched.
-    pub fn abort(self: &Arc<Self>, key: &str, job: &str, nonce: u64) {
+    /// Tells the store that a shot will not be dispatched.
+    pub fn abort(self: &Arc<Self>, key: &str, job: &str, nonce: u64, budget: Option<String>) {
         let (me, key, job) = (self.clone(), key.to_string(), job.to_string());
         self.w.go(async move {
-            let a = Ask::Abort { key: key.clone(), job, nonce };
+            let a = Ask::Abort { key: key.clone(), job, nonce, budget };
             for i in 0..4u64 {
-                if let Some((Tell::Ok, _)) = me.store(&key, &a, &[], 1).await {
+                if let Some((Tell::Ok | Tell::No(Code::Conflict), _)) = me.store(&key, &a, &[], 1).await {
                     return;
                 }
                 me.w.sleep((100 << i) * MS).await;
@@ -306,19 +306,24 @@
     }
 }
 
-/// Every outcome tells under which configuration it was made.
+/// Every outcome tells under which configuration it was made, and of which shot it speaks.
 async fn answer(f: Arc<Front>, j: Job) -> Response {
     let v = f.book.config.load().0;
-    let mut r = route(f, j).await;
+    let nonce = f.w.rand();
+    let shot = matches!(j.path.as_str(), "/v1/turn" | "/v1/lookup").then(|| format!("{nonce:x}"));
+    let mut r = route(f, j, nonce).await;
     r.insert_header("yewcross-config", v.to_string());
+    shot.into_iter().for_each(|s| {
+        r.insert_header("yewcross-shot", s);
+    });
     r
 }
 
-async fn route(f: Arc<Front>, j: Job) -> Response {
+async fn route(f: Arc<Front>, j: Job, nonce: u64) -> Response {
     match (j.verb, j.path.as_str()) {
-        (Method::Post, "/v1/turn") => turn::answer(f, j).await,
+        (Method::Post, "/v1/turn") => turn::answer(f, j, nonce).await,
         (Method::Post, "/v1/session/end") => turn::end(f, j).await,
-        (Method::Post, "/v1/lookup") => lookup::answer(f, j).await,
+        (Method::Post, "/v1/lookup") => lookup::answer(f, j, nonce).await,
         (Method::Get, "/v1/servers") => reply(200, &news::table(&f)),
         (Method::Get, "/health") => {
             let ok = f.follow.serving();
--- a/yewcross-front/src/lookup.rs
+++ b/yewcross-front/src/lookup.rs
@@ -33,7 +33,7 @@
     stamp: Stamp,
 }
 
-pub async fn answer(f: Arc<Front>, j: Job) -> Response {
+pub async fn answer(f: Arc<Front>, j: Job, nonce: u64) -> Response {
     let t0 = f.w.now();
     f.counts.lookups.fetch_add(1, SeqCst);
     let b: LookupBody = match serde_json::from_slice(&j.body) {
@@ -69,7 +69,6 @@
         Err((c, back)) => return refuse(c, "", back),
     };
     let key = format!("once/{}/{}", b.service, b.job);
-    let nonce = f.w.rand();
     let mut epoch = 0;
     if once {
         let a = Ask::Begin(Begin {
@@ -90,9 +89,9 @@
                 let v: Value = serde_json::from_slice(&v).unwrap_or_default();
                 return reply(200, &v);
             }
-            Some((Tell::No(c), _)) if c != Code::Undecided => return refuse(c, "", c.back()),
+            Some((Tell::No(c), _)) if !matches!(c, Code::Undecided | Code::StoreAway) => return refuse(c, "", c.back()),
             _ => {
-                f.abort(&key, &b.job, nonce);
+                f.abort(&key, &b.job, nonce, None);
                 return refuse(Code::StoreAway, "", BACK_SOON);
             }
         }
@@ -101,6 +100,7 @@
     let fam = Family::default();
     let none = Kv::default();
     let mut not: Vec<String> = vec![];
+    let mut lost = false;
     let won = loop {
         let left = horizon.saturating_sub(f.w.now() + HORIZON_SPARE / 2);
         let servers = news::fit(&f, &b.service);
@@ -112,7 +112,13 @@
                 f.w.sleep(10 * MS).await;
                 continue;
             }
-            break Err(if servers.is_empty() { Code::NoServer } else { Code::TooLate });
+            break Err(if lost {
+                Code::MayHaveRun
+            } else if servers.is_empty() {
+                Code::NoServer
+            } else {
+                Code::TooLate
+            });
         };
         let at = &p.server.at;
         let Ok(k) = f.pool.get(&f.w, &b.service, &at.server, at.addr).await else {
@@ -149,6 +155,7 @@
             _ => {
                 f.slowed(&at.server);
                 not.push(at.server.clone());
+                lost = true;
                 if once {
                     break Err(Code::MayHaveRun);
                 }
@@ -167,6 +174,8 @@
             f.counts.found.fetch_add(1, SeqCst);
             reply(200, &v)
         }
+        // One that may run again is worth asking again.
+        Err(Code::MayHaveRun) if !once => refuse(Code::MayHaveRun, "", BACK_SOON),
         Err(Code::MayHaveRun) => {
             let me = f.clone();
             f.w.go(async move {
@@ -176,7 +185,7 @@
         }
         Err(c) => {
             if once {
-                f.abort(&key, &b.job, nonce);
+                f.abort(&key, &b.job, nonce, None);
             }
             refuse(c, "", BACK_SOON)
         }
--- a/yewcross-front/src/turn.rs
+++ b/yewcross-front/src/turn.rs
@@ -91,7 +91,7 @@
     }
 }
 
-pub async fn answer(f: Arc<Front>, j: Job) -> Response {
+pub async fn answer(f: Arc<Front>, j: Job, nonce: u64) -> Response {
     let t0 = f.w.now();
     let b: TurnBody = match serde_json::from_slice(&j.body) {
         Ok(b) => b,
@@ -102,7 +102,7 @@
     }
     let (tx, rx) = async_channel::bounded(64);
     let (me, streamed) = (f.clone(), b.stream);
-    f.w.go(async move { drive(me, b, t0, tx).await });
+    f.w.go(async move { drive(me, b, t0, nonce, tx).await });
     if !streamed {
         let mut text = String::new();
         while let Ok(e) = rx.recv().await {
@@ -177,6 +177,10 @@
 struct Begun {
     r: Read,
     nonce: u64,
+    /// What servers know the present shot by.
+    shot: u64,
+    /// A shot went out whose outcome never came.
+    lost: bool,
     epoch: u64,
     kv: Kv,
     hist: Vec<u8>,
@@ -197,7 +201,7 @@
     let _ = out.send(Event::No(c, why.into(), back)).await;
 }
 
-async fn drive(f: Arc<Front>, b: TurnBody, t0: u64, out: Out) {
+async fn drive(f: Arc<Front>, b: TurnBody, t0: u64, nonce: u64, out: Out) {
     f.counts.turns.fetch_add(1, SeqCst);
     if !f.follow.serving() {
         return no(&out, Code::NotServing, "", BACK_SOON).await;
@@ -227,14 +231,17 @@
         Err((c, back)) => return no(&out, c, "", back).await,
     };
     let r = Read { b, fam, key, horizon, patience, max_out };
-    let mut g = match begin(&f, r, &out).await {
+    let mut g = match begin(&f, r, nonce, &out).await {
         Some(g) => g,
         None => return,
     };
     let mut not: Vec<String> = vec![];
     let ran = loop {
         let Some((p, b)) = place(&f, &mut g, &mut not, &mut pass).await else {
-            f.abort(&g.r.key, &g.r.b.job, g.nonce);
+            if g.lost {
+                return lost(&f, g, &out).await;
+            }
+            f.abort(&g.r.key, &g.r.b.job, g.nonce, purse(&f, &g.r));
             let c = if news::fit(&f, &g.r.fam.service).is_empty() { Code::NoServer } else { Code::TooLate };
             return no(&out, c, "", BACK_SOON).await;
         };
@@ -254,10 +261,11 @@
                 not.push(p.server.at.server.clone());
                 g = *back;
             }
-            Shot::Lost(back, sent_any) => {
+            Shot::Lost(mut back, sent_any) => {
                 f.slowed(&p.server.at.server);
+                back.lost = true;
                 let again = back.r.fam.repeatable && !sent_any && f.w.now() + HORIZON_SPARE < back.r.horizon;
-                if !again {
+                if !again || !another(&f, &mut back, &p.server.at).await {
                     lost(&f, *back, &out).await;
                     return;
                 }
@@ -270,9 +278,37 @@
     keep(f, ran, &out).await;
 }
 
+/// The budget that a turn spends from, if the configuration limits it.
+fn purse(f: &Front, r: &Read) -> Option<String> {
+    f.book.config.load().1.budgets.contains_key(&r.fam.budget).then(|| r.fam.budget.clone())
+}
+
+/// The lost shot may yet put out all it was allowed: the next one needs a reservation of its own, which stays spent.
+async fn another(f: &Arc<Front>, g: &mut Begun, was: &Listed) -> bool {
+    let (me, at, svc, job) = (f.clone(), was.clone(), g.r.fam.service.clone(), shot_id(g));
+    f.w.go(async move {
+        cancel(&me, &at, &svc, &job).await;
+    });
+    g.shot = f.w.rand();
+    let limit = f.book.config.load().1.budgets.get(&g.r.fam.budget).map(|b| b.tokens);
+    let Some(limit) = limit else { return true };
+    let (budget, entry) = (g.r.fam.budget.clone(), format!("{}|{}|{}", g.r.key, g.r.b.job, g.shot));
+    let (key, job, nonce) = (g.r.key.clone(), g.r.b.job.clone(), g.shot);
+    let a = Ask::Reserve { budget: budget.clone(), entry: entry.clone(), amount: g.r.max_out, limit, key, job, nonce, keep: 0 };
+    let at = format!("budget/{budget}");
+    if !matches!(f.store(&at, &a, &[], 1).await, Some((Tell::Ok, _))) {
+        return false;
+    }
+    f.store(&at, &Ask::Settle { budget, entry, used: None }, &[], 1).await;
+    true
+}
+
+fn shot_id(g: &Begun) -> String {
+    format!("{}#{:x}", g.r.b.job, g.shot)
+}
+
 /// One round trip: the record is ours under a new epoch, the budget holds our reservation.
-async fn begin(f: &Arc<Front>, r: Read, out: &Out) -> Option<Begun> {
-    let nonce = f.w.rand();
+async fn begin(f: &Arc<Front>, r: Read, nonce: u64, out: &Out) -> Option<Begun> {
     let ask = {
         let mut v = serde_json::to_vec(&r.b.messages).unwrap_or_default();
         v.push(b'\t');
@@ -298,11 +334,11 @@
             let hist = if g.whole { blob } else { hand.unwrap_or_default() };
             let all = tokens(hist.len() + ask.len());
             if all > r.fam.max_prompt {
-                f.abort(&r.key, &r.b.job, nonce);
+                f.abort(&r.key, &r.b.job, nonce, purse(f, &r));
                 no(out, Code::TooLarge, "the prompt with its history passes max_prompt", 0).await;
                 return None;
             }
-            Some(Begun { nonce, epoch: g.epoch, kv: g.kv, hist, ask, r })
+            Some(Begun { nonce, shot: nonce, lost: false, epoch: g.epoch, kv: g.kv, hist, ask, r })
         }
         Some((Tell::Kept { .. }, blob)) => {
             f.counts.replayed.fetch_add(1, SeqCst);
@@ -314,8 +350,8 @@
             }
             None
         }
-        Some((Tell::No(Code::Undecided), _)) | None => {
-            f.abort(&r.key, &r.b.job, nonce);
+        Some((Tell::No(Code::Undecided | Code::StoreAway), _)) | None => {
+            f.abort(&r.key, &r.b.job, nonce, purse(f, &r));
             no(out, Code::StoreAway, "", BACK_SOON).await;
             None
         }
@@ -397,7 +433,7 @@
 }
 
 async fn shot(f: &Arc<Front>, g: Begun, p: &Pick, b: Back<Verified>, out: &Out) -> Shot {
-    let job = format!("{}#{:x}", g.r.b.job, g.nonce);
+    let job = shot_id(&g);
     let mut prompt = g.hist.clone();
     prompt.extend(&g.ask);
     let left = g.r.horizon.saturating_sub(f.w.now());
@@ -437,8 +473,10 @@
             // A run that may be repeated is cut short when nobody listens; one that may not goes on and is kept.
             if gone && g.r.fam.repeatable {
                 f.counts.cancelled.fetch_add(1, SeqCst);
-                cancel(f, &p_at, &g.r.fam.service, &job).await;
-                return Shot::Left(Box::new(g), tokens(text.len()));
+                // What was passed on is not what it put out: only its own stamped word says less than all.
+                let said = cancel(f, &p_at, &g.r.fam.service, &job).await;
+                let used = said.filter(|c| b.stamped(&c.stamp, &job)).and_then(|c| c.output).unwrap_or(g.r.max_out).min(g.r.max_out);
+                return Shot::Left(Box::new(g), used);
             }
             continue;
         }
@@ -510,9 +548,16 @@
     kv::share(f, kv::Fresh { key: g.r.key, epoch: g.epoch, kv, fam: g.r.fam }).await;
 }
 
-async fn cancel(f: &Arc<Front>, at: &Listed, svc: &str, job: &str) {
+#[derive(Deserialize)]
+struct Stopped {
+    output: Option<u64>,
+    stamp: Stamp,
+}
+
+async fn cancel(f: &Arc<Front>, at: &Listed, svc: &str, job: &str) -> Option<Stopped> {
     let b = serde_json::to_vec(&json!({"job": job})).unwrap_or_default();
-    crate::back::ask_once(&f.w, &f.pool, svc, &at.server, at.addr, "/cancel", b, BACK_WAIT).await;
+    let v = crate::back::ask_once(&f.w, &f.pool, svc, &at.server, at.addr, "/cancel", b, BACK_WAIT).await?;
+    serde_json::from_slice(&v).ok()
 }
 
 /// Sent, and its outcome lost: told at once, then closed for good as "may have run", its reservation spent in full.
--- a/yewcross-lab/src/caller.rs
+++ b/yewcross-lab/src/caller.rs
@@ -36,6 +36,8 @@
     pub heard: Heard,
     pub ran: String,
     pub retry_after: u64,
+    /// The shot that the front says this answer is about.
+    pub shot: String,
     pub text: String,
     pub output: u64,
     pub prompt: u64,
@@ -78,6 +80,7 @@
         heard: Heard::Nothing,
         ran: String::new(),
         retry_after: 0,
+        shot: String::new(),
         text: String::new(),
         output: 0,
         prompt: 0,
@@ -89,8 +92,10 @@
     }
 }
 
-fn version(r: &http_types::Response) -> u64 {
-    r.header("yewcross-config").and_then(|v| v.as_str().parse().ok()).unwrap_or(0)
+fn heads(s: &mut Seen, r: &http_types::Response) {
+    let head = |n: &str| r.header(n).map(|v| v.as_str().to_string()).unwrap_or_default();
+    s.config = head("yewcross-config").parse().unwrap_or(0);
+    s.shot = head("yewcross-shot");
 }
 
 fn refused(s: &mut Seen, v: &Value) {
@@ -128,7 +133,7 @@
         .within(limit, async {
             let c = w.connect(to).await.ok()?;
             let mut r = http::exchange(&c, http_types::Method::Post, "/v1/turn", &[], body).await.ok()?;
-            s.config = version(&r);
+            heads(&mut s, &r);
             if !a.stream || !r.status().is_success() {
                 let b = http::body(&mut r, FRAME_MAX).await.ok();
                 let v: Value = b.and_then(|b| serde_json::from_slice(&b).ok()).unwrap_or(Value::Null);
@@ -179,7 +184,7 @@
         horizon_ms * MS + 3 * SEC,
     );
     if let Ok((status, r, b)) = r.await {
-        s.config = version(&r);
+        heads(&mut s, &r);
         let v: Value = serde_json::from_slice(&b).unwrap_or(Value::Null);
         if status == 200 {
             s.heard = Heard::Done;
--- a/yewcross-lab/src/main.rs
+++ b/yewcross-lab/src/main.rs
@@ -35,6 +35,10 @@
             optional --budget budget: u64
             /// Switch kv_share off, to compare.
             optional --no-share
+            /// Let lost turns be sent again.
+            optional --repeatable
+            /// Let all programs spend from one budget.
+            optional --one-purse
             /// Print the readable trace.
             optional --trace
         }
@@ -102,6 +106,8 @@
             plans.iter_mut().for_each(|p| {
                 p.budget = s.budget;
                 p.no_share = s.no_share;
+                p.repeatable = s.repeatable;
+                p.one_purse = s.one_purse;
             });
             let bad = proof::sweep(plans, s.trace);
             std::process::exit(if bad == 0 { exit::OK } else { 1 });
--- a/yewcross-lab/src/proof.rs
+++ b/yewcross-lab/src/proof.rs
@@ -50,6 +50,7 @@
     pub left: Mutex<Vec<(u64, String)>>,
     pub planned: Mutex<Vec<(u64, u64)>>,
     pub text: Mutex<Value>,
+    pub accounts: Mutex<BTreeMap<String, Account>>,
     next_back: Mutex<usize>,
     /// Machines that speak an older version until they are upgraded.
     old: Mutex<BTreeSet<String>>,
@@ -67,7 +68,13 @@
 
 impl Lab {
     pub fn new(seed: u64, name: &str) -> Arc<Lab> {
-        let sh = Arc::new(shape(name, &addr).unwrap_or_else(|| panic!("no shape {name}")));
+        Lab::of(seed, name, |_| ())
+    }
+
+    pub fn of(seed: u64, name: &str, twist: impl FnOnce(&mut Shape)) -> Arc<Lab> {
+        let mut sh = shape(name, &addr).unwrap_or_else(|| panic!("no shape {name}"));
+        twist(&mut sh);
+        let sh = Arc::new(sh);
         let sim = Sim::new(seed, sh.gap);
         let m = sim.machine("operator", &sh.sites[0], addr(900, 0).ip());
         let op = sim.boot(m);
@@ -94,6 +101,7 @@
             left: Default::default(),
             planned: Default::default(),
             text: Mutex::new(text),
+            accounts: Default::default(),
             next_back: Mutex::new(50),
             old: Default::default(),
             elsewhere: Default::default(),
@@ -344,6 +352,7 @@
     StoreElsewhere,
     RollUpgrade,
     Flood,
+    BudgetMoves,
 }
 
 impl Lab {
@@ -660,6 +669,25 @@
                 nap(6).await;
                 s.kill(old, true);
             }
+            Act::BudgetMoves => {
+                // Raised by half, then lowered to a third, each time by a whole configuration.
+                for (i, (up, down)) in [(3, 2), (1, 3)].into_iter().enumerate() {
+                    let was = self.accounts.lock().unwrap().clone();
+                    let is = |a: &Account| a.caps[0].tokens * up / down;
+                    let base = self.version().await;
+                    was.iter().for_each(|(b, a)| {
+                        self.text.lock().unwrap()["budgets"][b]["tokens"] = json!(is(a));
+                    });
+                    let a = self.put(&self.any(Role::Core), base, &format!("purse{i}-{}", s.now())).await;
+                    // A raise may count from when it was sent, a lowering only from when it was acknowledged.
+                    let from = if up > down { Some(a.sent) } else { Some(a.at).filter(|_| a.code == 1000) };
+                    self.accounts.lock().unwrap().values_mut().for_each(|x| {
+                        let tokens = is(x);
+                        from.iter().for_each(|f| x.caps.push(Cap { from: *f, tokens }));
+                    });
+                    nap(4).await;
+                }
+            }
             Act::PlatformAway => {
                 s.kill(s.find("platform"), false);
                 nap(5).await;
@@ -679,18 +707,36 @@
     pub budget: Option<u64>,
     /// Switches kv_share off, to compare.
     pub no_share: bool,
+    /// Lost turns may be sent again.
+    pub repeatable: bool,
+    /// All programs spend from one budget.
+    pub one_purse: bool,
     /// Puts rogues in the fronts' place.
     pub sin: Option<Sin>,
 }
 
 impl Plan {
     pub fn new(seed: u64, shape: &str, acts: &[Act]) -> Plan {
-        Plan { seed, shape: shape.into(), acts: acts.to_vec(), sessions: 14, budget: None, no_share: false, sin: None }
+        Plan {
+            seed,
+            shape: shape.into(),
+            acts: acts.to_vec(),
+            sessions: 14,
+            budget: None,
+            no_share: false,
+            repeatable: false,
+            one_purse: false,
+            sin: None,
+        }
     }
 
     pub fn command(&self) -> String {
         let a: Vec<&str> = self.acts.iter().map(|a| a.into()).collect();
-        format!("yewcross-lab sim --shape {} --acts {} --from {} --count 1 --trace", self.shape, a.join("+"), self.seed)
+        let mut s = format!("yewcross-lab sim --shape {} --acts {} --from {} --count 1 --trace", self.shape, a.join("+"), self.seed);
+        self.budget.iter().for_each(|b| s += &format!(" --budget {b}"));
+        let flags = [(self.no_share, "no-share"), (self.repeatable, "repeatable"), (self.one_purse, "one-purse")];
+        flags.into_iter().filter(|f| f.0).for_each(|f| s += &format!(" --{}", f.1));
+        s
     }
 }
 
@@ -706,7 +752,9 @@
     pub log: Vec<(u64, String, String)>,
     pub last: Option<(u64, ConfigDoc)>,
     pub once: BTreeSet<String>,
-    pub budgets: BTreeMap<String, (u64, u64)>,
+    pub budgets: BTreeMap<String, Account>,
+    /// Budgets are small enough to be spent: being told so is being served.
+    pub capped: bool,
     pub end: u64,
     pub hash: u64,
     pub figures: Value,
@@ -718,18 +766,27 @@
 }
 
 pub fn run(p: &Plan) -> Evidence {
-    let lab = Lab::new(p.seed, &p.shape);
-    let mut budgets = BTreeMap::new();
+    let lab = Lab::of(p.seed, &p.shape, |sh| {
+        let one = sh.mix.turns[0].1.clone();
+        sh.mix.turns.iter_mut().filter(|_| p.one_purse).for_each(|m| m.1 = one.clone());
+    });
     {
         let mut t = lab.text.lock().unwrap();
+        let talk = &mut t["families"]["talk"];
         if p.no_share {
-            t["families"]["talk"]["set"]["kv_share"] = json!(false);
+            talk["set"]["kv_share"] = json!(false);
         }
+        talk["set"]["repeatable"] = json!(p.repeatable);
         lab.sh.mix.turns.iter().for_each(|m| {
             let n = p.budget.unwrap_or(50_000_000);
-            t["budgets"][&m.1]["tokens"] = json!(n);
-            budgets.insert(m.0.clone(), (n, m.5));
+            talk["under"][&m.0]["set"]["budget"] = json!(m.1);
+            let mut g = lab.accounts.lock().unwrap();
+            let a = g.entry(m.1.clone()).or_default();
+            a.programs.insert(m.0.clone());
+            a.turn = a.turn.max(m.5);
+            a.caps = vec![Cap { from: 0, tokens: n }];
         });
+        lab.accounts.lock().unwrap().iter().for_each(|(b, a)| t["budgets"][b]["tokens"] = json!(a.caps[0].tokens));
     }
     if p.acts.contains(&Act::RollUpgrade) {
         lab.old.lock().unwrap().extend(lab.sh.nodes.iter().map(|n| n.name.clone()));
@@ -847,8 +904,9 @@
         planned: lab.planned.lock().unwrap().clone(),
         log: lab.sim.log(),
         last,
-        once: lab.sh.mix.turns.iter().map(|t| t.0.clone()).chain(["confirm".to_string()]).collect(),
-        budgets,
+        once: lab.sh.mix.turns.iter().map(|t| t.0.clone()).filter(|_| !p.repeatable).chain(["confirm".to_string()]).collect(),
+        budgets: lab.accounts.lock().unwrap().clone(),
+        capped: p.budget.is_some(),
         end,
         hash: lab.sim.hash(),
         figures,
@@ -909,28 +967,65 @@
     n.into_iter().filter(|x| x.1 > 1).map(|(k, c)| format!("2 {} of {} ran {c} times", k.1, k.0)).collect()
 }
 
+/// A shot that was answered "not run" must never run, whatever other tries of its job were told; and a once-only
+/// job whose every answer so far said "not run" must not run either.
 fn not_run(e: &Evidence) -> Vec<String> {
+    let ran: BTreeSet<(&str, &str)> = e.runs.iter().map(|r| (r.job.as_str(), r.shot.as_str())).collect();
+    let mine = |s: &Seen| [s.job.as_str(), s.shot.as_str()].into_iter().any(|j| ran.contains(&(j, s.shot.as_str())));
+    let shots = e.seen.iter().filter(|s| s.ran == "not_run" && !s.shot.is_empty() && mine(s));
     let mut asks: BTreeMap<(&str, &str), Vec<&Seen>> = BTreeMap::new();
-    e.seen.iter().filter(|s| s.kind == "turn").for_each(|s| asks.entry((&s.session, &s.job)).or_default().push(s));
-    e.runs
-        .iter()
-        .filter(|r| e.once.contains(&r.program))
-        .filter(|r| {
-            let s = r.session.rsplit('/').next().unwrap_or("");
-            asks.get(&(s, r.job.as_str())).is_some_and(|v| !v.iter().any(|s| s.ran != "not_run" && s.at <= r.at))
-        })
-        .map(|r| format!("3 {} ran at {} though all its refusals said not run", r.job, r.at))
+    e.seen.iter().filter(|s| !s.job.is_empty()).for_each(|s| asks.entry((&s.session, &s.job)).or_default().push(s));
+    let jobs = e.runs.iter().filter(|r| e.once.contains(&r.program)).filter(|r| {
+        let s = r.session.rsplit('/').next().unwrap_or("");
+        asks.get(&(s, r.job.as_str())).is_some_and(|v| !v.iter().any(|s| s.ran != "not_run" && s.at <= r.at))
+    });
+    shots
+        .map(|s| format!("3 {} {} at {} was told {:?}, not run, and its shot {} ran", s.kind, s.job, s.at, s.heard, s.shot))
+        .chain(jobs.map(|r| format!("3 {} ran at {} though all its refusals said not run", r.job, r.at)))
         .collect()
 }
 
+/// What a budget allows at most: the largest figure any version stood for, and after a lower one was acknowledged, that.
+#[derive(Clone, Debug)]
+pub struct Cap {
+    pub from: u64,
+    pub tokens: u64,
+}
+
+/// All programs that spend from a budget, what one turn may put out, and its figures over time.
+#[derive(Clone, Debug, Default)]
+pub struct Account {
+    pub programs: BTreeSet<String>,
+    pub turn: u64,
+    pub caps: Vec<Cap>,
+}
+
 fn budget(e: &Evidence) -> Vec<String> {
-    e.budgets
-        .iter()
-        .filter_map(|(p, (cap, turn))| {
-            let out: u64 = e.runs.iter().filter(|r| r.program == *p).map(|r| r.output).sum();
-            (out > cap + turn).then(|| format!("4 {p} put out {out} of {cap} and one turn of {turn}"))
-        })
-        .collect()
+    let mut v = vec![];
+    for (b, a) in &e.budgets {
+        let mut runs: Vec<&Run> = e.runs.iter().filter(|r| a.programs.contains(&r.program)).collect();
+        runs.sort_by_key(|r| r.at);
+        let out: u64 = runs.iter().map(|r| r.output).sum();
+        let most = a.caps.iter().map(|c| c.tokens).max().unwrap_or(0);
+        if out > most + a.turn {
+            v.push(format!("4 {b} put out {out} of {most} and one turn of {}", a.turn));
+        }
+        // Nothing more may start once what had started a second before passes the figure then in force.
+        let (mut sum, mut k) = (0, 0);
+        for r in &runs {
+            while runs[k].at + SEC < r.at {
+                sum += runs[k].output;
+                k += 1;
+            }
+            let now = a.caps.iter().rfind(|c| c.from + SEC < r.at).map_or(u64::MAX, |c| c.tokens);
+            let coming = a.caps.iter().filter(|c| c.from + SEC >= r.at).map(|c| c.tokens).max().unwrap_or(0);
+            if sum > now.max(coming).saturating_add(a.turn) {
+                v.push(format!("4 {b}: {} started at {} with {sum} of {now} put out", r.job, r.at));
+                break;
+            }
+        }
+    }
+    v
 }
 
 fn leaving(e: &Evidence) -> Vec<String> {
@@ -996,6 +1091,10 @@
     bad.map(|s| format!("11 {} at {} got {:?} after {} ms in a planned restart", s.job, s.at, s.heard, s.took / 1000)).collect()
 }
 
+fn served(e: &Evidence, s: &Seen) -> bool {
+    s.heard == Heard::Done || (e.capped && s.heard == Heard::Code(3005))
+}
+
 fn back_in_time(e: &Evidence) -> Vec<String> {
     let mut v = vec![];
     let crowded = e.log.iter().any(|l| l.2 == "act flood" || l.2 == "act crowd");
@@ -1004,7 +1103,7 @@
             let x: Vec<&Seen> =
                 e.seen.iter().filter(|s| s.kind == kind && s.at >= t + 9 * SEC && s.at < t + 14 * SEC && s.at + 6 * SEC < e.end).collect();
             let later = e.hard.iter().any(|h| h.0 > *t && h.0 < t + 14 * SEC);
-            let ok = x.iter().filter(|s| s.heard == Heard::Done).count();
+            let ok = x.iter().filter(|s| served(e, s)).count();
             // In a crowd many are rightly told to come back; then some of each class must get through.
             let enough = if crowded { ok >= 5 } else { 2 * ok >= x.len() };
             if !later && x.len() >= 4 && !enough {
@@ -1012,7 +1111,7 @@
             }
         }
     }
-    let done = e.seen.iter().filter(|s| s.heard == Heard::Done).count();
+    let done = e.seen.iter().filter(|s| served(e, s)).count();
     let flood = e.log.iter().any(|l| l.2 == "act flood");
     if (10 * done < 6 * e.seen.len() && !flood) || done < 50 {
         v.push(format!("12 only {done} of {} were done", e.seen.len()));
@@ -1154,6 +1253,7 @@
         last: Some((2, ConfigDoc::default())),
         once: lab.sh.mix.turns.iter().map(|t| t.0.clone()).chain(["confirm".to_string()]).collect(),
         budgets: BTreeMap::new(),
+        capped: false,
         end: lab.sim.now(),
         hash: lab.sim.hash(),
         figures: Value::Null,
--- a/yewcross-lab/src/rogue.rs
+++ b/yewcross-lab/src/rogue.rs
@@ -81,12 +81,15 @@
         Sin::NoComeBack => return refuse(yewcross::code::Code::NoServer, "", 0),
         _ => {}
     }
-    let got = at_server(&r, &job, &v, &server).await;
+    let shot = format!("{n:x}");
+    let got = at_server(&r, &format!("{job}#{shot}"), &v, &server).await;
     if r.sin == Sin::RunsTwice {
         at_server(&r, &job, &v, "m2").await;
     }
     if r.sin == Sin::RunsRefused {
-        return refuse(yewcross::code::Code::NoServer, "", 1);
+        let mut no = refuse(yewcross::code::Code::NoServer, "", 1);
+        no.insert_header("yewcross-shot", shot);
+        return no;
     }
     let text = got["text"].as_str().unwrap_or("").to_string();
     let said = if r.sin == Sin::OthersAnswer { "another".to_string() } else { job };
--- a/yewcross-lab/src/script.rs
+++ b/yewcross-lab/src/script.rs
@@ -39,7 +39,7 @@
     let (head, body) = answer.split_once("\r\n\r\n").unwrap_or((answer, ""));
     let mut lines = head.lines();
     let first = lines.next().unwrap_or("").to_string();
-    let mut heads: Vec<&str> = lines.filter(|l| !l.starts_with("date") && !l.starts_with("content-length")).collect();
+    let mut heads: Vec<&str> = lines.filter(|l| !["date", "content-length", "yewcross-shot"].iter().any(|n| l.starts_with(n))).collect();
     heads.sort();
     let chunked = heads.iter().any(|h| h.contains("chunked"));
     let text = if chunked { unchunk(body) } else { body.to_string() };
--- a/yewcross-lab/src/standin.rs
+++ b/yewcross-lab/src/standin.rs
@@ -54,11 +54,13 @@
     used: u64,
 }
 
-/// One execution, written down as it starts; its output as it ends.
+/// One execution, written down as it starts; its output grows with each piece made.
 #[derive(Clone, Debug, Serialize)]
 pub struct Run {
     pub at: u64,
     pub job: String,
+    /// What the front called this shot.
+    pub shot: String,
     pub server: String,
     pub service: String,
     pub session: String,
@@ -88,6 +90,8 @@
     leaving: bool,
     pushed: u64,
     cancelled: std::collections::BTreeSet<String>,
+    /// Runs under way, by job, as places in the ledger.
+    live: BTreeMap<String, usize>,
 }
 
 pub struct Standin {
@@ -106,6 +110,16 @@
     }
 }
 
+struct Live<'a>(&'a Standin, String);
+
+impl Drop for Live<'_> {
+    fn drop(&mut self) {
+        let mut g = self.0.s.lock().unwrap();
+        g.live.remove(&self.1);
+        g.cancelled.remove(&self.1);
+    }
+}
+
 impl Standin {
     pub async fn start(w: &World, spec: Spec, ledger: Arc<Ledger>) -> std::io::Result<Arc<Standin>> {
         let door = w.bind(spec.addr).await?;
@@ -179,6 +193,7 @@
         let r = Run {
             at: self.w.now(),
             job: job.split('#').next().unwrap_or("").into(),
+            shot: job.split('#').next_back().unwrap_or("").into(),
             server: self.spec.server.clone(),
             service: self.spec.service.clone(),
             session: session.into(),
@@ -231,8 +246,16 @@
         (Method::Post, "/turn") => turn(s, v).await,
         (Method::Post, "/lookup") => lookup(s, v).await,
         (Method::Post, "/cancel") => {
-            s.s.lock().unwrap().cancelled.insert(text(&v, "job"));
-            reply(200, &json!({"ok": true}))
+            let job = text(&v, "job");
+            let mut g = s.s.lock().unwrap();
+            let run = g.live.get(&job).cloned();
+            run.iter().for_each(|_| {
+                g.cancelled.insert(job.clone());
+            });
+            drop(g);
+            // A job that is not under way here has no figure to tell.
+            let output = run.map(|i| s.ledger.runs.lock().unwrap()[i].output);
+            reply(200, &json!({"ok": true, "output": output, "stamp": s.stamp(&job)}))
         }
         (Method::Post, "/kv/save") => save(s, v).await,
         (Method::Post, "/kv/send") => send(s, v).await,
@@ -288,6 +311,8 @@
         };
         let _ = okx.try_send(true);
         let run = me.runs(&job, &session, &program);
+        me.s.lock().unwrap().live.insert(job.clone(), run);
+        let _live = Live(&me, job.clone());
         let reused = {
             let mut g = me.s.lock().unwrap();
             let t = me.w.now();
@@ -320,6 +345,7 @@
             if me.s.lock().unwrap().cancelled.remove(&job) {
                 return;
             }
+            me.ledger.runs.lock().unwrap()[run].output = tokens(words[..(4 * (i + 1)).min(words.len())].concat().len());
             let t = if splice && i == 1 { " of another job".to_string() } else { c.concat() };
             let mut l = serde_json::to_vec(&json!({"n": n, "text": t})).unwrap_or_default();
             l.push(b'\n');
@@ -345,7 +371,6 @@
             Standin::evict(&mut g, me.spec.cache);
             g.placed
         };
-        me.ledger.runs.lock().unwrap()[run].output = out;
         if lost {
             return;
         }
--- a/yewcross-lab/tests/proof.rs
+++ b/yewcross-lab/tests/proof.rs
@@ -25,18 +25,23 @@
     assert_eq!(sweep(plans.collect(), false), 0);
 }
 
+/// Every breakdown with budgets that run out: one each and one for all, families that may repeat and that may not.
 #[test]
 fn budgets_hold_across_breakdowns() {
-    let acts = [Act::Calm, Act::KillFront, Act::KillStore, Act::PowerAllStores, Act::LoseAnswers];
-    let plans = acts.into_iter().enumerate().map(|(i, a)| Plan { budget: Some(1500), ..Plan::new(500 + i as u64, "small", &[a]) });
-    for p in plans {
-        let e = run(&p);
-        let v: Vec<String> = judge(&e).into_iter().filter(|x| !x.starts_with("12")).collect();
-        let spent: u64 = e.runs.iter().map(|r| r.output).sum();
-        println!("seed {} budget 1500 spent {spent}", p.seed);
-        assert!(v.is_empty(), "{v:?}");
-        assert!(spent > 1000, "the budget was not even neared");
-    }
+    let small = Act::iter().enumerate().map(|(i, a)| (500 + i as u64, "small", a));
+    let big = ["kowhai", "consorcio"].into_iter().flat_map(|s| {
+        let acts = [Act::KillFront, Act::PowerAllStores, Act::LoseAnswers, Act::BudgetMoves, Act::Weather];
+        acts.into_iter().enumerate().map(move |(i, a)| (560 + i as u64, s, a))
+    });
+    let plans = small.chain(big).map(|(n, s, a)| {
+        let (repeatable, one_purse) = (n % 2 == 0, n % 4 < 2);
+        Plan { budget: Some(1500), repeatable, one_purse, ..Plan::new(n, s, &[a]) }
+    });
+    assert_eq!(sweep(plans.collect(), false), 0);
+    let e = run(&Plan { budget: Some(1500), ..Plan::new(500, "small", &[Act::Calm]) });
+    let spent: u64 = e.runs.iter().map(|r| r.output).sum();
+    println!("seed 500 budgets 2 x 1500 spent {spent}");
+    assert!(spent > 2000, "the budgets were not even neared");
 }
 
 #[test]
@@ -55,6 +60,7 @@
         let n = format!("{} ", sin as u8);
         println!("{sin:?}: {}", v.iter().find(|x| x.starts_with(&n)).unwrap_or(&"not seen".into()));
         assert!(v.iter().any(|x| x.starts_with(&n)), "{sin:?} went unseen: {v:?}");
+        assert!(sin != Sin::RunsRefused || v.iter().any(|x| x.contains("its shot")), "the shot alone tells it: {v:?}");
     }
 }
 
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -45,10 +45,13 @@
     },
     Begin(Begin),
     Commit(Commit),
+    /// This shot will never be dispatched: it is barred, and its reservation goes back.
     Abort {
         key: String,
         job: String,
         nonce: u64,
+        #[serde(default)]
+        budget: Option<String>,
     },
     Note {
         key: String,
@@ -73,6 +76,9 @@
         key: String,
         job: String,
         nonce: u64,
+        /// ms that the session's record is kept at least.
+        #[serde(default)]
+        keep: u64,
     },
     Settle {
         budget: String,
--- a/yewcross/src/code.rs
+++ b/yewcross/src/code.rs
@@ -51,6 +51,7 @@
     StoreAway = 3007, 503, NotRun, 1, "the session's state cannot be reached";
     Leaving = 3008, 503, NotRun, 1, "this front is closing";
     TooMany = 3009, 503, NotRun, 1, "too many open connections";
+    SessionFull = 3010, 409, NotRun, 0, "the session has used all the job ids that are remembered; begin a new one";
     MayHaveRun = 4001, 502, MayHaveRun, 0, "it was sent to a server whose outcome was lost";
     StillRunning = 4002, 409, MayHaveRun, 1, "this job is still running";
     Forgotten = 4003, 410, MayHaveRun, 0, "it was run; its outcome is no longer kept";
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -99,6 +99,16 @@
 pub const OUTCOMES_KEPT: usize = 16;
 /// count. Marks (job id and body digest) kept per session.
 pub const MARKS_KEPT: usize = 1024;
+/// count. Bare ids kept beyond the marks, and how many stand in one line of the record; a session that has used all is
+/// full. A turn a second for 18 hours.
+pub const OLD_KEPT: usize = 65_536;
+pub const OLD_LINE: usize = 64;
+/// count. Barred shots remembered per session; they come only from begins that failed.
+pub const BARS_KEPT: usize = 64;
+/// ms. A record that holds nothing but barred shots is kept this long: no frame is under way longer.
+pub const BAR_KEPT: u64 = 600_000;
+/// ms. A reservation this old is looked into.
+pub const AUDIT_AFTER: u64 = 30_000;
 /// us. A running job whose front is silent for this long past its horizon is closed as "may have run".
 pub const RUN_GRACE: u64 = 2 * SEC;
 /// count. Session histories kept on hand per front to save bytes between sites.
