Accept only what was promised; prove every list of fronts that may still hold leases

Two holes, both made to fail first (defects.rs): - An owner frozen past the keeping time kept a high epoch. Copies that had forgotten the key promised the next life a low one, and the woken owner's change went over it: "ababababwoken" stood where "new" had been acknowledged. A copy now accepts only under the epoch it promised last, fills reach damaged copies alone, and no two takes share a mark. Ruled out: a time limit on what an owner holds (the freeze may fall between the check and the frame). - Fronts {1,2,3}, then {2,3}, then {2,3,4} with 1 and 2 cut off together: the third put was acknowledged (1000) while both served by the first version. A put now meets majorities of every list back to the last version proved in force, which cores write down; with that, "one front a put" is lifted and a whole list may change at once. A put whose majorities are gone is refused at once instead of stored.

Price: a copy that missed a promise refuses the next change and is mended by the next take.

--- a/yewcross-control/src/config.rs
+++ b/yewcross-control/src/config.rs
@@ -51,7 +51,11 @@
     let t = c.w.now();
     let mut g = c.grants.lock().unwrap();
     g.retain(|_, u| *u > t);
-    Tell::Grants { seq: if s >= seq { s } else { 0 }, fronts: g.iter().map(|(f, u)| (f.clone(), u - t)).collect() }
+    Tell::Grants {
+        seq: if s >= seq { s } else { 0 },
+        fronts: g.iter().map(|(f, u)| (f.clone(), u - t)).collect(),
+        proved: c.proved.load(SeqCst),
+    }
 }
 
 pub enum Put {
@@ -59,31 +63,53 @@
     No(Code, String, Vec<Bad>),
 }
 
-/// Majorities of neighbouring configurations' fronts must meet.
-pub fn one_front(now: &Tree, next: &Tree) -> Option<Bad> {
-    let (old, new): (BTreeSet<_>, BTreeSet<_>) = (now.fronts.iter().collect(), next.fronts.iter().collect());
-    let far = !old.is_empty() && old.symmetric_difference(&new).count() > 1;
-    far.then(|| Bad { path: "fronts".into(), why: "one front may be added or taken away in one put".into() })
+/// Written down on disk as well, so that lists of fronts long gone are not asked for after a restart.
+pub async fn proved(c: &Arc<Control>, seq: u64) -> Tell {
+    if c.proved.fetch_max(seq, SeqCst) < seq {
+        let _ = c.vault.keep("local", "proved", seq, &seq.to_le_bytes()).await;
+    }
+    Tell::Ok
+}
+
+/// Every list of fronts whose members may yet hold each other's leases: this version's own, and those back to the last
+/// version proved in force, that one included.
+pub fn lists(d: &ConfigDoc, proved: u64) -> Vec<Vec<String>> {
+    let fronts = |text: &str| Tree::read(text.as_bytes()).map(|t| t.fronts).unwrap_or_default();
+    let mut v = vec![fronts(&d.text)];
+    let mut older = true;
+    d.past.iter().take_while(|p| std::mem::replace(&mut older, p.0 > proved)).for_each(|p| v.push(fronts(&p.2)));
+    v.retain(|l| !l.is_empty());
+    v.sort();
+    v.dedup();
+    v
 }
 
+/// The first list that could not be proved now, most of its fronts being gone; the planner asks the same.
+pub fn gone(lists: &[Vec<String>], up: impl Fn(&str) -> bool) -> Option<Bad> {
+    let l = lists.iter().find(|l| l.iter().filter(|f| up(f)).count() < majority(l.len()))?;
+    Some(Bad {
+        path: "fronts".into(),
+        why: format!("a majority of {} must be up, so that none of them can serve by an older version", l.join(", ")),
+    })
+}
+
+const PAST_KEPT: usize = 16;
+
 /// Checks, decides, carries to all, and answers only once no front can serve by an older one.
 pub async fn put(c: &Arc<Control>, base: u64, text: String, note: String, dry: bool) -> Put {
-    let tree = match Tree::read(text.as_bytes()) {
-        Ok(t) => t,
-        Err(b) => return Put::No(Code::BadConfig, String::new(), b),
-    };
+    if let Err(b) = Tree::read(text.as_bytes()) {
+        return Put::No(Code::BadConfig, String::new(), b);
+    }
     if c.book.layout.load().0 == 0 {
         return Put::No(Code::NotFounded, String::new(), vec![]);
     }
     if dry {
         let now = c.book.config.load();
-        if let Some(b) = one_front(&now.1, &tree) {
-            return Put::No(Code::BadConfig, String::new(), vec![b]);
-        }
         return if now.0 == base { Put::InForce(base) } else { Put::No(Code::Conflict, format!("newest is {}", now.0), vec![]) };
     }
     c.counts.puts.fetch_add(1, SeqCst);
     let id = format!("{}-{:016x}", c.st.name, c.w.rand());
+    let view = c.members.view.load_full();
     let mut last = Vec::new();
     let got = c
         .owner
@@ -97,15 +123,18 @@
             if seq != base {
                 return Step::Keep(Err((seq, None)));
             }
-            if let Some(b) = Tree::read(d.text.as_bytes()).ok().and_then(|now| one_front(&now, &tree)) {
-                return Step::Keep(Err((seq, Some(b))));
-            }
             let mut past = d.past.clone();
             if seq > 0 {
                 past.insert(0, (seq, d.put.clone(), d.text.clone()));
-                past.truncate(16);
+                past.truncate(PAST_KEPT);
             }
             let n = ConfigDoc { text: text.clone(), put: id.clone(), note: note.clone(), past };
+            let proved = c.proved.load(SeqCst);
+            let lost = n.past.len() == PAST_KEPT && n.past.last().is_some_and(|p| p.0 > proved);
+            let why = lost.then(|| Bad { path: "fronts".into(), why: format!("none of the last {PAST_KEPT} versions is proved in force") });
+            if let Some(b) = why.or_else(|| gone(&lists(&n, proved), |f| view.contains_key(f))) {
+                return Step::Keep(Err((seq, Some(b))));
+            }
             last = serde_json::to_vec(&n).unwrap_or_default();
             Step::Write(last.clone(), Ok(seq + 1))
         })
@@ -122,7 +151,7 @@
                 Put::No(Code::Undecided, format!("version {s} is stored, not yet proved in force"), vec![])
             }
         }
-        Ok(Err((_, Some(b)))) => Put::No(Code::BadConfig, String::new(), vec![b]),
+        Ok(Err((_, Some(b)))) => Put::No(Code::NoMajority, b.why, vec![]),
         Ok(Err((s, None))) => Put::No(Code::Conflict, format!("newest is {s}"), vec![]),
         Err(Trouble::NotDone) => Put::No(Code::NoMajority, String::new(), vec![]),
         Err(Trouble::Undecided) => Put::No(Code::Undecided, "some disk may hold it".into(), vec![]),
@@ -166,7 +195,8 @@
                     me.peers.ask(to, &a, &[], PEER_WAIT).await.ok().map(|x| x.0)
                 };
                 match r {
-                    Some(Tell::Grants { seq: s, fronts }) if s >= seq => {
+                    Some(Tell::Grants { seq: s, fronts, proved }) if s >= seq => {
+                        me.proved.fetch_max(proved, SeqCst);
                         let _ = gx.try_send((d, fronts, me.w.now()));
                         return;
                     }
@@ -176,7 +206,7 @@
         });
     });
     let need = majority(lay.1.core.now.len());
-    let fronts = c.book.config.load().1.fronts.clone();
+    let doc: ConfigDoc = serde_json::from_slice(raw).unwrap_or_default();
     let (mut seen, mut owed, mut adopted, mut most_at) = (0, std::collections::BTreeMap::<String, u64>::new(), BTreeSet::new(), None);
     while c.w.now() < t0 + PUT_WAIT {
         while let Ok((_, g, t)) = gr.try_recv() {
@@ -190,13 +220,23 @@
             adopted.insert(n);
         }
         let t = c.w.now();
-        let most = fronts.is_empty() || fronts.iter().filter(|f| adopted.contains(*f)).count() >= majority(fronts.len());
+        // Who granted a lease tells at once what is proved; until then every older list counts.
+        let fronts = lists(&doc, c.proved.load(SeqCst));
+        let most = fronts.iter().all(|l| l.iter().filter(|f| adopted.contains(*f)).count() >= majority(l.len()));
         if most && most_at.is_none() {
             most_at = Some(t);
         }
         let quiet = owed.iter().all(|(f, u)| adopted.contains(f) || t > *u);
-        let named = most_at.is_some_and(|m| t > m + SERVE_LEASE + 100 * MS || fronts.iter().all(|f| adopted.contains(f)));
+        let named = most_at.is_some_and(|m| t > m + SERVE_LEASE + 100 * MS || fronts.iter().flatten().all(|f| adopted.contains(f)));
         if seen >= need && most && quiet && named {
+            let a = Ask::Proved { seq };
+            lay.1.core.now.iter().filter_map(|d| c.members.by_disk(d)).filter(|n| n.name != c.st.name).for_each(|n| {
+                let (p, a) = (c.peers.clone(), a.clone());
+                c.w.go(async move {
+                    let _ = p.ask(n.peer, &a, &[], PEER_WAIT).await;
+                });
+            });
+            proved(c, seq).await;
             return true;
         }
         c.w.sleep(5 * MS).await;
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -35,6 +35,8 @@
     pub duties: duty::Duties,
     pub gate: Arc<Gate>,
     pub grants: Mutex<BTreeMap<String, u64>>,
+    /// Newest version of the configuration known to be proved in force.
+    pub proved: AtomicU64,
     /// Layout number under which every key on this disk was last found whole.
     pub swept: AtomicU64,
     pub sweep_left: AtomicU64,
@@ -100,6 +102,7 @@
                 book.adopt(d, seq, epoch, raw.into_bytes());
             }
         }
+        let proved = vault.load("local", "proved").await.map_err(disk)?.map(|x| x.0).unwrap_or(0);
         replica.lay.store(book.layout.load().0, SeqCst);
         let (b, m) = (book.clone(), members.clone());
         let owner = Owner::new(w, &peers, &replica, Arc::new(move |k| place(&b, &m, k)));
@@ -140,6 +143,7 @@
             duties: Default::default(),
             gate: Default::default(),
             grants: Default::default(),
+            proved: AtomicU64::new(proved),
             swept: AtomicU64::new(0),
             sweep_left: AtomicU64::new(0),
             sweep_now: AtomicBool::new(false),
@@ -180,6 +184,7 @@
                 (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
             }
             Ask::Grants { name, seq } => (config::grants(self, &name, seq).await, vec![]),
+            Ask::Proved { seq } => (config::proved(self, seq).await, vec![]),
             Ask::Found => (layout::found_here(self, blob).await, vec![]),
             Ask::Duty { name, holder } => (duty::grant(self, &name, &holder), vec![]),
             Ask::SweepNow => {
--- a/yewcross-lab/src/proof.rs
+++ b/yewcross-lab/src/proof.rs
@@ -1232,6 +1232,14 @@
             let (tasks, _, files) = me.sim.sizes();
             let s = Sizes { at: me.sim.now(), tasks, files, lines: me.sim.log().len(), done: me.diary.seen.lock().unwrap().len() };
             sz.lock().unwrap().push(s);
+            if k == 1 {
+                // Frozen for longer than records are kept.
+                let m = me.sim.find("store2");
+                me.sim.freeze(m);
+                me.hard("store2");
+                me.op.sleep(30 * SEC).await;
+                me.sim.thaw(m);
+            }
             if k == 2 {
                 me.clone().act(Act::PowerStore).await;
             }
--- a/yewcross-lab/tests/defects.rs
+++ b/yewcross-lab/tests/defects.rs
@@ -168,3 +168,84 @@
     assert!(matches!(old, Tell::No(Code::Forgotten)), "{old:?}");
     assert!(matches!(new, Tell::Begun(_)), "{new:?}");
 }
+
+/// An owner frozen past the keeping time wrote over the key's next life: its epoch was higher than the new one's.
+#[test]
+fn an_owner_that_wakes_after_its_key_was_forgotten_cannot_bring_it_back() {
+    use yewcross::reg::Step;
+    let add = |what: &'static str| {
+        move |_: u64, v: &[u8]| {
+            if v.ends_with(what.as_bytes()) { Step::Keep(()) } else { Step::Write([v, what.as_bytes()].concat(), ()) }
+        }
+    };
+    let end = on_fleet_of(
+        "small",
+        35,
+        |_| (),
+        move |lab| {
+            Box::pin(async move {
+                let own = |n: &str| lab.control(n).unwrap().owner.clone();
+                let sleeper = own("store1");
+                // Fights raise the sleeper's epoch.
+                for _ in 0..4 {
+                    own("store2").change("k", SEC, add("a")).await.unwrap();
+                    sleeper.change("k", SEC, add("b")).await.unwrap();
+                }
+                let m = lab.sim.find("store1");
+                lab.sim.freeze(m);
+                for n in ["store1", "store2", "store3"] {
+                    lab.control(n).unwrap().replica.forget("k").await;
+                }
+                // A new life, begun by one that knows nothing of the old.
+                let new = own("store3");
+                new.change("k", 2 * SEC, add("new")).await.unwrap();
+                lab.sim.thaw(m);
+                let _ = sleeper.change("k", SEC, add("woken")).await;
+                let (_, _, v) = new.read("k", 2 * SEC).await.unwrap();
+                String::from_utf8_lossy(&v).into_owned()
+            })
+        },
+    );
+    assert!(end.starts_with("new"), "{end}");
+}
+
+/// Fronts cut off together kept each other's lease under an old list while a put two steps on was acknowledged.
+#[test]
+fn lists_of_fronts_not_yet_proved_are_not_stepped_over() {
+    let fronts = |lab: &Lab, n: &[u8]| {
+        lab.text.lock().unwrap()["fronts"] = serde_json::json!(n.iter().map(|i| format!("front{i}")).collect::<Vec<_>>());
+    };
+    let edit = |t: &mut serde_json::Value| t["fronts"] = serde_json::json!(["front1", "front2", "front3"]);
+    let (acks, stale, healed) = on_fleet_of("consorcio", 36, edit, move |lab| {
+        Box::pin(async move {
+            let id = |n: &String| lab.sim.find(n);
+            let cut: Vec<String> = vec!["front1".into(), "front2".into()];
+            let rest: Vec<usize> = lab.sh.nodes.iter().map(|n| &n.name).filter(|n| !cut.contains(n)).map(id).collect();
+            lab.sim.split(&cut.iter().map(id).collect::<Vec<_>>(), &rest);
+            lab.op.sleep(3 * SEC).await;
+            let (mut acks, mut stale) = (vec![], vec![]);
+            for list in [&[2, 3][..], &[2, 3, 4], &[4, 5, 6]] {
+                fronts(&lab, list);
+                let base = lab.version().await;
+                let a = lab.put("core1", base, &format!("l{}", list.len() * 10 + list[0] as usize)).await;
+                if a.code == 1000 {
+                    let old = |f: &String| lab.front(f).filter(|f| f.follow.serving() && f.book.config.load().0 < a.version).is_some();
+                    stale.extend(cut.iter().filter(|f| old(f)).cloned());
+                }
+                acks.push(a.code);
+            }
+            lab.sim.heal();
+            lab.op.sleep(3 * SEC).await;
+            let base = lab.version().await;
+            fronts(&lab, &[4, 5, 6]);
+            let whole = lab.put("core1", base, "whole").await.code;
+            // What was left behind is proved by now: the old fronts may go for good.
+            cut.iter().chain([&"front3".to_string()]).for_each(|f| lab.sim.kill(lab.sim.find(f), true));
+            let base = lab.version().await;
+            (acks, stale, vec![whole, lab.put("core2", base, "after").await.code])
+        })
+    });
+    assert!(stale.is_empty(), "{stale:?} served by an older list after {acks:?}");
+    assert_ne!(acks[1], 1000);
+    assert_eq!(healed, [1000, 1000]);
+}
--- a/yewcross-plan/src/lib.rs
+++ b/yewcross-plan/src/lib.rs
@@ -305,9 +305,8 @@
         Change::Config(text) => match Tree::read(text.as_bytes()) {
             Err(bad) => p.refused = bad,
             Ok(next) => {
-                if let Some(b) = yewcross_control::config::one_front(&now, &next) {
-                    p.refused.push(b);
-                }
+                let ls: Vec<_> = [&now, &next].into_iter().map(|t| t.fronts.clone()).filter(|l| !l.is_empty()).collect();
+                p.refused.extend(yewcross_control::config::gone(&ls, |f| c.nodes.iter().any(|n| n.name == f)));
                 changed(&mut p, &now, &next);
                 turns(c, &mut p, (&now, &c.servers), (&next, &c.servers));
             }
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -38,6 +38,10 @@
         name: String,
         seq: u64,
     },
+    /// A version is proved in force: no front can serve by an older one.
+    Proved {
+        seq: u64,
+    },
     Found,
     Duty {
         name: String,
@@ -132,6 +136,9 @@
     Grants {
         seq: u64,
         fronts: Vec<(String, u64)>,
+        /// Newest version known to be proved in force.
+        #[serde(default)]
+        proved: u64,
     },
     Duty {
         granted: bool,
--- a/yewcross/src/code.rs
+++ b/yewcross/src/code.rs
@@ -61,7 +61,7 @@
     BadConfig = 6002, 422, NotRun, 0, "the configuration is refused";
     NoVersion = 6003, 428, NotRun, 0, "If-Match must name the version being replaced";
     NotFounded = 6004, 503, NotRun, 2, "the tier has not been founded";
-    NoMajority = 6005, 503, NotRun, 1, "no majority of the disks can be reached";
+    NoMajority = 6005, 503, NotRun, 1, "no majority can be reached";
     BadLayout = 6006, 422, NotRun, 0, "the layout change is refused";
 }
 
--- a/yewcross/src/reg.rs
+++ b/yewcross/src/reg.rs
@@ -215,7 +215,9 @@
                 if x.damaged {
                     return (RegTell::Damaged, vec![]);
                 }
-                if epoch < x.promised {
+                // Only what was promised is accepted: a copy that forgot the key, or has begun its next life, knows nothing
+                // of an owner from before, however high that one's epoch.
+                if epoch != x.promised {
                     return (RegTell::Refused { promised: x.promised }, vec![]);
                 }
                 if epoch == x.accepted && seq <= x.seq {
@@ -229,8 +231,9 @@
                 n = Slot { promised: epoch, accepted: epoch, seq, value: Arc::new(value), ver: x.ver, damaged: false };
             }
             RegAsk::Fill { epoch, seq, .. } => {
-                if !x.damaged && (epoch < x.promised || (epoch, seq) <= (x.accepted, x.seq)) {
-                    return (RegTell::Accepted, vec![]);
+                if !x.damaged {
+                    let r = if (epoch, seq) == (x.accepted, x.seq) { RegTell::Accepted } else { RegTell::Refused { promised: x.promised } };
+                    return (r, vec![]);
                 }
                 n = Slot { promised: epoch, accepted: epoch, seq, value: Arc::new(blob), ver: x.ver, damaged: false };
             }
@@ -426,9 +429,10 @@
     }
 
     async fn take(&self, key: &str, h: &mut Held) -> Result<(), Poll> {
-        self.takes.fetch_add(1, SeqCst);
+        let nth = self.takes.fetch_add(1, SeqCst);
         let c = (self.place)(key);
-        let e = Epoch { n: h.top + 1, by: self.me };
+        // No two takes carry the same mark, whatever was forgotten between them.
+        let e = Epoch { n: h.top + 1, by: self.me.wrapping_add(2 * nth) };
         h.epoch = None;
         h.top = e.n;
         let none = Arc::new(vec![]);
