Cut off who does not read: no slot, no planned stop and no outcome outlives its horizon

Cause: writing to a caller had no bound, and a turn's pieces went to it through bounded lines, so a caller that did not read held its server's slot and a planned stop for ever. The simulator hid it: its connections took any number of bytes.

Checker 13 also judges every outcome that came more than 1 s past its horizon, unless its own front was struck. A slow reader that finishes in time loses nothing (in the same test).

Ruled out: a limit on each write alone (one byte a second would pass it).

--- a/yewcross-front/src/lookup.rs
+++ b/yewcross-front/src/lookup.rs
@@ -40,6 +40,19 @@
         Ok(b) => b,
         Err(e) => return refuse(Code::BadBody, &e.to_string(), 0),
     };
+    let cap = f.book.config.load().1.services.get(&b.service).map_or(HORIZON_MAX, |s| s.horizon_ms);
+    let left = b.horizon_ms.min(cap) * MS + HORIZON_LATE;
+    let (tx, rx) = async_channel::bounded(1);
+    let me = f.clone();
+    // What may run only once is seen to its end, whoever still waits.
+    f.w.go(async move {
+        let _ = tx.try_send(drive(me, b, t0, nonce).await);
+    });
+    let late = || refuse(Code::StillRunning, "its horizon has passed", BACK_SOON);
+    f.w.within(left, rx.recv()).await.and_then(|r| r.ok()).unwrap_or_else(late)
+}
+
+async fn drive(f: Arc<Front>, b: LookupBody, t0: u64, nonce: u64) -> Response {
     if !(HORIZON_MIN..=HORIZON_MAX).contains(&b.horizon_ms) {
         return refuse(Code::BadHorizon, "", 0);
     }
--- a/yewcross-front/src/turn.rs
+++ b/yewcross-front/src/turn.rs
@@ -13,7 +13,7 @@
 use yewcross::code::Code;
 use yewcross::consts::*;
 use yewcross::hash::{digest, mark};
-use yewcross::http::{Job, refuse, reply, stream};
+use yewcross::http::{Job, refuse, reply, stream, until};
 use yewcross::tree::{Family, Placed};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -100,34 +100,40 @@
     if let Err((c, w)) = check(&b) {
         return refuse(c, &w, 0);
     }
-    let (tx, rx) = async_channel::bounded(64);
+    let cap = f.book.config.load().1.families.get(&b.program).map_or(HORIZON_MAX, |p| p.eff.horizon_ms);
+    let end = t0 + b.horizon_ms.min(cap) * MS + HORIZON_LATE;
+    // As long as a turn's output may be: a caller that reads slowly holds no server up.
+    let (tx, rx) = async_channel::unbounded();
     let (me, streamed) = (f.clone(), b.stream);
     f.w.go(async move { drive(me, b, t0, nonce, tx).await });
+    let w = f.w.clone();
+    let next = async move || {
+        let left = end.saturating_sub(w.now());
+        let late = Event::No(Code::StillRunning, "its horizon has passed".into(), BACK_SOON);
+        w.within(left, rx.recv()).await.unwrap_or(Ok(late)).unwrap_or(Event::No(Code::MayHaveRun, String::new(), 0))
+    };
     if !streamed {
         let mut text = String::new();
-        while let Ok(e) = rx.recv().await {
-            match e {
+        loop {
+            match next().await {
                 Event::No(c, w, back) => return refuse(c, &w, back),
                 Event::Piece(_, t) => text += &t,
                 Event::End(k, _, again) => {
                     if again {
                         text = k.text.clone();
                     }
-                    return reply(200, &end_line(&k, 1, again, Some(&text)));
+                    return until(reply(200, &end_line(&k, 1, again, Some(&text))), end);
                 }
             }
         }
-        return refuse(Code::MayHaveRun, "", 0);
     }
-    let first = match rx.recv().await {
-        Ok(Event::No(c, w, back)) => return refuse(c, &w, back),
-        Ok(e) => e,
-        Err(_) => return refuse(Code::MayHaveRun, "", 0),
+    let mut x = match next().await {
+        Event::No(c, w, back) => return refuse(c, &w, back),
+        x => x,
     };
     let (otx, orx) = async_channel::bounded::<Vec<u8>>(64);
     f.w.go(async move {
-        let mut e = Ok(first);
-        while let Ok(x) = e {
+        loop {
             let (v, last) = match x {
                 Event::Piece(n, t) => (vec![json!({"n": n, "text": t})], false),
                 Event::No(c, w, back) => {
@@ -147,10 +153,10 @@
             if last {
                 return;
             }
-            e = rx.recv().await;
+            x = next().await;
         }
     });
-    stream(orx)
+    until(stream(orx), end)
 }
 
 fn end_line(k: &Kept, pieces: u64, again: bool, text: Option<&str>) -> Value {
--- a/yewcross-lab/src/proof.rs
+++ b/yewcross-lab/src/proof.rs
@@ -1126,11 +1126,20 @@
     // A front that froze, or a site cut off, cannot answer meanwhile.
     let struck = |s: &&Seen| e.hard.iter().any(|h| s.at < h.0 + 9 * SEC && s.at + s.took > h.0);
     let held = e.seen.iter().filter(given_up).filter(|s| s.took > s.horizon * 6 / 10 && !struck(s));
+    // Only a front that was itself struck, or cut off from its caller, may speak later than the horizon.
+    let deaf = |s: &&Seen| {
+        let mute = |w: &str| w.starts_with("front") || ["freeze-front", "site-cut", "one-way-cut"].contains(&w);
+        e.hard.iter().any(|h| mute(&h.1) && s.at < h.0 + 9 * SEC && s.at + s.took > h.0)
+    };
+    let late = e.seen.iter().filter(|s| s.took > s.horizon + SEC && !deaf(s));
+    let late =
+        late.map(|s| format!("13 {} {} ended with {:?} {} ms after its horizon", s.kind, s.job, s.heard, (s.took - s.horizon) / 1000));
     no_time
         .map(|s| format!("13 {} was refused with {:?} and no time to come back", s.job, s.heard))
         .chain(
             held.map(|s| format!("13 {} was held {} of {} ms and then refused with {:?}", s.job, s.took / 1000, s.horizon / 1000, s.heard)),
         )
+        .chain(late)
         .collect()
 }
 
--- a/yewcross-lab/src/sim.rs
+++ b/yewcross-lab/src/sim.rs
@@ -81,6 +81,9 @@
     reset: bool,
     reader_gone: bool,
     waker: Option<Waker>,
+    /// Bytes written and not yet read, and who waits to write more.
+    held: usize,
+    writer: Option<Waker>,
 }
 
 struct Wire {
@@ -114,6 +117,8 @@
     wires: BTreeMap<u64, Wire>,
     cuts: BTreeSet<(usize, usize)>,
     gap: u64,
+    /// bytes that a connection takes before its reader must read
+    window: usize,
     weather: Weather,
     log: Vec<(u64, String, String)>,
     hash: u64,
@@ -176,6 +181,7 @@
             wires: BTreeMap::new(),
             cuts: BTreeSet::new(),
             gap,
+            window: 256 << 10,
             weather: Weather::default(),
             log: vec![],
             hash: seed,
@@ -223,6 +229,9 @@
     pub fn rand(&self) -> u64 {
         self.i.lock().unwrap().rng.u64(..)
     }
+    pub fn window(&self, bytes: usize) {
+        self.i.lock().unwrap().window = bytes;
+    }
     pub fn weather(&self, w: Weather) {
         self.i.lock().unwrap().weather = w;
     }
@@ -274,7 +283,7 @@
         let shut: Vec<SocketAddr> = g.doors.iter().filter(|d| d.1.who.0 == m).map(|d| *d.0).collect();
         let doors: Vec<DoorState> = shut.iter().filter_map(|a| g.doors.remove(a)).collect();
         let t = g.now;
-        let mut wake = vec![];
+        let (mut wake, mut stuck) = (vec![], vec![]);
         let wires: Vec<u64> = g.wires.iter().filter(|w| w.1.ends.iter().any(|e| e.0 == m)).map(|w| *w.0).collect();
         for w in wires {
             for side in 0..2 {
@@ -288,12 +297,14 @@
                     d[side].closed.get_or_insert(t + hop);
                     d[side].reset = true;
                     d[1 - side].reader_gone = true;
+                    stuck.extend(d[1 - side].writer.take());
                     wake.push((w, side, t + hop));
                 }
             }
         }
         wake.into_iter().for_each(|(w, d, at)| g.at(at, Due::Reader(w, d)));
         drop(g);
+        stuck.into_iter().for_each(|w: Waker| w.wake());
         drop((dead, doors));
     }
 
@@ -558,6 +569,10 @@
             if c.1.is_empty() {
                 d.chunks.pop_front();
             }
+            d.held -= n;
+            let more = d.writer.take();
+            drop(g);
+            more.into_iter().for_each(|w| w.wake());
             return Poll::Ready(Ok(n));
         }
         if d.chunks.is_empty() && d.closed.is_some_and(|c| c <= t) {
@@ -567,9 +582,9 @@
         Poll::Pending
     }
 
-    fn write(&self, _: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn write(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let mut g = self.sim.i.lock().unwrap();
-        let t = g.now;
+        let (t, window) = (g.now, g.window);
         let Some(ends) = g.wires.get(&self.id).map(|w| w.ends) else { return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into())) };
         let (a, b) = (ends[self.side].0, ends[1 - self.side].0);
         let hop = g.hop(a, b);
@@ -580,6 +595,15 @@
         if d.closed.is_some() || d.reader_gone {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
+        // No tinygrams: room for all of it, or a good part of the window.
+        let free = window.saturating_sub(d.held);
+        let n = buf.len().min(free);
+        if free < buf.len().min(window / 4) {
+            d.writer = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
+        d.held += n;
+        let buf = &buf[..n];
         let held = cut || d.chunks.back().is_some_and(|c| c.0 == u64::MAX);
         let at = if held { u64::MAX } else { (t + hop).max(d.last) };
         if !held {
@@ -623,13 +647,17 @@
         self.shut();
         let mut g = self.sim.i.lock().unwrap();
         let (id, side) = (self.id, self.side);
+        let mut writer = None;
         let over = g.wires.get_mut(&id).is_some_and(|w| {
             w.dirs[1 - side].reader_gone = true;
+            writer = w.dirs[1 - side].writer.take();
             w.dirs[side].reader_gone && w.dirs[1 - side].reader_gone
         });
         if over {
             g.wires.remove(&id);
         }
+        drop(g);
+        writer.into_iter().for_each(|w| w.wake());
     }
 }
 
--- a/yewcross-lab/src/standin.rs
+++ b/yewcross-lab/src/standin.rs
@@ -383,7 +383,7 @@
         let _ = tx.send(l).await;
     });
     match okr.recv().await {
-        Ok(true) => stream(rx),
+        Ok(true) => http::until(stream(rx), s.w.now() + HORIZON_MAX * MS),
         _ => s.refuse(&text(&v, "job")),
     }
 }
--- a/yewcross-lab/tests/defects.rs
+++ b/yewcross-lab/tests/defects.rs
@@ -249,3 +249,56 @@
     assert_ne!(acks[1], 1000);
     assert_eq!(healed, [1000, 1000]);
 }
+
+/// A caller that never read its stream held a server's slot, and a planned stop, for ever.
+#[test]
+fn a_caller_that_does_not_read_holds_nothing_up() {
+    use futures_lite::{AsyncReadExt, AsyncWriteExt};
+    let edit = |t: &mut serde_json::Value| {
+        let s = &mut t["families"]["talk"]["set"];
+        (s["max_output"], s["horizon_ms"]) = (6000.into(), 60_000.into());
+    };
+    let (held, stop, cut, whole) = on_fleet_of("small", 37, edit, |lab| {
+        Box::pin(async move {
+            lab.sim.window(4 << 10);
+            let (f, to) = (lab.front("front1").unwrap(), lab.sh.of(Role::Front)[0].http);
+            let body = |n: &str| {
+                format!(
+                    r#"{{"program":"chargeback","session":"{n}","job":"{n}","budget":"chargeback","horizon_ms":60000,"messages":[{{"role":"user","text":"hi"}}],"max_output":6000,"stream":true}}"#
+                )
+            };
+            let mut deaf = vec![];
+            for i in 0..12 {
+                let mut c = lab.op.connect(to).await.unwrap();
+                let q = yewcross_lab::script::request("POST", "/v1/turn", "", &body(&format!("s{i}")));
+                c.write_all(q.as_bytes()).await.unwrap();
+                deaf.push(c);
+            }
+            // One reads slowly but to the end: it must lose nothing.
+            let mut slow = deaf.pop().unwrap();
+            let (tx, rx) = async_channel::bounded(1);
+            let w = lab.op.clone();
+            lab.op.go(async move {
+                let (mut v, mut b) = (vec![], [0u8; 512]);
+                while let Ok(n @ 1..) = slow.read(&mut b).await {
+                    v.extend(&b[..n]);
+                    w.sleep(20 * MS).await;
+                }
+                let _ = tx.send(String::from_utf8_lossy(&v).into_owned()).await;
+            });
+            // By now all are made: 6,000 tokens take 24 s, in two rounds at most.
+            lab.op.sleep(50 * SEC).await;
+            let held: u32 = yewcross_front::news::fit(&f, "llm").iter().map(|s| s.report.running).sum();
+            let t0 = lab.sim.now();
+            let g = f.clone();
+            let stopped = lab.op.within(60 * SEC, async move { g.stop().await }).await;
+            let stop = stopped.map(|_| (lab.sim.now() - t0) / SEC);
+            let mut b = [0u8; 64];
+            let cut = deaf[0].read(&mut b).await.is_ok();
+            (held, stop, cut, rx.recv().await.unwrap_or_default())
+        })
+    });
+    assert_eq!(held, 0, "slots are held by callers that do not read");
+    assert!(stop.is_some_and(|s| s < 15), "a planned stop took {stop:?} s");
+    assert!(cut && whole.contains(r#""end":true"#), "the slow reader got {} bytes", whole.len());
+}
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -86,6 +86,10 @@
 /// ms. Horizons outside these are refused as bad input.
 pub const HORIZON_MIN: u64 = 10;
 pub const HORIZON_MAX: u64 = 600_000;
+/// us. No outcome is sent later than its horizon and this; a caller that reads too slowly is cut off then.
+pub const HORIZON_LATE: u64 = 500 * MS;
+/// us. Sending an outcome that has no horizon.
+pub const ANSWER_WAIT: u64 = 10 * SEC;
 /// us. Kept back from a horizon for the commit and the way home.
 pub const HORIZON_SPARE: u64 = 60 * MS;
 
--- a/yewcross/src/http.rs
+++ b/yewcross/src/http.rs
@@ -36,6 +36,14 @@
     pub closing: AtomicBool,
 }
 
+/// When an outcome must have been taken by its caller, carried along with it.
+struct Until(u64);
+
+pub fn until(mut r: Response, at: u64) -> Response {
+    r.ext_mut().insert(Until(at));
+    r
+}
+
 pub fn reply(status: u16, v: &impl Serialize) -> Response {
     let mut r = Response::new(StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError));
     r.set_body(Body::from_bytes(serde_json::to_vec(v).unwrap_or_default()));
@@ -163,7 +171,8 @@
     if last {
         r.insert_header("connection", "close");
     }
-    let sent = send(c, r, verb).await;
+    let until = r.ext().get::<Until>().map_or(w.now() + ANSWER_WAIT, |u| u.0);
+    let sent = w.within(until.saturating_sub(w.now()), send(c, r, verb)).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()));
     g.busy.fetch_sub(1, SeqCst);
     let mut sink = Vec::new();
     let _ = w.within(SEC, rest.read_to_end(&mut sink)).await;
