Trust no single clock; spread a key's copies over sites; let a clock be set back

The time of day is now the middle one of the clocks heard by probes, and fewer than three erase nothing. - A machine restarted after its clock was set back an hour saw its own last life as a younger process and ended itself (exit 6) at every start for two minutes. In its first ten seconds, or at its own address, it outbids that life. - With eight store disks in four sites, 12 of 120 keys were away when one site was cut: two of three copies stood in it. The layout now keeps each disk's site, and copies take a site twice only when there is no other. After: 0 of 120.

Ruled out: reading sites from membership (nodes would place keys differently). Layouts founded before know no sites and place as they did.

--- a/yewcross-control/src/layout.rs
+++ b/yewcross-control/src/layout.rs
@@ -30,13 +30,14 @@
 /// Founds the tier from the machines named; all of them must be there and new.
 pub async fn found(c: &Arc<Control>, cores: &[String], stores: &[String]) -> Result<(), (Code, String)> {
     let view = c.members.view.load_full();
-    let mut names = BTreeMap::new();
+    let (mut names, mut sites) = (BTreeMap::new(), BTreeMap::new());
     let mut ids = |ns: &[String], r: Role| -> Result<Vec<String>, (Code, String)> {
         ns.iter()
             .map(|n| {
                 let x = view.get(n).filter(|x| x.role == r && !x.disk.is_empty());
                 let x = x.ok_or((Code::BadLayout, format!("{n} is not a known {r:?} machine with a disk")))?;
                 names.insert(x.disk.clone(), n.clone());
+                sites.insert(x.disk.clone(), x.site.clone());
                 Ok(x.disk.clone())
             })
             .collect()
@@ -46,7 +47,7 @@
     if core.now.len() < 3 || store.now.len() < STORE_COPIES {
         return Err((Code::BadLayout, "at least three core and three store machines are needed".into()));
     }
-    let raw = serde_json::to_vec(&Layout { core, store, names, turn: 1 }).unwrap_or_default();
+    let raw = serde_json::to_vec(&Layout { core, store, names, sites, turn: 1 }).unwrap_or_default();
     for n in cores.iter().filter_map(|n| view.get(n)) {
         let t = if n.name == c.st.name {
             found_here(c, raw.clone()).await
@@ -116,6 +117,7 @@
         return Err("too few disks would be left".into());
     }
     l.names.extend(put.iter().map(|n| (n.disk.clone(), n.name.clone())));
+    l.sites.extend(put.iter().map(|n| (n.disk.clone(), n.site.clone())));
     let g = if core { &mut l.core } else { &mut l.store };
     g.old = std::mem::replace(&mut g.now, now);
     l.turn = seq + 1;
@@ -204,6 +206,7 @@
             l.core.old.clear();
             l.store.old.clear();
             l.names.retain(|d, _| live.contains(d));
+            l.sites.retain(|d, _| live.contains(d));
             Step::Write(serde_json::to_vec(&l).unwrap_or_default(), ())
         })
         .await;
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -79,12 +79,7 @@
 
 fn place(book: &Arc<Book>, members: &Arc<Members>, key: &str) -> Copies {
     let l = book.layout.load();
-    let addr = |d: &str| members.by_disk(d).map(|n| n.peer);
-    if DOCS.contains(&key) {
-        Copies::of(key, &l.1.core, l.0, usize::MAX, addr)
-    } else {
-        Copies::of(key, &l.1.store, l.0, STORE_COPIES, addr)
-    }
+    Copies::of(key, &l.1, l.0, |d| members.by_disk(d).map(|n| n.peer))
 }
 
 impl Control {
@@ -127,7 +122,7 @@
                 None
             })
         };
-        let store = Arc::new(store::Store { owner: owner.clone(), w: w.clone(), route: Arc::new(route) });
+        let store = Arc::new(store::Store { owner: owner.clone(), members: members.clone(), w: w.clone(), route: Arc::new(route) });
         *own.lock().unwrap() = Some(Arc::downgrade(&store));
         let follow = Follow::new(&members, &book, &st.name, false);
         let c = Arc::new(Control {
@@ -225,7 +220,7 @@
             Ask::End { key } => (self.end(&key).await, vec![]),
             Ask::Expire { key } => (self.expire(&key).await, vec![]),
             Ask::Reserve { budget, entry, amount, limit, key, job, nonce, keep } => {
-                let o = store::Open { amount, key, job, nonce, at: self.w.wall(), keep };
+                let o = store::Open { amount, key, job, nonce, at: self.wall(), keep };
                 (self.reserve(budget.trim_start_matches("budget/"), &entry, o, limit).await, vec![])
             }
             Ask::Settle { budget, entry, used } => (self.settle(&budget, &entry, used).await, vec![]),
--- a/yewcross-control/src/store.rs
+++ b/yewcross-control/src/store.rs
@@ -190,6 +190,7 @@
 
 pub struct Store {
     pub owner: Arc<Owner>,
+    pub members: Arc<yewcross::member::Members>,
     pub w: yewcross::world::World,
     /// Asks the owner of another key.
     pub route: Arc<dyn Fn(String, Ask) -> yewcross::world::Fut<'static, Option<Tell>> + Send + Sync>,
@@ -204,10 +205,15 @@
 }
 
 impl Store {
+    /// Several clocks' middle one: a single clock that is far off closes no run and erases no record.
+    pub fn wall(&self) -> u64 {
+        self.members.clock().0
+    }
+
     pub async fn begin(self: &Arc<Self>, b: Begin) -> (Tell, Vec<u8>) {
         let seen = self.owner.hint(&b.key).is_some_and(|v| {
             let r = Record::read(&v);
-            r.head.marks.iter().any(|m| m.job == b.job) || r.head.running.as_ref().is_some_and(|x| self.w.wall() < x.until)
+            r.head.marks.iter().any(|m| m.job == b.job) || r.head.running.as_ref().is_some_and(|x| self.wall() < x.until)
         });
         let mut reserve = b.budget.clone().filter(|_| !seen);
         if let Some((name, limit)) = reserve.clone() {
@@ -229,7 +235,7 @@
                 _ => return (Tell::No(Code::StoreAway), vec![]),
             }
         }
-        let wall = self.w.wall();
+        let wall = self.wall();
         let got = self
             .owner
             .change(&b.key, PEER_WAIT, |_, v| {
@@ -358,7 +364,7 @@
     /// This shot will never be dispatched: as if it had not begun, and it never can begin any more. Only then is its
     /// reservation given back.
     pub async fn abort(self: &Arc<Self>, key: &str, job: &str, nonce: u64, budget: Option<String>) -> Tell {
-        let wall = self.w.wall();
+        let wall = self.wall();
         let got = self
             .owner
             .change(key, PEER_WAIT, |_, v| {
@@ -431,7 +437,8 @@
     /// Whether a stored session has outlived its keeping time.
     pub fn outlived(&self, v: &[u8]) -> bool {
         let h = Record::read(v).head;
-        h.keep > 0 && h.running.is_none() && self.w.wall() > h.touched + h.keep
+        let (wall, sure) = self.members.clock();
+        h.keep > 0 && h.running.is_none() && sure && wall > h.touched + h.keep
     }
 
     pub async fn expire(&self, key: &str) -> Tell {
@@ -498,7 +505,7 @@
     /// Settles reservations whose front is silent: at the real figure if it was kept, in full if not.
     pub async fn audit(self: &Arc<Self>, budget: &str) {
         let Some(v) = self.owner.hint(&purse_key(budget)) else { return };
-        let wall = self.w.wall();
+        let wall = self.wall();
         for (e, o) in Purse::read(&v).open.into_iter().filter(|x| wall > x.1.at + AUDIT_AFTER) {
             let Some(Tell::Look { open, done }) = (self.route)(o.key.clone(), Ask::Look { key: o.key.clone() }).await else { continue };
             if open.iter().any(|x| x.0 == o.job && x.1 == o.nonce) {
@@ -520,7 +527,7 @@
     }
 
     pub async fn look(&self, key: &str) -> Tell {
-        let wall = self.w.wall();
+        let wall = self.wall();
         let got = self
             .owner
             .change(key, PEER_WAIT, |_, v| {
--- a/yewcross-lab/src/shape.rs
+++ b/yewcross-lab/src/shape.rs
@@ -36,6 +36,7 @@
         "kowhai" => (9, 4, 4, 12, 5, 500),
         "consorcio" => (6, 4, 4, 9, 4, 1200),
         "small" => (2, 3, 3, 3, 1, 500),
+        "wide" => (4, 3, 8, 4, 2, 500),
         "disks" => (1, 3, 4, 1, 1, 500),
         _ => return None,
     };
--- a/yewcross-lab/tests/defects.rs
+++ b/yewcross-lab/tests/defects.rs
@@ -302,3 +302,108 @@
     assert!(stop.is_some_and(|s| s < 15), "a planned stop took {stop:?} s");
     assert!(cut && whole.contains(r#""end":true"#), "the slow reader got {} bytes", whole.len());
 }
+
+/// One machine's clock, days ahead, erased what was to be kept and closed what still ran.
+#[test]
+fn one_clock_far_ahead_erases_nothing_and_closes_nothing() {
+    let (kept, running, second) = on_fleet_of(
+        "small",
+        38,
+        |_| (),
+        |lab| {
+            Box::pin(async move {
+                let key = "session/p/s".to_string();
+                let first = ranked(&lab, &key)[0].clone();
+                let c = lab.control(&first).unwrap();
+                let Tell::Begun(g) = ask(&c, Ask::Begin(begin(&key, "j1", 1, None))).await else { panic!("not begun") };
+                let x = Commit {
+                    key: key.clone(),
+                    job: "j1".into(),
+                    epoch: g.epoch,
+                    nonce: 1,
+                    code: Code::Done,
+                    used: 1,
+                    rule: Rule::All,
+                    kv: Kv::default(),
+                    hist: 5,
+                };
+                c.store.hear(Ask::Commit(x), b"turn\n".to_vec()).await;
+                lab.sim.skew(lab.sim.find(&first), 5 * 86_400_000);
+                // Long enough for several sweeps.
+                lab.op.sleep(40 * SEC).await;
+                let kept = ask(&c, Ask::Begin(begin(&key, "j2", 2, None))).await;
+                lab.op.sleep(SEC).await;
+                lab.sim.skew(lab.sim.find(&first), 9 * 86_400_000);
+                let second = ask(&c, Ask::Begin(begin(&key, "j3", 3, None))).await;
+                let Tell::Look { open, .. } = ask(&c, Ask::Look { key }).await else { panic!("no look") };
+                (kept, open.len(), second)
+            })
+        },
+    );
+    assert!(matches!(&kept, Tell::Begun(g) if g.hist == 5), "{kept:?}");
+    assert!(matches!(second, Tell::No(Code::SessionBusy)), "{second:?}");
+    assert_eq!(running, 1);
+}
+
+/// A machine whose clock had been ahead ended itself at every start until its last life was forgotten.
+#[test]
+fn a_clock_set_back_does_not_keep_a_machine_out() {
+    let (out, in_again) = on_fleet_of(
+        "small",
+        39,
+        |_| (),
+        |lab| {
+            Box::pin(async move {
+                use std::sync::atomic::Ordering::SeqCst;
+                let m = lab.sim.find("store2");
+                lab.sim.skew(m, 3_600_000);
+                lab.sim.kill(m, false);
+                lab.boot("store2");
+                lab.op.sleep(5 * SEC).await;
+                lab.sim.skew(m, 0);
+                lab.sim.kill(m, false);
+                lab.boot("store2");
+                lab.op.sleep(5 * SEC).await;
+                let c = lab.control("store2").unwrap();
+                let seen = lab.control("core1").unwrap().members.view.load().get("store2").map(|n| n.born);
+                (c.members.replaced.load(SeqCst), seen == Some(c.members.me.lock().unwrap().born))
+            })
+        },
+    );
+    assert!(!out && in_again);
+}
+
+/// With more disks than sites, two of a key's three copies could stand in one site, and a lost site took the key along.
+#[test]
+fn no_site_holds_a_majority_of_a_key() {
+    let (mut tried, mut away) = (0, 0);
+    for seed in 40..43 {
+        let got = on_fleet_of(
+            "wide",
+            seed,
+            |_| (),
+            |lab| {
+                Box::pin(async move {
+                    let all: Vec<_> = lab.sh.nodes.iter().map(|n| (lab.sim.find(&n.name), n.site == "z2")).collect();
+                    let (x, y): (Vec<_>, Vec<_>) = all.into_iter().partition(|n| n.1);
+                    let ids = |v: Vec<(usize, bool)>| v.into_iter().map(|n| n.0).collect::<Vec<_>>();
+                    lab.sim.split(&ids(x), &ids(y));
+                    lab.op.sleep(6 * SEC).await;
+                    let (mut tried, mut away) = (0, 0);
+                    for i in 0..40u64 {
+                        let key = format!("session/p/s{i}");
+                        let to = ranked(&lab, &key).into_iter().find(|n| !["store2", "store6"].contains(&n.as_str()));
+                        let c = lab.control(&to.unwrap()).unwrap();
+                        let t = ask(&c, Ask::Begin(begin(&key, "j", i, None))).await;
+                        tried += 1;
+                        away += !matches!(t, Tell::Begun(_)) as u32;
+                    }
+                    (tried, away)
+                })
+            },
+        );
+        (tried, away) = (tried + got.0, away + got.1);
+    }
+    println!("seeds 40 to 42: {away} of {tried} keys were away with one site");
+    assert_eq!((tried, away), (120, 0));
+}
--- a/yewcross-plan/src/lib.rs
+++ b/yewcross-plan/src/lib.rs
@@ -239,11 +239,8 @@
         *e = (*e).max((h.seq, h.bytes));
     });
     for (key, (_, bytes)) in top {
-        let doc = yewcross::book::DOCS.contains(&key);
-        let n = if doc { usize::MAX } else { STORE_COPIES };
-        let (g0, g1) = if doc { (&c.layout.core, &next.core) } else { (&c.layout.store, &next.store) };
-        let a = Copies::of(key, g0, 0, n, |_| None).now;
-        let b = Copies::of(key, g1, 0, n, |_| None).now;
+        let a = Copies::of(key, &c.layout, 0, |_| None).now;
+        let b = Copies::of(key, &next, 0, |_| None).now;
         let owner = |v: &[yewcross::reg::Seat]| v.first().map(|s| s.disk.clone()).unwrap_or_default();
         p.owners += (owner(&a) != owner(&b)) as u64;
         b.iter().filter(|s| !a.contains(s)).for_each(|s| {
@@ -292,10 +289,7 @@
     duties(c, p, &[gone].into(), &cores);
     let disk = c.nodes.iter().find(|n| n.name == gone).map(|n| n.disk.clone()).unwrap_or_default();
     let keys: BTreeSet<&str> = c.held.values().flatten().map(|h| h.key.as_str()).collect();
-    p.owners = keys
-        .iter()
-        .filter(|k| Copies::of(k, &c.layout.store, 0, STORE_COPIES, |_| None).now.first().is_some_and(|s| s.disk == disk))
-        .count() as u64;
+    p.owners = keys.iter().filter(|k| Copies::of(k, &c.layout, 0, |_| None).now.first().is_some_and(|s| s.disk == disk)).count() as u64;
 }
 
 pub fn plan(c: &Checkpoint, ch: &Change) -> Plan {
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -114,6 +114,9 @@
     Probe {
         dig: u64,
         nodes: Vec<Node>,
+        /// ms of the teller's calendar.
+        #[serde(default)]
+        wall: u64,
     },
     Second {
         heard: bool,
@@ -280,6 +283,9 @@
     pub core: Group,
     pub store: Group,
     pub names: BTreeMap<String, String>,
+    /// Site of each disk, written once and never changed: where copies go follows from it.
+    #[serde(default)]
+    pub sites: BTreeMap<String, String>,
     /// Layout number from which the running change counts its sweeps.
     pub turn: u64,
 }
--- a/yewcross/src/book.rs
+++ b/yewcross/src/book.rs
@@ -1,7 +1,6 @@
 //! The documents every node keeps on hand: configuration, layout, platform list.
 
 use crate::ask::*;
-use crate::consts::STORE_COPIES;
 use crate::member::Members;
 use crate::reg::Epoch;
 use crate::tree::Tree;
@@ -73,11 +72,5 @@
 /// The live machines of a key's copies, first choice of owner first.
 pub fn owners(book: &Book, members: &Members, key: &str) -> Vec<std::net::SocketAddr> {
     let l = book.layout.load();
-    let (g, n) = if DOCS.contains(&key) { (&l.1.core, usize::MAX) } else { (&l.1.store, STORE_COPIES) };
-    crate::hash::ranked(key, g.now.iter().map(|s| s.as_str()))
-        .into_iter()
-        .take(n)
-        .filter_map(|d| members.by_disk(d))
-        .map(|n| n.peer)
-        .collect()
+    l.1.spread(key, &l.1.group(key).now).into_iter().filter_map(|d| members.by_disk(d)).map(|n| n.peer).collect()
 }
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -19,6 +19,13 @@
 pub const PROBE_HELPERS: usize = 3;
 /// us. Suspicion lasts this long before removal, so that a short freeze can be refuted.
 pub const SUSPECT_FOR: u64 = 1_500 * MS;
+/// us. What was heard of another's clock counts this long.
+pub const CLOCK_KEPT: u64 = 60 * SEC;
+/// count. Clocks, our own among them, that must be known before anything is erased: one alone can then not say when.
+pub const CLOCKS: usize = 3;
+/// us. A process this young outbids a node of its name that seems younger: that is its own last life, under a clock
+/// that was ahead.
+pub const YOUNG: u64 = 10 * SEC;
 /// us. A removed or departed node is remembered this long, so that old gossip cannot revive it.
 pub const GONE_KEPT: u64 = 120 * SEC;
 
--- a/yewcross/src/member.rs
+++ b/yewcross/src/member.rs
@@ -52,6 +52,9 @@
     table: Mutex<BTreeMap<String, (Node, u64)>>,
     /// Read-copy-update view of all nodes not gone.
     pub view: ArcSwap<BTreeMap<String, Node>>,
+    /// ms between each other node's calendar and our monotonic clock, and when it was heard.
+    clocks: Mutex<BTreeMap<String, (i64, u64)>>,
+    started: u64,
     /// Set when a younger process carries our name.
     pub replaced: AtomicBool,
 }
@@ -77,6 +80,8 @@
             table: Mutex::new([(me.name.clone(), (me.clone(), w.now()))].into()),
             view: ArcSwap::from_pointee([(me.name.clone(), me.clone())].into()),
             me: Mutex::new(me),
+            clocks: Default::default(),
+            started: w.now(),
             replaced: AtomicBool::new(false),
         };
         Arc::new(m)
@@ -107,7 +112,11 @@
         let mut moved = false;
         ns.into_iter().for_each(|n| {
             if n.name == me.name {
-                if n.born > me.born {
+                if n.born > me.born && (n.peer == me.peer || t < self.started + YOUNG) && me.state == State::Alive {
+                    me.born = n.born + 1;
+                    g.insert(me.name.clone(), (me.clone(), t));
+                    moved = true;
+                } else if n.born > me.born {
                     self.replaced.store(true, SeqCst);
                 } else if n.born == me.born && n.state != State::Alive && n.inc >= me.inc && me.state == State::Alive {
                     me.inc = n.inc + 1;
@@ -145,10 +154,27 @@
         });
     }
 
+    /// The middle one of the clocks known, and whether they are enough to be sure of it.
+    pub fn clock(&self) -> (u64, bool) {
+        let t = self.w.now();
+        let mut g = self.clocks.lock().unwrap();
+        g.retain(|_, c| t < c.1 + CLOCK_KEPT);
+        let mut v: Vec<i64> = g.values().map(|c| c.0).chain([self.w.wall() as i64 - (t / MS) as i64]).collect();
+        v.sort();
+        ((v[(v.len() - 1) / 2] + (t / MS) as i64).max(0) as u64, v.len() >= CLOCKS)
+    }
+
     async fn probe(&self, to: SocketAddr) -> bool {
+        let sent = self.w.now();
         let r = self.peers.ask(to, &Ask::Probe { dig: self.digest() }, &[], PROBE_WAIT).await;
         match r {
-            Ok((Tell::Probe { dig, nodes }, _)) => {
+            Ok((Tell::Probe { dig, nodes, wall }, _)) => {
+                if wall > 0 {
+                    // The calendar was read somewhere between asking and hearing.
+                    let t = self.w.now();
+                    let off = wall as i64 - ((sent + t) / 2 / MS) as i64;
+                    self.clocks.lock().unwrap().insert(to.to_string(), (off, t));
+                }
                 self.merge(nodes);
                 if dig != self.digest() {
                     let _ = self.swap(to).await;
@@ -174,7 +200,7 @@
         match a {
             Ask::Probe { dig } => {
                 let d = self.digest();
-                Tell::Probe { dig: d, nodes: if d == dig { vec![] } else { self.all() } }
+                Tell::Probe { dig: d, nodes: if d == dig { vec![] } else { self.all() }, wall: self.w.wall() }
             }
             Ask::Second { to } => Tell::Second { heard: self.probe(to).await },
             Ask::Table { nodes } => {
--- a/yewcross/src/reg.rs
+++ b/yewcross/src/reg.rs
@@ -1,6 +1,7 @@
 //! The one register: replicas that refuse older epochs, owners that take a key and change it.
 
-use crate::ask::{Ask, Group, Tell};
+use crate::ask::{Ask, Group, Layout, Tell};
+use crate::book::DOCS;
 use crate::consts::*;
 use crate::vault::Vault;
 use crate::wire::Peers;
@@ -271,6 +272,26 @@
     pub addr: Option<SocketAddr>,
 }
 
+impl Layout {
+    /// The disks that a key lives on: all core disks for the documents, three store disks for the rest.
+    pub fn group(&self, key: &str) -> &Group {
+        if DOCS.contains(&key) { &self.core } else { &self.store }
+    }
+
+    /// First choice first; no site holds two copies while another holds none. A disk of no known site counts as one
+    /// of its own.
+    pub fn spread<'a>(&self, key: &str, disks: &'a [String]) -> Vec<&'a str> {
+        let all = crate::hash::ranked(key, disks.iter().map(|s| s.as_str()));
+        if DOCS.contains(&key) {
+            return all;
+        }
+        let site = |d: &str| self.sites.get(d).cloned().unwrap_or(d.into());
+        let mut seen = std::collections::BTreeSet::new();
+        let (first, rest): (Vec<&str>, Vec<&str>) = all.into_iter().partition(|d| seen.insert(site(d)));
+        first.into_iter().chain(rest).take(STORE_COPIES).collect()
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Copies {
     pub lay: u64,
@@ -284,14 +305,9 @@
 
 impl Copies {
     /// The copies of a key among the group's disks.
-    pub fn of(key: &str, g: &Group, lay: u64, copies: usize, addr: impl Fn(&str) -> Option<SocketAddr>) -> Copies {
-        let pick = |ds: &[String]| {
-            crate::hash::ranked(key, ds.iter().map(|s| s.as_str()))
-                .into_iter()
-                .take(copies)
-                .map(|d| Seat { disk: d.into(), addr: addr(d) })
-                .collect::<Vec<_>>()
-        };
+    pub fn of(key: &str, l: &Layout, lay: u64, addr: impl Fn(&str) -> Option<SocketAddr>) -> Copies {
+        let g = l.group(key);
+        let pick = |ds: &[String]| -> Vec<Seat> { l.spread(key, ds).into_iter().map(|d| Seat { disk: d.into(), addr: addr(d) }).collect() };
         Copies { lay, now: pick(&g.now), old: pick(&g.old) }
     }
 
