Stand bad input at every door; choose free ports; reload under load

Absurd reports are not believed now, and counted (`absurd`). - keep_ms at the end of its range overflowed: a session to be kept for ever would have been forgotten at once; a history of 2^64-1 turns did too. Ruled out as finds: nesting (the JSON library's own limit answers 2001).

The real-process test takes the first run of ports that nobody holds, and sends SIGHUP under load with a faulty file (refused, old in force) and a good one.

--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -132,7 +132,7 @@
     let Ok((status, r, b)) = http::fetch(&c.w, to, http_types::Method::Get, "/servers", &heads, vec![], BACK_WAIT).await else {
         return LIST_EVERY;
     };
-    let patience = r.header("retry-after").and_then(|v| v.as_str().parse::<u64>().ok()).map(|s| s * SEC);
+    let patience = r.header("retry-after").and_then(|v| v.as_str().parse::<u64>().ok()).map(|s| s.saturating_mul(SEC).min(LIST_PATIENCE));
     if status != 200 {
         return patience.unwrap_or(LIST_EVERY);
     }
--- a/yewcross-control/src/store.rs
+++ b/yewcross-control/src/store.rs
@@ -283,13 +283,13 @@
                 }
                 r.head.epoch += 1;
                 r.head.touched = wall;
-                r.head.keep = b.keep;
+                r.head.keep = b.keep.min(KEEP_MAX);
                 r.head.running = Some(Run {
                     job: b.job.clone(),
                     digest: b.digest.clone(),
                     nonce: b.nonce,
                     front: b.front.clone(),
-                    until: wall + b.left + RUN_GRACE / MS,
+                    until: wall + b.left.min(HORIZON_MAX) + RUN_GRACE / MS,
                     max_out: b.max_out,
                     budget: b.budget.as_ref().map(|x| x.0.clone()),
                 });
@@ -456,8 +456,8 @@
                 if p.recent.iter().any(|x| x == e) {
                     return Step::Keep(Tell::No(Code::Conflict));
                 }
-                let held: u64 = p.open.values().map(|o| o.amount).sum();
-                if p.spent + held >= limit {
+                let held = p.open.values().fold(0u64, |n, o| n.saturating_add(o.amount));
+                if p.spent.saturating_add(held) >= limit {
                     return Step::Keep(Tell::No(Code::BudgetSpent));
                 }
                 p.open.insert(e.into(), o.clone());
@@ -475,7 +475,7 @@
                 match p.open.remove(e) {
                     None => Step::Keep(()),
                     Some(o) => {
-                        p.spent += used.unwrap_or(o.amount).min(o.amount);
+                        p.spent = p.spent.saturating_add(used.unwrap_or(o.amount).min(o.amount));
                         p.recent.push_back(e.into());
                         while p.recent.len() > 256 {
                             p.recent.pop_front();
@@ -514,7 +514,7 @@
             let mut used = done.iter().find(|x| x.0 == o.job && x.1 == o.nonce).map(|x| x.2);
             // Never begun, as far as the record tells, and the record cannot have been forgotten since: once it is
             // barred it never will be.
-            if used.is_none() && wall < o.at + o.keep {
+            if used.is_none() && wall < o.at.saturating_add(o.keep) {
                 let a = Ask::Abort { key: o.key.clone(), job: o.job.clone(), nonce: o.nonce, budget: None };
                 match (self.route)(o.key.clone(), a).await {
                     Some(Tell::Ok) => used = Some(0),
--- a/yewcross-front/src/judge.rs
+++ b/yewcross-front/src/judge.rs
@@ -44,11 +44,11 @@
 }
 
 pub fn import_takes(tokens: u64) -> u64 {
-    tokens * KV_IMPORT_PER_K / 1000
+    tokens.saturating_mul(KV_IMPORT_PER_K) / 1000
 }
 
 fn prefill(s: &Server, tokens: u64) -> u64 {
-    tokens * s.report.per_k / 1000
+    tokens.saturating_mul(s.report.per_k) / 1000
 }
 
 /// What of the prompt the server would not have to read again, and how it would come by it.
@@ -68,7 +68,7 @@
         Warmth::Import(p) => (p.tokens, import_takes(p.tokens)),
         Warmth::Cold => (0, 0),
     };
-    import + prefill(s, c.tokens.saturating_sub(saved)) + c.max_out * s.report.per_out
+    import.saturating_add(prefill(s, c.tokens.saturating_sub(saved))).saturating_add(c.max_out * s.report.per_out)
 }
 
 fn load(s: &Server) -> u64 {
--- a/yewcross-front/src/kv.rs
+++ b/yewcross-front/src/kv.rs
@@ -56,7 +56,7 @@
 /// How a finished turn began: counted for all turns and for those that changed server.
 pub fn count(f: &Front, fam: &Family, kv: &Kv, server: &str, prompt: u64, reused: u64) {
     let moved = kv.home.as_ref().is_some_and(|h| h.server != server);
-    let pct = 100 * reused / prompt.max(1);
+    let pct = reused.saturating_mul(100) / prompt.max(1);
     let c = &f.counts;
     let (all, mv) = match pct {
         p if p >= KV_WARM => (&c.warm, &c.moved_warm),
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -36,6 +36,7 @@
 }
 
 counts!(
+    absurd,
     turns,
     done,
     replayed,
@@ -140,7 +141,7 @@
     pub fn spend(&self, t: u64, from: &str, bytes: u64, per_s: u64) {
         let mut g = self.free_at.lock().unwrap();
         let e = g.entry(from.into()).or_default();
-        *e = (*e).max(t) + (2 * bytes).saturating_mul(SEC) / per_s.max(1);
+        *e = (*e).max(t).saturating_add(bytes.saturating_mul(2 * SEC) / per_s.max(1));
     }
 }
 
--- a/yewcross-front/src/news.rs
+++ b/yewcross-front/src/news.rs
@@ -40,7 +40,7 @@
         p.server == self.at.server
             && p.inst == self.report.inst
             && p.weights == self.report.weights
-            && self.report.placed.saturating_sub(p.mark) + p.tokens <= self.report.cache
+            && self.report.placed.saturating_sub(p.mark).saturating_add(p.tokens) <= self.report.cache
     }
 }
 
@@ -88,7 +88,10 @@
                 f.counts.polls.fetch_add(1, SeqCst);
                 let (_, _, b) = http::fetch(&f.w, s.addr, http_types::Method::Get, "/report", &[], vec![], BACK_WAIT).await.ok()?;
                 let r: Report = serde_json::from_slice(&b).ok()?;
-                (r.server == s.server && r.service == s.service).then_some(r)
+                if !r.sane() {
+                    f.counts.absurd.fetch_add(1, SeqCst);
+                }
+                (r.server == s.server && r.service == s.service && r.sane()).then_some(r)
             });
             x
         })
@@ -142,7 +145,7 @@
             g.get_mut(n).into_iter().for_each(|h| h.at = t);
             f.sent.lock().unwrap().remove(n);
         });
-        reports.iter().for_each(|r| {
+        reports.iter().filter(|r| r.sane()).for_each(|r| {
             let newer = g.get(&r.server).is_none_or(|h| (r.inst, r.seq) > (h.report.inst, h.report.seq) || t > h.at + REPORT_LOST);
             if newer {
                 let was = g.get(&r.server).map(|h| h.report.leaving);
--- a/yewcross-lab/src/fleet.rs
+++ b/yewcross-lab/src/fleet.rs
@@ -34,8 +34,23 @@
 
 impl Fleet {
     pub fn plan(w: &World, name: &str, dir: &Path, base: u16) -> Result<Fleet, String> {
-        let addr = move |n: usize, k: u16| SocketAddr::from(([127, 0, 0, 1], base + 2 * n as u16 + k));
-        let mut sh = shape(name, &addr).ok_or(format!("no shape {name}; there are kowhai, consorcio, small"))?;
+        let at = |base: u16| shape(name, &move |n: usize, k: u16| SocketAddr::from(([127, 0, 0, 1], base + 2 * n as u16 + k)));
+        let free = |sh: &Shape| {
+            let all = sh.nodes.iter().flat_map(|n| [n.peer, n.http]).chain(sh.backs.iter().map(|b| b.addr)).chain([sh.platform]);
+            all.map(std::net::TcpListener::bind).collect::<Result<Vec<_>, _>>().is_ok()
+        };
+        // Base 0: the first run of ports that nobody holds, beginning at a place of this process's own.
+        let first = (std::process::id() % 60) as u16;
+        let bases: Vec<u16> = if base > 0 { vec![base] } else { (0..60).map(|i| 20_000 + 500 * ((first + i) % 60)).collect() };
+        let mut sh = None;
+        for b in bases {
+            let s = at(b).ok_or(format!("no shape {name}; there are kowhai, consorcio, small"))?;
+            if base > 0 || free(&s) {
+                sh = Some(s);
+                break;
+            }
+        }
+        let mut sh = sh.ok_or("no run of free ports was found")?;
         sh.nodes.iter_mut().filter(|n| n.role != Role::Front).for_each(|n| n.data = dir.join(&n.name).display().to_string());
         let me = std::env::current_exe().map_err(|e| e.to_string())?;
         let bin = me.parent().map(|p| p.to_path_buf()).unwrap_or_default();
--- a/yewcross-lab/src/main.rs
+++ b/yewcross-lab/src/main.rs
@@ -14,7 +14,7 @@
             optional --shape shape: String
             /// Folder for startup files, data and logs (default: a new one in the temporary folder).
             optional --dir dir: PathBuf
-            /// First port (default 21000).
+            /// First port (default: the first run of ports that nobody holds).
             optional --base base: u16
             /// Seconds of traffic (default 40).
             optional --seconds seconds: u64
@@ -80,7 +80,7 @@
             let w = Real::world(".", 2);
             let shape = u.shape.unwrap_or("kowhai".into());
             let dir = u.dir.unwrap_or(std::env::temp_dir().join(format!("yewcross-{}", std::process::id())));
-            let r = smol::block_on(fleet::up(w, &shape, &dir, u.base.unwrap_or(21000), u.seconds.unwrap_or(40), u.sessions.unwrap_or(24)));
+            let r = smol::block_on(fleet::up(w, &shape, &dir, u.base.unwrap_or(0), u.seconds.unwrap_or(40), u.sessions.unwrap_or(24)));
             r.unwrap_or_else(|e| fail(1, &e));
         }
         YewcrossLabCmd::Sim(s) => {
--- a/yewcross-lab/tests/real.rs
+++ b/yewcross-lab/tests/real.rs
@@ -47,7 +47,7 @@
     let w = Real::world(".", 2);
     let d = dir("fleet");
     smol::block_on(async {
-        let mut f = Fleet::plan(&w, "small", &d, 23400).unwrap();
+        let mut f = Fleet::plan(&w, "small", &d, 0).unwrap();
         f.start_all().unwrap();
         f.found().await.unwrap();
         let fronts: Vec<_> = f.sh.of(Role::Front).iter().map(|n| (n.name.clone(), n.http)).collect();
@@ -94,6 +94,22 @@
         let ran = f.get(other.addr, "/lab/runs").await.unwrap();
         assert_eq!(ran.as_array().map(|a| a.len()), Some(0), "the stranger ran {ran}");
 
+        // A reload changes nothing for callers, and a faulty file leaves the old in force.
+        let good = std::fs::read_to_string(d.join("front1.toml")).unwrap();
+        std::fs::write(d.join("front1.toml"), "name='other'\n").unwrap();
+        f.signal("front1", "-HUP");
+        f.signal("store2", "-HUP");
+        f.signal("core1", "-HUP");
+        let log = |n: &str| std::fs::read_to_string(d.join(format!("{n}.log"))).unwrap_or_default();
+        until(&w, 5, "the reloads", async || {
+            log("front1").contains("reload refused") && log("store2").contains("reloaded") && log("core1").contains("reloaded")
+        })
+        .await;
+        std::fs::write(d.join("front1.toml"), good).unwrap();
+        f.signal("front1", "-HUP");
+        until(&w, 5, "the reload", async || log("front1").contains("reloaded")).await;
+        assert!(matches!(caller::turn(&w, f1, &ask("reloaded")).await.heard, Heard::Done));
+
         // A planned stop answers what it has read.
         diary.stop.store(true, SeqCst);
         let (tx, rx) = async_channel::unbounded();
@@ -138,7 +154,10 @@
         std::fs::write(&p, t).unwrap();
         p.display().to_string()
     };
-    let good = at("good", "name='a'\nrole='front'\nsite='z'\npeer='127.0.0.1:23390'\nhttp='127.0.0.1:23391'\nseeds=['127.0.0.1:1']\n");
+    let hold = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let http = hold.local_addr().unwrap();
+    let peer = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let good = at("good", &format!("name='a'\nrole='front'\nsite='z'\npeer='{peer}'\nhttp='{http}'\nseeds=['127.0.0.1:1']\n"));
     let bad = at("bad", "name='a b'\nrole='core'\nsite=''\npeer='0.0.0.0:1'\nhttp='0.0.0.0:1'\nseeds=[]\n");
     let odd = at("odd", "name='a'\ncolour=3\n");
     assert_eq!(run("yewcross-front", &["--startup", &good, "--check"]).0, Some(exit::OK));
@@ -148,7 +167,6 @@
     assert_eq!(run("yewcross-control", &["--startup", &good, "--check"]).0, Some(exit::BAD_STARTUP));
     assert_eq!(run("yewcross-control", &["--startup", "/nowhere"]).0, Some(exit::BAD_STARTUP));
     assert_eq!(run("yewcross-front", &["--nope"]).0, Some(exit::USAGE));
-    let hold = std::net::TcpListener::bind("127.0.0.1:23391").unwrap();
     assert_eq!(run("yewcross-front", &["--startup", &good]).0, Some(exit::CANNOT_BIND));
     drop(hold);
     assert_eq!(run("yewcross-front", &["--help"]).0, Some(exit::OK));
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -1,6 +1,7 @@
 //! Every question one process of the tier may put to another, and the answers.
 
 use crate::code::Code;
+use crate::consts::*;
 use crate::member::Node;
 use crate::reg::{Epoch, RegAsk, RegTell};
 use crate::tree::Rule;
@@ -253,6 +254,14 @@
     pub age: u64,
 }
 
+impl Report {
+    pub fn sane(&self) -> bool {
+        [self.slots, self.running, self.waiting].iter().all(|n| *n <= REPORT_JOBS)
+            && [self.per_k, self.per_out].iter().all(|n| *n <= REPORT_US)
+            && [self.placed, self.cache].iter().all(|n| *n <= REPORT_TOKENS)
+    }
+}
+
 /// A line of the platform's list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Listed {
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -99,6 +99,14 @@
 pub const HORIZON_LATE: u64 = 500 * MS;
 /// us. Sending an outcome that has no horizon.
 pub const ANSWER_WAIT: u64 = 10 * SEC;
+/// ms. Ten years, the longest that a record may be kept.
+pub const KEEP_MAX: u64 = 315_360_000_000;
+/// Figures above which a server's report is not believed: slots or jobs, us a token or a thousand, tokens.
+pub const REPORT_JOBS: u32 = 100_000;
+pub const REPORT_US: u64 = 600 * SEC;
+pub const REPORT_TOKENS: u64 = 1 << 50;
+/// us. The longest that a platform's Retry-After is heeded.
+pub const LIST_PATIENCE: u64 = 30 * SEC;
 /// us. Kept back from a horizon for the commit and the way home.
 pub const HORIZON_SPARE: u64 = 60 * MS;
 
--- a/yewcross/src/tree.rs
+++ b/yewcross/src/tree.rs
@@ -66,9 +66,9 @@
         let ends: Vec<usize> = hist.iter().enumerate().filter(|x| *x.1 == b'\n').map(|x| x.0 + 1).collect();
         let cut = match self {
             Rule::All => 0,
-            Rule::Turns(n) => ends.len().checked_sub(n + 1).map(|i| ends[i]).unwrap_or(0),
+            Rule::Turns(n) => ends.len().checked_sub(n.saturating_add(1)).map(|i| ends[i]).unwrap_or(0),
             Rule::Tokens(n) => {
-                let over = hist.len().saturating_sub(n as usize * TOKEN_BYTES);
+                let over = hist.len().saturating_sub((n as usize).saturating_mul(TOKEN_BYTES));
                 if over == 0 {
                     0
                 } else {
@@ -89,7 +89,7 @@
     max_output: u64 = 512, |n| (1..=65_536).contains(n), "1 to 65536", "tokens, cap on one turn's output";
     max_prompt: u64 = 200_000, |n| (1..=2_000_000).contains(n), "1 to 2000000", "tokens, cap on one turn's prompt with its history";
     repeatable: bool = false, |_| true, "true or false", "a lost turn may be sent again within its horizon";
-    keep_ms: u64 = 86_400_000, |n| *n >= 1000, "1000 or more", "how long after its last turn a session and its outcomes are kept";
+    keep_ms: u64 = 86_400_000, |n| (1000..=KEEP_MAX).contains(n), "1000 to 315360000000", "how long after its last turn a session and its outcomes are kept";
     kv_share: bool = true, |_| true, "true or false", "keep a replica of the session's KV cache at its spill target";
     kv_min_tokens: u64 = KV_MIN_TOKENS, |n| (1..=1_000_000).contains(n), "1 to 1000000", "tokens, turns below this are not replicated";
     kv_session_bytes: u64 = 8 << 30, |n| *n > 0, "above 0", "bytes, largest replica kept for one session";
@@ -114,7 +114,7 @@
     methods: Vec<String> = vec![], |_| true, "names", "lookup methods that exist; empty allows none";
     once: Vec<String> = vec![], |_| true, "names", "lookup methods that may run only once";
     horizon_ms: u64 = 1500, |n| (HORIZON_MIN..=HORIZON_MAX).contains(n), "10 to 600000", "longest horizon a lookup may ask for";
-    keep_ms: u64 = 86_400_000, |n| *n >= 1000, "1000 or more", "how long the outcome of a once-only lookup is kept";
+    keep_ms: u64 = 86_400_000, |n| (1000..=KEEP_MAX).contains(n), "1000 to 315360000000", "how long the outcome of a once-only lookup is kept";
     link_bytes: u64 = 1_250_000_000, |n| *n >= 1000, "1000 or more", "bytes per second a server's link may carry for replicas";
 });
 
--- a/yewcross/src/wire.rs
+++ b/yewcross/src/wire.rs
@@ -68,7 +68,7 @@
     pub tally: Tally,
 }
 
-fn pack(version: u16, id: u64, reply: bool, me: &str, site: &str, body: &[u8], blob: &[u8]) -> Vec<u8> {
+pub fn pack(version: u16, id: u64, reply: bool, me: &str, site: &str, body: &[u8], blob: &[u8]) -> Vec<u8> {
     let words = (body.len() + blob.len() + me.len() + site.len()) / 8 + 24;
     let mut m = capnp::message::Builder::new(capnp::message::HeapAllocator::new().first_segment_words(words as u32));
     let mut f = m.init_root::<frame::Builder>();
