--- a/yewcross-lab/tests/proof.rs
+++ b/yewcross-lab/tests/proof.rs
@@ -253,7 +253,7 @@
     assert_eq!((got.lock().unwrap().clone(), pb.odd.load(SeqCst)), (vec![true, false], 1));
 }
 
-/// Every act, test, sin and piece of code that docs/brief.md names is there, every act is in it, and no cell is empty.
+/// Every act, test, sin and piece of code that docs/brief.md and the parts' pages name is there, every act is in it, and no cell is empty.
 #[test]
 fn every_name_in_the_brief_exists() {
     let root = format!("{}/..", env!("CARGO_MANIFEST_DIR"));
@@ -274,10 +274,15 @@
         }
         _ => false,
     };
-    let named: Vec<&str> = text.split('`').skip(1).step_by(2).collect();
-    let lost: Vec<&&str> = named.iter().filter(|p| missing(p)).collect();
+    let ticked = |t: &str| t.split('`').skip(1).step_by(2).map(|s| s.to_string()).collect::<Vec<_>>();
+    let named = ticked(&text);
+    let parts: Vec<String> =
+        std::fs::read_dir(format!("{root}/docs/parts")).unwrap().map(|f| f.unwrap().path().display().to_string()).collect();
+    assert_eq!(parts.len(), 7);
+    let told: Vec<String> = parts.iter().flat_map(|p| ticked(&std::fs::read_to_string(p).unwrap())).collect();
+    let lost: Vec<&String> = named.iter().chain(&told).filter(|p| missing(p)).collect();
     assert!(lost.is_empty(), "not there: {lost:?}");
-    let unnamed: Vec<&str> = Act::iter().map(|a| a.into()).filter(|a: &&str| !named.contains(&format!("act:{a}").as_str())).collect();
+    let unnamed: Vec<&str> = Act::iter().map(|a| a.into()).filter(|a: &&str| !named.contains(&format!("act:{a}"))).collect();
     assert_eq!(unnamed, ["calm"], "acts that no row names");
     let rows = text.lines().filter(|l| l.starts_with('|') && !l.starts_with("|---"));
     rows.for_each(|l| assert!(l.trim_matches('|').split('|').skip(1).all(|c| !c.trim().is_empty()), "an empty cell: {l}"));
