Refuse bad arguments of the lab and the planner with their own exit code and reason

Cause: an unknown shape panicked (exit 101), a first seed at the end of its range and a first port above 60,000 overflowed.

--- a/yewcross-lab/src/main.rs
+++ b/yewcross-lab/src/main.rs
@@ -73,6 +73,12 @@
     serde_json::from_slice(&b).unwrap_or_else(|e| fail(exit::BAD_STARTUP, &format!("{path}: {e}")))
 }
 
+fn seeds(from: Option<u64>, count: Option<u64>) -> std::ops::Range<u64> {
+    let from = from.unwrap_or(1);
+    let to = from.checked_add(count.unwrap_or(1)).unwrap_or_else(|| fail(exit::USAGE, "--from, --count: past the last seed"));
+    from..to
+}
+
 fn main() {
     let a = YewcrossLab::from_env_or_exit();
     match a.subcommand {
@@ -80,15 +86,22 @@
             let w = Real::world(".", 2);
             let shape = u.shape.unwrap_or("kowhai".into());
             let dir = u.dir.unwrap_or(std::env::temp_dir().join(format!("yewcross-{}", std::process::id())));
-            let r = smol::block_on(fleet::up(w, &shape, &dir, u.base.unwrap_or(0), u.seconds.unwrap_or(40), u.sessions.unwrap_or(24)));
+            let base = u.base.unwrap_or(0);
+            if base > 0 && !(1024..=60_000).contains(&base) {
+                fail(exit::USAGE, "--base: must be 1024 to 60000");
+            }
+            let r = smol::block_on(fleet::up(w, &shape, &dir, base, u.seconds.unwrap_or(40), u.sessions.unwrap_or(24)));
             r.unwrap_or_else(|e| fail(1, &e));
         }
         YewcrossLabCmd::Sim(s) => {
             let shape = s.shape.unwrap_or("small".into());
+            if yewcross_lab::shape::shape(&shape, &|_, _| ([127, 0, 0, 1], 1).into()).is_none() {
+                fail(exit::USAGE, &format!("--shape: no shape {shape}; there are kowhai, consorcio, small, wide, disks"));
+            }
             let which = s.acts.unwrap_or("calm".into());
             let all: Vec<Act> = Act::iter().collect();
             let mut plans = vec![];
-            for seed in s.from.unwrap_or(1)..s.from.unwrap_or(1) + s.count.unwrap_or(1) {
+            for seed in seeds(s.from, s.count) {
                 match which.as_str() {
                     "each" => all.iter().for_each(|a| plans.push(Plan::new(seed, &shape, &[*a]))),
                     "pairs" => {
@@ -113,8 +126,7 @@
             std::process::exit(if bad == 0 { exit::OK } else { 1 });
         }
         YewcrossLabCmd::Grind(g) => {
-            let from = g.from.unwrap_or(1);
-            let bad = grind::sweep((from..from + g.count.unwrap_or(1)).collect(), g.trace);
+            let bad = grind::sweep(seeds(g.from, g.count).collect(), g.trace);
             std::process::exit(if bad == 0 { exit::OK } else { 1 });
         }
         YewcrossLabCmd::Standin(s) => {
--- a/yewcross-lab/tests/real.rs
+++ b/yewcross-lab/tests/real.rs
@@ -172,3 +172,31 @@
     assert_eq!(run("yewcross-front", &["--help"]).0, Some(exit::OK));
     let _ = std::fs::remove_dir_all(&d);
 }
+
+/// Each is refused at once, by its own exit code and reason, before anything is started.
+#[test]
+fn bad_arguments_are_refused() {
+    let d = dir("args");
+    let junk = d.join("junk");
+    std::fs::write(&junk, "{").unwrap();
+    let junk = junk.display().to_string();
+    let cases: [(&str, &[&str], i32, &str); 12] = [
+        ("yewcross-lab", &["sim", "--shape", "nope"], exit::USAGE, "no shape nope"),
+        ("yewcross-lab", &["sim", "--acts", "calm+nope"], exit::USAGE, "unknown act"),
+        ("yewcross-lab", &["sim", "--from", "18446744073709551615", "--count", "2"], exit::USAGE, "last seed"),
+        ("yewcross-lab", &["sim", "--count", "-1"], exit::USAGE, "count"),
+        ("yewcross-lab", &["grind", "--from", "18446744073709551615", "--count", "9"], exit::USAGE, "last seed"),
+        ("yewcross-lab", &["up", "--base", "65000"], exit::USAGE, "--base"),
+        ("yewcross-lab", &["up", "--shape", "nope"], 1, "no shape nope"),
+        ("yewcross-lab", &["standin", "--spec", &junk], exit::BAD_STARTUP, "junk"),
+        ("yewcross-lab", &["platform", "--at", "nowhere", "--list", &junk], exit::USAGE, "--at"),
+        ("yewcross-plan", &["--nope"], exit::USAGE, "nope"),
+        ("yewcross-plan", &["--checkpoint", &junk, "--without", "m1"], exit::BAD_STARTUP, "junk"),
+        ("yewcross-control", &["--startup", &junk, "--check"], exit::BAD_STARTUP, "junk"),
+    ];
+    for (prog, args, code, why) in cases {
+        let (c, t) = run(prog, args);
+        assert!(c == Some(code) && t.contains(why) && !t.contains("panicked"), "{prog} {args:?}: {c:?} {t}");
+    }
+    let _ = std::fs::remove_dir_all(&d);
+}
