--- a/yewcross-lab/tests/defects.rs
+++ b/yewcross-lab/tests/defects.rs
@@ -407,3 +407,37 @@
     println!("seeds 40 to 42: {away} of {tried} keys were away with one site");
     assert_eq!((tried, away), (120, 0));
 }
+
+/// A run cut short as its caller left settled what had been passed on, not what the server had put out.
+#[test]
+fn a_run_cut_short_settles_what_was_put_out() {
+    let edit = |t: &mut serde_json::Value| {
+        let s = &mut t["families"]["talk"]["set"];
+        (s["repeatable"], s["max_output"]) = (true.into(), 600.into());
+    };
+    let (mut cut, mut spent, mut out) = (0, 0, 0);
+    for seed in 60..64 {
+        let got = on_fleet_of("small", seed, edit, |lab| {
+            Box::pin(async move {
+                use futures_lite::{AsyncReadExt, AsyncWriteExt};
+                let body = r#"{"program":"chargeback","session":"s","job":"j","budget":"chargeback","horizon_ms":6000,"messages":[{"role":"user","text":"hi"}],"max_output":600,"stream":true}"#;
+                let mut c = lab.op.connect(lab.sh.of(Role::Front)[0].http).await.unwrap();
+                c.write_all(yewcross_lab::script::request("POST", "/v1/turn", "", body).as_bytes()).await.unwrap();
+                // Pieces are under way while the cancel is.
+                lab.sim.weather(yewcross_lab::sim::Weather { jitter: 100 * MS, ..Default::default() });
+                let mut b = [0u8; 2000];
+                while c.read(&mut b).await.is_ok_and(|n| !b[..n].windows(5).any(|w| w == b"\"n\":2")) {}
+                drop(c);
+                lab.op.sleep(8 * SEC).await;
+                let f = lab.front("front1").unwrap();
+                let cut = f.counts.cancelled.load(std::sync::atomic::Ordering::SeqCst);
+                let out: u64 = lab.ledger.runs.lock().unwrap().iter().map(|r| r.output).sum();
+                (cut, purse(&lab, "chargeback").await.spent, out)
+            })
+        });
+        assert!(got.1 >= got.2, "seed {seed}: {} spent, {} put out", got.1, got.2);
+        (cut, spent, out) = (cut + got.0, spent + got.1, out + got.2);
+    }
+    println!("seeds 60 to 63: {cut} runs cut short, {spent} spent for {out} put out");
+    assert!(cut == 4 && spent < 4 * 600);
+}
