Read the lists of fronts once a carry, not every 5 ms; keep the constant with the others

While a put waited for fronts it parsed every configuration text not yet proved at each look; now only when what is known to be proved changes. PAST_KEPT stands in consts.rs with its reason.

--- a/yewcross-control/src/config.rs
+++ b/yewcross-control/src/config.rs
@@ -93,8 +93,6 @@
     })
 }
 
-const PAST_KEPT: usize = 16;
-
 /// Checks, decides, carries to all, and answers only once no front can serve by an older one.
 pub async fn put(c: &Arc<Control>, base: u64, text: String, note: String, dry: bool) -> Put {
     if let Err(b) = Tree::read(text.as_bytes()) {
@@ -207,6 +205,8 @@
     });
     let need = majority(lay.1.core.now.len());
     let doc: ConfigDoc = serde_json::from_slice(raw).unwrap_or_default();
+    let mut at = c.proved.load(SeqCst);
+    let mut fronts = lists(&doc, at);
     let (mut seen, mut owed, mut adopted, mut most_at) = (0, std::collections::BTreeMap::<String, u64>::new(), BTreeSet::new(), None);
     while c.w.now() < t0 + PUT_WAIT {
         while let Ok((_, g, t)) = gr.try_recv() {
@@ -221,7 +221,10 @@
         }
         let t = c.w.now();
         // Who granted a lease tells at once what is proved; until then every older list counts.
-        let fronts = lists(&doc, c.proved.load(SeqCst));
+        let known = c.proved.load(SeqCst);
+        if known != at {
+            (at, fronts) = (known, lists(&doc, known));
+        }
         let most = fronts.iter().all(|l| l.iter().filter(|f| adopted.contains(*f)).count() >= majority(l.len()));
         if most && most_at.is_none() {
             most_at = Some(t);
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -55,6 +55,8 @@
 pub const SERVE_ASK: u64 = 300 * MS;
 /// us. Longest time a configuration put waits for fronts before it says undecided.
 pub const PUT_WAIT: u64 = 4 * SEC;
+/// count. Versions of the configuration kept for going back, and for the lists of fronts not yet proved.
+pub const PAST_KEPT: usize = 16;
 /// us. Length of a duty lease as the granter counts it.
 pub const DUTY_LEASE: u64 = 3 * SEC;
 /// us. The holder counts itself out this much earlier.
