Add routes, chains of turns and ports as the seams for other platforms

Cause: the product speaks its own JSON interface only; another platform's clients, servers, lists and configurations need a seam that decides nothing. Change: yewcross::route (host and longest prefix to weighted services), ::chain (what a front asks of the stores), ::port (caller, back end, catalogue, dialect), bounds of the place in the startup file.

--- a/yewcross-lab/src/shape.rs
+++ b/yewcross-lab/src/shape.rs
@@ -58,6 +58,8 @@
                 platform: (role == Role::Core).then_some(platform),
                 threads: 1,
                 wire: WIRE_VERSION,
+                found: false,
+                bounds: Default::default(),
             });
         }
     }
--- a/yewcross/src/lib.rs
+++ b/yewcross/src/lib.rs
@@ -1,5 +1,6 @@
 pub mod ask;
 pub mod book;
+pub mod chain;
 pub mod code;
 pub mod consts;
 #[allow(clippy::all, dead_code, unused)]
@@ -10,8 +11,10 @@
 pub mod hash;
 pub mod http;
 pub mod member;
+pub mod port;
 pub mod real;
 pub mod reg;
+pub mod route;
 pub mod startup;
 pub mod tree;
 pub mod vault;
--- a/yewcross/src/startup.rs
+++ b/yewcross/src/startup.rs
@@ -35,6 +35,57 @@
     /// Newest frame version to speak; set it back while a tier is being upgraded or to go back.
     #[serde(default = "newest")]
     pub wire: u16,
+    /// Found the tier without an operator; said only at the very first start, on empty disks.
+    #[serde(default)]
+    pub found: bool,
+    #[serde(default)]
+    pub bounds: Bounds,
+}
+
+/// What the place it runs in asks of the tier. Times in ms.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Bounds {
+    /// Disk machines that may be lost at the same time.
+    pub lost: usize,
+    /// How often nodes ought to hear of each other.
+    pub beat: u64,
+    /// A node in touch this long is bound by the timed rules.
+    pub contact: u64,
+    /// An acknowledged configuration is in force everywhere.
+    pub apply: u64,
+    /// An operator's order is answered.
+    pub ack: u64,
+    /// No request reaches a server known to be leaving.
+    pub drain: u64,
+    /// From the word to stop until the process is killed.
+    pub grace: u64,
+    /// An empty disk is filled again.
+    pub catch_up: u64,
+    /// An event is passed on.
+    pub pass: u64,
+    /// Memory the process may use, MB; 0: unbounded.
+    pub memory_mb: u64,
+    /// Descriptors for sockets and data files; 0: unbounded.
+    pub files: u64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds {
+            lost: 1,
+            beat: 400,
+            contact: 3_000,
+            apply: 2_000,
+            ack: 4_000,
+            drain: 3_000,
+            grace: 8_000,
+            catch_up: 4_200,
+            pass: 120,
+            memory_mb: 0,
+            files: 0,
+        }
+    }
 }
 
 fn newest() -> u16 {
--- a/yewcross/src/tree.rs
+++ b/yewcross/src/tree.rs
@@ -1,6 +1,7 @@
 //! The operators' one tree of settings: families that inherit, services, budgets.
 
 use crate::consts::*;
+use crate::route::Routes;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 use std::collections::BTreeMap;
@@ -142,6 +143,8 @@
     budgets: BTreeMap<String, Map<String, Value>>,
     #[serde(default)]
     fronts: Vec<String>,
+    #[serde(default)]
+    routing: Routes,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -158,6 +161,8 @@
     pub services: BTreeMap<String, Service>,
     pub budgets: BTreeMap<String, Budget>,
     pub fronts: Vec<String>,
+    /// Routes by host and path, beside the families.
+    pub routing: Routes,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -178,7 +183,7 @@
     /// Reads and checks a whole configuration; every fault found is told.
     pub fn read(text: &[u8]) -> Result<Tree, Vec<Bad>> {
         let raw: Raw = serde_json::from_slice(text).map_err(|e| vec![bad("", e.to_string())])?;
-        let mut t = Tree { fronts: raw.fronts.clone(), ..Default::default() };
+        let mut t = Tree { fronts: raw.fronts.clone(), routing: raw.routing.clone(), ..Default::default() };
         let mut ill = vec![];
         let base = (Family::default(), Family::DEFS.iter().map(|d| (d.key.to_string(), "default".to_string())).collect());
         raw.families.iter().for_each(|(n, f)| grow(&mut t, &mut ill, "families", n, f, &base));
@@ -213,6 +218,7 @@
                 ill.push(bad(format!("{}/set/budget", p.path), format!("{} is not a budget", p.eff.budget)));
             }
         });
+        t.routing.faults().into_iter().for_each(|(p, why)| ill.push(bad(format!("routing/{p}"), why)));
         if ill.is_empty() { Ok(t) } else { Err(ill) }
     }
 }
