--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -155,3 +155,7 @@
 pub const KV_PUSH_LINES: usize = 2;
 /// count. Session transfer records a front keeps.
 pub const KV_RECORDS: usize = 8192;
+
+/// us. How long a door that closes, and an idle connection behind it, still look for what was sent before: about one
+/// way through a region.
+pub const LAST_LOOK: u64 = 50 * MS;
--- a/yewcross/src/lib.rs
+++ b/yewcross/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod startup;
 pub mod tree;
 pub mod vault;
+pub mod web;
 pub mod wire;
 pub mod world;
