Keep a version on disk in one blocking hop: Host::keep writes aside, syncs, renames, syncs

Four hops to the blocking threads and back for each kept version cost four wake-ups of the executor. World gains keep(aside, at, dir, data); the vault uses it. The simulator plays the same four steps with their old costs, so power may still go between any two of them.

--- a/yewcross-lab/src/sim.rs
+++ b/yewcross-lab/src/sim.rs
@@ -136,6 +136,7 @@
     ready: Arc<Mutex<Ready>>,
 }
 
+#[derive(Clone)]
 pub struct SimHost {
     sim: Sim,
     who: (usize, u32),
@@ -856,6 +857,15 @@
             Ok(())
         })
     }
+    fn keep(&self, aside: &str, at: &str, dir: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>> {
+        let (me, aside, at, dir) = (self.clone(), aside.to_string(), at.to_string(), dir.to_string());
+        Box::pin(async move {
+            me.put(&aside, data).await?;
+            me.sync(&aside).await?;
+            me.rename(&aside, &at).await?;
+            me.sync(&dir).await
+        })
+    }
     fn remove(&self, path: &str) -> Fut<'static, io::Result<()>> {
         let p = path.to_string();
         self.on_disk(20, move |d| d.live.remove(&p).map(|_| ()).ok_or(io::ErrorKind::NotFound.into()))
--- a/yewcross/src/real.rs
+++ b/yewcross/src/real.rs
@@ -2,7 +2,7 @@
 
 use crate::world::*;
 use futures_lite::{AsyncRead, AsyncWrite};
-use std::io;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::pin::Pin;
@@ -116,6 +116,16 @@
         let b = self.root.join(b);
         self.blocking(a, move |a| std::fs::rename(a, b))
     }
+    fn keep(&self, aside: &str, at: &str, dir: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>> {
+        let (at, dir) = (self.root.join(at), self.root.join(dir));
+        self.blocking(aside, move |aside| {
+            let mut f = std::fs::File::create(&aside)?;
+            f.write_all(&data)?;
+            f.sync_all()?;
+            std::fs::rename(aside, at)?;
+            std::fs::File::open(dir)?.sync_all()
+        })
+    }
     fn remove(&self, path: &str) -> Fut<'static, io::Result<()>> {
         self.blocking(path, std::fs::remove_file)
     }
--- a/yewcross/src/vault.rs
+++ b/yewcross/src/vault.rs
@@ -70,10 +70,7 @@
     async fn keep_inner(&self, dir: &str, name: &str, ver: u64, body: &[u8]) -> io::Result<()> {
         let aside = format!("{dir}/.{name}-{}", self.aside.fetch_add(1, SeqCst));
         let at = format!("{dir}/{name}-{ver:016x}");
-        self.w.put(&aside, seal(body)).await?;
-        self.w.sync(&aside).await?;
-        self.w.rename(&aside, &at).await?;
-        self.w.sync(dir).await?;
+        self.w.keep(&aside, &at, dir, seal(body)).await?;
         self.syncs.fetch_add(2, SeqCst);
         self.bytes.fetch_add(body.len() as u64, SeqCst);
         if ver > 1 {
--- a/yewcross/src/world.rs
+++ b/yewcross/src/world.rs
@@ -98,6 +98,8 @@
     fn put(&self, path: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>>;
     fn sync(&self, path: &str) -> Fut<'static, io::Result<()>>;
     fn rename(&self, a: &str, b: &str) -> Fut<'static, io::Result<()>>;
+    /// Writes `data` to `aside`, syncs it, renames it to `at` and syncs the folder `dir`: safe once it returns.
+    fn keep(&self, aside: &str, at: &str, dir: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>>;
     fn remove(&self, path: &str) -> Fut<'static, io::Result<()>>;
     fn get(&self, path: &str) -> Fut<'static, io::Result<Vec<u8>>>;
     fn list(&self, dir: &str) -> Fut<'static, io::Result<Vec<String>>>;
