Wait for a closing gate and for a replaced name by event, not by looking every 20 to 200 ms

Each open connection woke every 50 ms, each accept loop every 20 ms and each main every 200 ms to look at a flag. event.rs has Latch (set once, awaited) and Change (told, awaited until a condition holds); Gate and Members::replaced use them, and planned stops wait for Gate::emptied and Gate::idle.

--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -94,7 +94,7 @@
         c.w.go(async move {
             me.w.sleep(me.w.rand() % DUTY_RENEW).await;
             loop {
-                if me.members.replaced.load(SeqCst) {
+                if me.members.replaced.is_set() {
                     return;
                 }
                 // Others' turns come first to whoever ranks first, so that one of them gets a majority.
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -197,11 +197,9 @@
     /// A planned stop: operators' requests under way are answered, then the others are told.
     pub async fn stop(&self) {
         self.members.leave().await;
-        self.gate.closing.store(true, SeqCst);
+        self.gate.closing.set();
         self.w.sleep(200 * MS).await;
-        while self.gate.busy.load(SeqCst) > 0 {
-            self.w.sleep(20 * MS).await;
-        }
+        self.gate.idle().await;
     }
 
     pub fn layout_kept(&self) -> u64 {
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -267,11 +267,9 @@
 
     /// A planned stop: what was read whole is answered, the accept backlog included.
     pub async fn stop(&self) {
-        self.gate.closing.store(true, SeqCst);
+        self.gate.closing.set();
         self.w.sleep(200 * MS).await;
-        while self.gate.open.load(SeqCst) > 0 {
-            self.w.sleep(20 * MS).await;
-        }
+        self.gate.emptied().await;
         self.members.leave().await;
     }
 
--- a/yewcross-front/src/main.rs
+++ b/yewcross-front/src/main.rs
@@ -1,5 +1,4 @@
 use futures_lite::StreamExt;
-use std::sync::atomic::Ordering::SeqCst;
 use yewcross::real::Real;
 use yewcross::startup::exit;
 
@@ -29,9 +28,7 @@
         let sig = [async_signal::Signal::Term, async_signal::Signal::Int, async_signal::Signal::Hup];
         let Ok(mut sigs) = async_signal::Signals::new(sig) else { return exit::CANNOT_BIND };
         let gone = async {
-            while !f.members.replaced.load(SeqCst) {
-                w.sleep(200_000).await;
-            }
+            f.members.replaced.wait().await;
             exit::REPLACED
         };
         let told = async {
--- a/yewcross-lab/tests/defects.rs
+++ b/yewcross-lab/tests/defects.rs
@@ -366,7 +366,7 @@
                 lab.op.sleep(5 * SEC).await;
                 let c = lab.control("store2").unwrap();
                 let seen = lab.control("core1").unwrap().members.view.load().get("store2").map(|n| n.born);
-                (c.members.replaced.load(SeqCst), seen == Some(c.members.me.lock().unwrap().born))
+                (c.members.replaced.is_set(), seen == Some(c.members.me.lock().unwrap().born))
             })
         },
     );
--- /dev/null
+++ b/yewcross/src/event.rs
@@ -0,0 +1,45 @@
+//! Waiting for a change of state without looking again and again.
+
+use event_listener::Event;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+
+/// Set once, never unset; whoever waits is woken.
+#[derive(Debug, Default)]
+pub struct Latch {
+    on: AtomicBool,
+    ev: Change,
+}
+
+impl Latch {
+    pub fn set(&self) {
+        self.on.store(true, SeqCst);
+        self.ev.tell();
+    }
+    pub fn is_set(&self) -> bool {
+        self.on.load(SeqCst)
+    }
+    pub async fn wait(&self) {
+        self.ev.until(|| self.is_set()).await
+    }
+}
+
+/// Told after each change that others may wait for.
+#[derive(Debug, Default)]
+pub struct Change(Event);
+
+impl Change {
+    /// Wakes all who wait; costs next to nothing when nobody does.
+    pub fn tell(&self) {
+        self.0.notify(usize::MAX);
+    }
+    /// Returns once `f` holds; `f` is looked at now and after each change told.
+    pub async fn until(&self, mut f: impl FnMut() -> bool) {
+        while !f() {
+            let l = self.0.listen();
+            if f() {
+                return;
+            }
+            l.await;
+        }
+    }
+}
--- a/yewcross/src/http.rs
+++ b/yewcross/src/http.rs
@@ -2,6 +2,7 @@
 
 use crate::code::Code;
 use crate::consts::*;
+use crate::event::{Change, Latch};
 use crate::world::*;
 use futures_lite::io::BufReader;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, Stream};
@@ -12,7 +13,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::task::{Context, Poll};
 
 /// A job that was read whole.
@@ -33,7 +34,23 @@
 pub struct Gate {
     pub open: AtomicUsize,
     pub busy: AtomicUsize,
-    pub closing: AtomicBool,
+    pub closing: Latch,
+    fell: Change,
+}
+
+impl Gate {
+    /// Returns once no connection is open.
+    pub async fn emptied(&self) {
+        self.fell.until(|| self.open.load(SeqCst) == 0).await
+    }
+    /// Returns once no request is under way.
+    pub async fn idle(&self) {
+        self.fell.until(|| self.busy.load(SeqCst) == 0).await
+    }
+    fn drop_one(&self, n: &AtomicUsize) {
+        n.fetch_sub(1, SeqCst);
+        self.fell.tell();
+    }
 }
 
 /// When an outcome must have been taken by its caller, carried along with it.
@@ -106,9 +123,10 @@
     c.allow(2 * HEAD_MAX);
     let wait = if first { HEAD_WAIT } else { IDLE_WAIT };
     let gone = async {
-        while !g.closing.load(SeqCst) || first {
-            w.sleep(50 * MS).await;
+        if first {
+            std::future::pending::<()>().await;
         }
+        g.closing.wait().await;
         w.sleep(100 * MS).await;
     };
     let head = futures_lite::future::or(w.within(wait, async_h1::server::decode(c.clone())), async {
@@ -167,13 +185,13 @@
         body,
     };
     let mut r = h(job).await;
-    let last = close || g.closing.load(SeqCst);
+    let last = close || g.closing.is_set();
     if last {
         r.insert_header("connection", "close");
     }
     let until = r.ext().get::<Until>().map_or(w.now() + ANSWER_WAIT, |u| u.0);
     let sent = w.within(until.saturating_sub(w.now()), send(c, r, verb)).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()));
-    g.busy.fetch_sub(1, SeqCst);
+    g.drop_one(&g.busy);
     let mut sink = Vec::new();
     let _ = w.within(SEC, rest.read_to_end(&mut sink)).await;
     sent.ok().map(|_| last)
@@ -185,16 +203,14 @@
         first = false;
     }
     let _ = c.close().await;
-    g.open.fetch_sub(1, SeqCst);
+    g.drop_one(&g.open);
 }
 
 /// Serves until the gate closes; then empties the accept backlog and returns when all is answered.
 pub async fn serve(w: World, door: Box<dyn Door>, h: Handler, g: Arc<Gate>) {
     loop {
         let late = async {
-            while !g.closing.load(SeqCst) {
-                w.sleep(20 * MS).await;
-            }
+            g.closing.wait().await;
             w.sleep(60 * MS).await;
             None
         };
@@ -204,7 +220,7 @@
             continue;
         };
         if g.open.fetch_add(1, SeqCst) >= CALLERS_MAX {
-            g.open.fetch_sub(1, SeqCst);
+            g.drop_one(&g.open);
             let w2 = w.clone();
             w.go(async move { refuse_and_close(&w2, c, Code::TooMany).await });
             continue;
@@ -213,9 +229,7 @@
         w.go(attend(w2, c, h, g));
     }
     drop(door);
-    while g.open.load(SeqCst) > 0 {
-        w.sleep(20 * MS).await;
-    }
+    g.emptied().await;
 }
 
 /// One exchange on a connection that stays usable if the body is read to its end.
--- a/yewcross/src/lib.rs
+++ b/yewcross/src/lib.rs
@@ -7,6 +7,7 @@
 #[rustfmt::skip]
 pub mod frame_capnp;
 pub mod delta;
+pub mod event;
 pub mod follow;
 pub mod hash;
 pub mod http;
--- a/yewcross/src/member.rs
+++ b/yewcross/src/member.rs
@@ -2,6 +2,7 @@
 
 use crate::ask::{Ask, Tell};
 use crate::consts::*;
+use crate::event::Latch;
 use crate::startup::{Role, Startup};
 use crate::wire::*;
 use crate::world::*;
@@ -9,7 +10,6 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -56,7 +56,7 @@
     clocks: Mutex<BTreeMap<String, (i64, u64)>>,
     started: u64,
     /// Set when a younger process carries our name.
-    pub replaced: AtomicBool,
+    pub replaced: Latch,
 }
 
 impl Members {
@@ -82,7 +82,7 @@
             me: Mutex::new(me),
             clocks: Default::default(),
             started: w.now(),
-            replaced: AtomicBool::new(false),
+            replaced: Latch::default(),
         };
         Arc::new(m)
     }
@@ -117,7 +117,7 @@
                     g.insert(me.name.clone(), (me.clone(), t));
                     moved = true;
                 } else if n.born > me.born {
-                    self.replaced.store(true, SeqCst);
+                    self.replaced.set();
                 } else if n.born == me.born && n.state != State::Alive && n.inc >= me.inc && me.state == State::Alive {
                     me.inc = n.inc + 1;
                     g.insert(me.name.clone(), (me.clone(), t));
