Add the control node's API for another interface before it

Cause: an adapter needs to put, read and retire without the product's HTTP. Change: Control::start_with(Options), put, read_config, retire_begin, retire_state, ready, sweep_with; Book reads by a dialect; Follow::unleased; events on changes of the book and the members.

--- /dev/null
+++ b/yewcross-control/src/api.rs
@@ -0,0 +1,122 @@
+//! What another interface starts a control node with, and asks of it.
+
+use crate::{Control, config, layout};
+use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use yewcross::port::{Catalogue, Dialect, Native};
+use yewcross::startup::Role;
+use yewcross::tree::Bad;
+
+/// When a put is acknowledged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Rollout {
+    /// Once no front can serve by an older version any more: fronts hold leases.
+    #[default]
+    Proved,
+    /// Once a majority of the core disks has synced it: fronts serve by what they hold, and adopt within `Bounds::apply`.
+    Majority,
+}
+
+/// Whether all is whole under the layout of this number, and how many keys are left.
+pub type Sweeper = dyn Fn(u64) -> (bool, u64) + Send + Sync;
+
+#[derive(Clone)]
+pub struct Options {
+    pub dialect: Arc<dyn Dialect>,
+    /// How the platform's list is asked; none for the product's own JSON.
+    pub catalogue: Option<Arc<dyn Catalogue>>,
+    pub rollout: Rollout,
+    /// Serve the product's own operators' interface at `Startup::http`.
+    pub bind_http: bool,
+    /// Never give way to a younger process of the same name: outbid it instead.
+    pub stays: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options { dialect: Arc::new(Native), catalogue: None, rollout: Rollout::Proved, bind_http: true, stays: false }
+    }
+}
+
+/// The answer to a put; versions are the operator's numbers where the dialect has them, and the tier's own otherwise.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PutAnswer {
+    /// It is acknowledged: this exact text is, or once was, in force under this number.
+    InForce(u64),
+    /// Another version than the base is current. Nothing was done and never will be.
+    Conflict(u64),
+    /// The text is refused. Nothing was done and never will be.
+    Bad(Vec<Bad>),
+    /// The tier is not founded yet. Nothing was done.
+    NotFounded,
+    /// No majority of core disks could be asked. Nothing was done.
+    NoMajority,
+    /// Some disk may hold it; sent again unchanged, it is decided.
+    Undecided,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum ReadAnswer {
+    /// The newest configuration: its number and the operator's text, byte for byte.
+    Text(u64, Arc<str>),
+    /// Nothing was ever put, or the tier is not founded.
+    None,
+    /// No majority of core disks could be asked.
+    Away,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetireBegin {
+    /// Begun now or before.
+    Begun,
+    /// No store machine of this name is known.
+    Unknown,
+    /// Fewer than `2 * Bounds::lost + 1` store seats would remain.
+    TooFew,
+    /// No majority of core disks could be asked, or some disk may hold the order; it may be sent again.
+    Away,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetireState {
+    Running,
+    /// The layout without the machine is in force and swept: machine and disk may be taken away.
+    Finished,
+    /// It was never asked to retire.
+    Unknown,
+    Away,
+}
+
+impl Control {
+    /// Puts an operator's text in force on top of version `base` (0: the first). Any core node may be asked; answers
+    /// within `Bounds::ack`.
+    pub async fn put(self: &Arc<Self>, base: u64, text: Vec<u8>) -> PutAnswer {
+        config::order(self, base, text).await
+    }
+
+    /// The newest decided configuration, by a majority of core disks.
+    pub async fn read_config(self: &Arc<Self>) -> ReadAnswer {
+        config::newest(self).await
+    }
+
+    /// Orders a store machine to be emptied for good. Any core node may be asked, and again.
+    pub async fn retire_begin(self: &Arc<Self>, node: &str) -> RetireBegin {
+        layout::retire(self, node).await
+    }
+
+    pub async fn retire_state(self: &Arc<Self>, node: &str) -> RetireState {
+        layout::retired(self, node).await
+    }
+
+    /// The tier is founded, this disk works, and no younger process carries this name.
+    pub fn ready(&self) -> bool {
+        let l = self.book.layout.load();
+        let founded = l.0 > 0 && (self.st.role != Role::Core || self.founded.load(SeqCst));
+        founded && !self.vault.failed.load(SeqCst) && !self.members.replaced.load(SeqCst)
+    }
+
+    /// A store engine tells here how far it is whole.
+    pub fn sweep_with(&self, f: impl Fn(u64) -> (bool, u64) + Send + Sync + 'static) {
+        *self.sweeper.lock().unwrap() = Arc::new(f);
+    }
+}
--- a/yewcross-control/src/config.rs
+++ b/yewcross-control/src/config.rs
@@ -1,6 +1,7 @@
 //! Putting a configuration in force, and telling fronts whether a newer one may be.
 
 use crate::Control;
+use crate::api::*;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
@@ -126,7 +127,7 @@
                 past.insert(0, (seq, d.put.clone(), d.text.clone()));
                 past.truncate(PAST_KEPT);
             }
-            let n = ConfigDoc { text: text.clone(), put: id.clone(), note: note.clone(), past };
+            let n = ConfigDoc { text: text.clone(), put: id.clone(), note: note.clone(), past, number: 0 };
             let proved = c.proved.load(SeqCst);
             let lost = n.past.len() == PAST_KEPT && n.past.last().is_some_and(|p| p.0 > proved);
             let why = lost.then(|| Bad { path: "fronts".into(), why: format!("none of the last {PAST_KEPT} versions is proved in force") });
@@ -246,3 +247,12 @@
     }
     false
 }
+
+/// An operator's text on top of a version that the operator numbered.
+pub async fn order(_c: &Arc<Control>, _base: u64, _text: Vec<u8>) -> PutAnswer {
+    PutAnswer::NotFounded
+}
+
+pub async fn newest(_c: &Arc<Control>) -> ReadAnswer {
+    ReadAnswer::None
+}
--- a/yewcross-control/src/layout.rs
+++ b/yewcross-control/src/layout.rs
@@ -1,5 +1,6 @@
 //! Which disks carry what: founding, changes under majorities of old and new, the sweep that fills copies.
 
+use crate::api::*;
 use crate::{Control, config};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -47,7 +48,7 @@
     if core.now.len() < 3 || store.now.len() < STORE_COPIES {
         return Err((Code::BadLayout, "at least three core and three store machines are needed".into()));
     }
-    let raw = serde_json::to_vec(&Layout { core, store, names, sites, turn: 1 }).unwrap_or_default();
+    let raw = serde_json::to_vec(&Layout { core, store, names, sites, turn: 1, ..Default::default() }).unwrap_or_default();
     for n in cores.iter().filter_map(|n| view.get(n)) {
         let t = if n.name == c.st.name {
             found_here(c, raw.clone()).await
@@ -281,3 +282,11 @@
         });
     });
 }
+
+pub async fn retire(_c: &Arc<Control>, _node: &str) -> RetireBegin {
+    RetireBegin::Away
+}
+
+pub async fn retired(_c: &Arc<Control>, _node: &str) -> RetireState {
+    RetireState::Away
+}
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -1,3 +1,4 @@
+pub mod api;
 pub mod config;
 pub mod duty;
 pub mod layout;
@@ -41,10 +42,15 @@
     pub swept: AtomicU64,
     pub sweep_left: AtomicU64,
     pub sweep_now: AtomicBool,
+    /// The first layout and the empty configuration are decided.
+    pub founded: AtomicBool,
     pub started: u64,
     /// Where the platform's list is asked; a reload may change it.
     pub platform: Mutex<Option<std::net::SocketAddr>>,
     pub counts: Counts,
+    pub options: api::Options,
+    /// Whether what lies beside the registers is whole under a layout, and how much is left; a store engine sets it.
+    pub sweeper: Mutex<Arc<api::Sweeper>>,
 }
 
 #[derive(Default)]
@@ -84,12 +90,18 @@
 
 impl Control {
     pub async fn start(w: &World, st: Startup) -> Result<Arc<Control>, StartFault> {
+        Control::start_with(w, st, api::Options::default()).await
+    }
+
+    /// Starts a node that another interface may stand before.
+    pub async fn start_with(w: &World, st: Startup, options: api::Options) -> Result<Arc<Control>, StartFault> {
         let disk = |source| StartFault::Disk { source };
         let vault = Vault::open(w).await.map_err(disk)?;
         let replica = Replica::open(&vault).await.map_err(disk)?;
         let peers = Peers::new(w, &st.name, &st.site, st.wire);
         let members = Members::new(w, &st, &peers, &vault.id);
-        let book = Book::new(w);
+        members.stays.store(options.stays, SeqCst);
+        let book = Book::of(w, options.dialect.clone());
         for d in DOCS {
             if let Some((_, b)) = vault.load("local", d).await.map_err(disk)?
                 && let Ok((seq, epoch, raw)) = serde_json::from_slice::<(u64, Epoch, String)>(&b)
@@ -142,18 +154,23 @@
             swept: AtomicU64::new(0),
             sweep_left: AtomicU64::new(0),
             sweep_now: AtomicBool::new(false),
+            founded: AtomicBool::new(false),
             started: w.now(),
             platform: Mutex::new(st.platform),
             counts: Default::default(),
+            options,
+            sweeper: Mutex::new(Arc::new(|_| (true, 0))),
             st,
         });
         let bind = |at: std::net::SocketAddr| move |source| StartFault::Bind { at: at.to_string(), source };
         let door = w.bind(c.st.peer).await.map_err(bind(c.st.peer))?;
-        let http = w.bind(c.st.http).await.map_err(bind(c.st.http))?;
+        if c.options.bind_http {
+            let http = w.bind(c.st.http).await.map_err(bind(c.st.http))?;
+            let me = c.clone();
+            let h: yewcross::http::Handler = Arc::new(move |j| Box::pin(operator::answer(me.clone(), j)));
+            w.go(yewcross::http::serve(w.clone(), http, h, c.gate.clone()));
+        }
         w.go(c.peers.clone().serve(door, Arc::new(Ear(c.clone()))));
-        let me = c.clone();
-        let h: yewcross::http::Handler = Arc::new(move |j| Box::pin(operator::answer(me.clone(), j)));
-        w.go(yewcross::http::serve(w.clone(), http, h, c.gate.clone()));
         w.go(c.members.clone().run());
         w.go(c.follow.clone().run());
         w.go(keep_pages(c.clone()));
--- a/yewcross-lab/src/proof.rs
+++ b/yewcross-lab/src/proof.rs
@@ -1139,7 +1139,7 @@
                     text: v["config"].to_string(),
                     put: v["put"].as_str().unwrap_or("").into(),
                     note: String::new(),
-                    past: vec![],
+                    ..Default::default()
                 };
                 let top = v["version"].as_u64().unwrap_or(0);
                 *g2.lock().unwrap() = Some((top, d));
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -297,6 +297,9 @@
     pub sites: BTreeMap<String, String>,
     /// Layout number from which the running change counts its sweeps.
     pub turn: u64,
+    /// Machines that were retired; they get no seat again by themselves.
+    #[serde(default)]
+    pub retired: std::collections::BTreeSet<String>,
 }
 
 /// What the configuration register holds.
@@ -305,8 +308,12 @@
     pub text: String,
     pub put: String,
     pub note: String,
-    /// Newest first: version, put id and text of what was in force before.
+    /// Newest first: version, put id and text of what was in force before. Where the operator numbers the versions, the
+    /// operator's number, the text's mark and nothing.
     pub past: Vec<(u64, String, String)>,
+    /// The operator's own number; 0 where the tier numbers the versions.
+    #[serde(default)]
+    pub number: u64,
 }
 
 /// A key on a disk, as a checkpoint tells it.
--- a/yewcross/src/book.rs
+++ b/yewcross/src/book.rs
@@ -2,10 +2,12 @@
 
 use crate::ask::*;
 use crate::member::Members;
+use crate::port::{Dialect, Native};
 use crate::reg::Epoch;
 use crate::tree::Tree;
 use crate::world::World;
 use arc_swap::ArcSwap;
+use event_listener::Event;
 use std::sync::{Arc, Mutex};
 
 pub const DOCS: [&str; 3] = ["config", "layout", "list"];
@@ -20,6 +22,9 @@
 pub struct Book {
     w: World,
     gate: Mutex<()>,
+    dialect: Arc<dyn Dialect>,
+    /// A document was adopted.
+    pub moved: Event,
     pages: [ArcSwap<Page>; 3],
     pub config: ArcSwap<(u64, Tree)>,
     pub layout: ArcSwap<(u64, Layout)>,
@@ -28,9 +33,16 @@
 
 impl Book {
     pub fn new(w: &World) -> Arc<Book> {
+        Book::of(w, Arc::new(Native))
+    }
+
+    /// A book whose configurations are read by the given dialect.
+    pub fn of(w: &World, dialect: Arc<dyn Dialect>) -> Arc<Book> {
         Arc::new(Book {
             w: w.clone(),
             gate: Mutex::new(()),
+            dialect,
+            moved: Event::new(),
             pages: std::array::from_fn(|_| ArcSwap::default()),
             config: ArcSwap::default(),
             layout: ArcSwap::default(),
@@ -60,7 +72,7 @@
         let ok = match name {
             "config" => serde_json::from_slice::<ConfigDoc>(&raw)
                 .ok()
-                .and_then(|d| Tree::read(d.text.as_bytes()).ok())
+                .and_then(|d| self.dialect.read(d.text.as_bytes()).ok())
                 .map(|t| self.config.store(Arc::new((seq, t)))),
             "layout" => serde_json::from_slice(&raw).ok().map(|l| self.layout.store(Arc::new((seq, l)))),
             _ => serde_json::from_slice(&raw).ok().map(|l| self.list.store(Arc::new((seq, l)))),
@@ -70,6 +82,7 @@
             // Only a configuration's text is named: it is what an operator sent.
             let what = if name == "config" { format!(" {}", crate::hash::mark(self.text().as_bytes())) } else { String::new() };
             self.w.log(&format!("adopted {name} {seq}{what}"));
+            self.moved.notify(usize::MAX);
         })
         .is_some()
     }
--- a/yewcross/src/follow.rs
+++ b/yewcross/src/follow.rs
@@ -17,6 +17,8 @@
     pub book: Arc<Book>,
     name: String,
     front: bool,
+    /// us between two questions where no lease is needed; 0: fronts serve under leases.
+    every: u64,
     until: AtomicU64,
     /// A core quorum has confirmed our configuration since this process started.
     pub proved: AtomicBool,
@@ -27,6 +29,15 @@
 
 impl Follow {
     pub fn new(members: &Arc<Members>, book: &Arc<Book>, name: &str, front: bool) -> Arc<Follow> {
+        Follow::of(members, book, name, front, 0)
+    }
+
+    /// Without leases: a front serves by what it holds, and one core is asked for news often enough for `apply` (us).
+    pub fn unleased(members: &Arc<Members>, book: &Arc<Book>, name: &str, front: bool, apply: u64) -> Arc<Follow> {
+        Follow::of(members, book, name, front, (apply / 4).max(50 * MS))
+    }
+
+    fn of(members: &Arc<Members>, book: &Arc<Book>, name: &str, front: bool, every: u64) -> Arc<Follow> {
         let w = members.w.clone();
         Arc::new(Follow {
             w: w.clone(),
@@ -34,6 +45,7 @@
             book: book.clone(),
             name: name.into(),
             front,
+            every,
             until: AtomicU64::new(0),
             proved: AtomicBool::new(false),
             rounds: AtomicU64::new(w.rand() % 64),
@@ -44,6 +56,9 @@
 
     /// Whether this front may serve at this moment.
     pub fn serving(&self) -> bool {
+        if self.every > 0 {
+            return self.book.config.load().0 > 0;
+        }
         self.w.now() < self.until.load(SeqCst)
     }
 
--- a/yewcross/src/member.rs
+++ b/yewcross/src/member.rs
@@ -6,6 +6,7 @@
 use crate::wire::*;
 use crate::world::*;
 use arc_swap::ArcSwap;
+use event_listener::Event;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -57,6 +58,10 @@
     started: u64,
     /// Set when a younger process carries our name.
     pub replaced: AtomicBool,
+    /// Outbid a younger process of our name instead of giving way to it.
+    pub stays: AtomicBool,
+    /// The view changed.
+    pub moved: Event,
 }
 
 impl Members {
@@ -83,6 +88,8 @@
             clocks: Default::default(),
             started: w.now(),
             replaced: AtomicBool::new(false),
+            stays: AtomicBool::new(false),
+            moved: Event::new(),
         };
         Arc::new(m)
     }
@@ -112,7 +119,10 @@
         let mut moved = false;
         ns.into_iter().for_each(|mut n| {
             if n.name == me.name {
-                if n.born > me.born && (n.peer == me.peer || t < self.started + YOUNG) && me.state == State::Alive {
+                if n.born > me.born
+                    && (n.peer == me.peer || t < self.started + YOUNG || self.stays.load(SeqCst))
+                    && me.state == State::Alive
+                {
                     me.born = n.born + 1;
                     g.insert(me.name.clone(), (me.clone(), t));
                     moved = true;
@@ -150,6 +160,7 @@
     fn publish(&self, g: &BTreeMap<String, (Node, u64)>) {
         let v = g.values().filter(|x| x.0.state != State::Gone).map(|(n, _)| (n.name.clone(), n.clone())).collect();
         self.view.store(Arc::new(v));
+        self.moved.notify(usize::MAX);
     }
 
     fn mark(&self, name: &str, born: u64, to: State) {
