--- /dev/null
+++ b/yewcross-control/src/chain.rs
@@ -0,0 +1,692 @@
+//! What a store keeps of chains of turns and of programs' budgets, and how it answers for them.
+//!
+//! A turn is immutable: enough disks keep it, and any that holds it, holds what comes before it. A ledger is a set that
+//! only grows; reservations are added by one owner at a time, under an epoch that enough disks have promised.
+
+use crate::chain_log::{self, Item, Log};
+use std::collections::{BTreeSet, HashMap};
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use yewcross::book::Book;
+use yewcross::chain_wire::*;
+use yewcross::consts::*;
+use yewcross::hash::wide;
+use yewcross::member::Members;
+use yewcross::reg::Epoch;
+use yewcross::startup::Startup;
+use yewcross::vault::Vault;
+use yewcross::world::*;
+
+/// A turn on this disk; `until` is in ms of the middle clock, the longest that it or one after it is kept.
+pub struct Kept {
+    pub row: Row,
+    pub until: u64,
+    seg: u64,
+}
+
+pub struct Ledger {
+    pub promised: Epoch,
+    pub entries: HashMap<String, Entry>,
+    pub spent: u64,
+    /// ms of the middle clock of its last change.
+    at: u64,
+    keep: u64,
+    /// The oldest segment that it needs.
+    seg: u64,
+}
+
+impl Default for Ledger {
+    fn default() -> Ledger {
+        Ledger { promised: Epoch::default(), entries: HashMap::new(), spent: 0, at: 0, keep: 0, seg: u64::MAX }
+    }
+}
+
+impl Ledger {
+    fn merge(&mut self, es: &[(String, Entry)], at: u64, keep: u64) {
+        es.iter().for_each(|(k, e)| match self.entries.get_mut(k) {
+            Some(x) => {
+                let n = x.merge(*e);
+                self.spent = self.spent - x.amount() + n.amount();
+                *x = n;
+            }
+            None => {
+                self.spent += e.amount();
+                self.entries.insert(k.clone(), *e);
+            }
+        });
+        self.at = self.at.max(at);
+        self.keep = self.keep.max(keep);
+    }
+
+    pub fn row(&self, program: &str) -> LedgerRow {
+        let entries = self.entries.iter().map(|(k, e)| (k.clone(), *e)).collect();
+        LedgerRow { program: program.into(), epoch: self.promised, entries, keep: self.keep }
+    }
+
+    fn bytes(&self) -> usize {
+        200 + self.entries.len() * 80
+    }
+}
+
+#[derive(Default)]
+pub struct Shelf {
+    /// By the hash of their id.
+    pub turns: HashMap<u128, Kept>,
+    pub ledgers: HashMap<String, Ledger>,
+    /// Of turns.
+    pub bytes: usize,
+}
+
+impl Shelf {
+    pub fn get(&self, id: &str) -> Option<&Kept> {
+        self.turns.get(&wide(id.as_bytes())).filter(|k| k.row.turn.id == id)
+    }
+
+    pub fn apply(&mut self, i: &Item, seg: u64) {
+        match i {
+            Item::Turn(r) => {
+                let until = r.end + r.turn.retain_ms;
+                let k = self.turns.entry(wide(r.turn.id.as_bytes())).or_insert_with(|| {
+                    self.bytes += r.bytes();
+                    Kept { row: r.clone(), until, seg }
+                });
+                k.seg = k.seg.max(seg);
+                self.lengthen(&r.turn.prev, until);
+            }
+            Item::Ledger(l, at) => {
+                let x = self.ledgers.entry(l.program.clone()).or_default();
+                x.promised = x.promised.max(l.epoch);
+                x.merge(&l.entries, *at, l.keep);
+                x.seg = x.seg.min(seg);
+            }
+            Item::Torn(..) => {}
+        }
+    }
+
+    /// What comes before a turn is kept as long as the turn.
+    fn lengthen(&mut self, prev: &str, until: u64) {
+        let mut at = prev.to_string();
+        while let Some(k) = self.turns.get_mut(&wide(at.as_bytes())).filter(|k| k.until < until) {
+            k.until = until;
+            at = k.row.turn.prev.clone();
+        }
+    }
+
+    /// The chain that ends in `id`, newest first, and the first turn of it that is not here.
+    pub fn walk(&self, id: &str) -> (Vec<Row>, String) {
+        let (mut v, mut at) = (vec![], id.to_string());
+        while let Some(k) = self.get(&at).filter(|_| !at.is_empty()) {
+            at = k.row.turn.prev.clone();
+            v.push(k.row.clone());
+        }
+        (v, at)
+    }
+
+    /// What the segment is needed for, to be written anew.
+    pub fn in_segment(&mut self, s: u64) -> Vec<Item> {
+        let turns = self.turns.values().filter(|k| k.seg <= s).map(|k| Item::Turn(k.row.clone()));
+        let mut v: Vec<Item> = turns.collect();
+        self.ledgers.iter_mut().filter(|x| x.1.seg <= s).for_each(|(p, l)| {
+            l.seg = u64::MAX;
+            v.push(Item::Ledger(l.row(p), l.at));
+        });
+        v
+    }
+
+    fn expire(&mut self, now: u64, margin: u64) {
+        let bytes = &mut self.bytes;
+        self.turns.retain(|_, k| {
+            let keep = k.until + margin >= now;
+            *bytes -= if keep { 0 } else { k.row.bytes() };
+            keep
+        });
+        self.ledgers.retain(|_, l| l.at + l.keep + margin >= now);
+    }
+
+    /// Bytes of everything.
+    fn weight(&self) -> usize {
+        self.bytes + self.ledgers.values().map(Ledger::bytes).sum::<usize>()
+    }
+}
+
+/// A program that this store gives out the budget of.
+#[derive(Default)]
+struct Hold {
+    epoch: Option<Epoch>,
+    /// Disks that promised it.
+    by: BTreeSet<String>,
+    /// Highest epoch number heard of.
+    top: u64,
+}
+
+type Own = Arc<futures_util::lock::Mutex<Hold>>;
+
+#[derive(Default, Debug)]
+pub struct ChainCounts {
+    pub batches: AtomicU64,
+    pub items: AtomicU64,
+    pub opens: AtomicU64,
+    pub takes: AtomicU64,
+    pub adds: AtomicU64,
+    pub writes: AtomicU64,
+    pub lookups: AtomicU64,
+    pub refused: AtomicU64,
+    pub busy: AtomicU64,
+    pub pushed: AtomicU64,
+    pub compacted: AtomicU64,
+}
+
+pub struct Engine {
+    pub w: World,
+    pub line: Arc<Line>,
+    pub vault: Arc<Vault>,
+    pub me: String,
+    pub st: Mutex<Shelf>,
+    pub log: Mutex<Log>,
+    own: Mutex<HashMap<String, Own>>,
+    pub counts: ChainCounts,
+    mark: u64,
+    busy: AtomicUsize,
+    /// Bytes of turns that may be held.
+    max: usize,
+    /// Something that was answered for is damaged, and not yet brought back by others.
+    pub doubt: AtomicBool,
+    pub swept: AtomicU64,
+    pub left: AtomicU64,
+    /// Tells of a change of layout, or of a disk to mend.
+    pub nudge: async_channel::Sender<()>,
+}
+
+enum Taken {
+    Yes,
+    Refused,
+    Newer(u64),
+    Away,
+}
+
+impl Engine {
+    /// Reads what the disk holds, and runs the upkeep. Errors are those of the disk.
+    pub async fn start(w: &World, st: &Startup, members: &Arc<Members>, book: &Arc<Book>, vault: &Arc<Vault>) -> io::Result<Arc<Engine>> {
+        let f = chain_log::read(w).await?;
+        let mut shelf = Shelf::default();
+        f.items.iter().for_each(|(i, s)| shelf.apply(i, *s));
+        let ends: Vec<(String, u64)> = shelf.turns.values().map(|k| (k.row.turn.prev.clone(), k.until)).collect();
+        ends.iter().for_each(|(p, u)| shelf.lengthen(p, *u));
+        f.hurt.iter().for_each(|s| w.log(&format!("damaged segment {s:x} of the log; asking the other disks")));
+        let seg = f.sizes.keys().last().map_or(1, |s| s + 1);
+        let (tx, rx) = async_channel::bounded(1);
+        let max = if st.bounds.memory_mb == 0 { CHAIN_HELD } else { (st.bounds.memory_mb as usize) << 19 };
+        let e = Arc::new(Engine {
+            w: w.clone(),
+            line: Line::new(members, book, &st.name, st.bounds.lost),
+            vault: vault.clone(),
+            me: vault.id.clone(),
+            st: Mutex::new(shelf),
+            log: Mutex::new(Log::new(seg, f.sizes)),
+            own: Default::default(),
+            counts: Default::default(),
+            mark: mark_of(&vault.id) | (w.rand() & 0xffff),
+            busy: AtomicUsize::new(0),
+            max,
+            doubt: AtomicBool::new(!f.hurt.is_empty()),
+            swept: AtomicU64::new(0),
+            left: AtomicU64::new(0),
+            nudge: tx,
+        });
+        if !f.torn.is_empty() {
+            // Before anything else is written behind it.
+            let marks = f.torn.iter().map(|(s, n)| Item::Torn(*s, *n)).collect();
+            e.keep(marks);
+        }
+        w.go(e.clone().upkeep());
+        w.go(e.clone().watch(rx));
+        Ok(e)
+    }
+
+    async fn upkeep(self: Arc<Self>) {
+        loop {
+            self.w.sleep(CHAIN_TIDY).await;
+            let (now, sure) = self.line.members.clock();
+            if sure {
+                let mut g = self.st.lock().unwrap();
+                let tight = g.weight() > self.max / 2;
+                g.expire(now, if tight { CHAIN_MARGIN_SHORT } else { CHAIN_MARGIN });
+                let gone: Vec<String> = self.own.lock().unwrap().keys().filter(|p| !g.ledgers.contains_key(*p)).cloned().collect();
+                drop(g);
+                let mut o = self.own.lock().unwrap();
+                gone.iter().for_each(|p| {
+                    if o.get(p).is_some_and(|x| Arc::strong_count(x) == 1) {
+                        o.remove(p);
+                    }
+                });
+            }
+            if !self.vault.failed.load(SeqCst) {
+                self.compact().await;
+            }
+        }
+    }
+
+    /// The layout that every disk answers by, and whether it sits in it.
+    fn lay(&self) -> u64 {
+        self.line.book.layout.load().0
+    }
+
+    fn clock(&self) -> u64 {
+        self.line.members.clock().0
+    }
+
+    pub async fn hear(self: &Arc<Self>, blob: Vec<u8>) -> Vec<u8> {
+        let Some(a) = decode::<ChainAsk>(&blob) else { return encode(&Told::Away) };
+        drop(blob);
+        let n = self.busy.fetch_add(1, SeqCst);
+        let t = if n >= CHAIN_BUSY || self.clogged() {
+            self.counts.busy.fetch_add(1, Relaxed);
+            Told::Away
+        } else {
+            self.answer(a).await
+        };
+        self.busy.fetch_sub(1, SeqCst);
+        encode(&t)
+    }
+
+    async fn answer(self: &Arc<Self>, a: ChainAsk) -> Told {
+        let until = self.w.now() + a.left;
+        if a.disk != self.me || self.vault.failed.load(SeqCst) {
+            return Told::Away;
+        }
+        if a.lay > self.lay() {
+            let me = self.clone();
+            let f = async move { me.line.catch_up(a.lay).await };
+            // Only an owner counts disks itself; the others can answer before they have the layout.
+            if matches!(a.what, What::Open { .. }) { f.await } else { self.w.go(f) }
+        } else if !self.line.seats().has(&self.me) {
+            return if a.lay < self.lay() { Told::Newer(self.lay()) } else { Told::Away };
+        }
+        match a.what {
+            What::Open { program, turn, max, budget, need, take } => {
+                if a.lay < self.lay() {
+                    return Told::Newer(self.lay());
+                }
+                self.counts.opens.fetch_add(1, Relaxed);
+                self.open(&program, &turn, max, budget, &need, take, until).await
+            }
+            What::Find { id } => self.find(a.lay, &id),
+            What::Take { ledger } => self.promise(a.lay, ledger).await,
+            What::Add { ledger } => self.add(a.lay, ledger).await,
+            What::Write { rows, ledger } => self.take_in(a.lay, rows, ledger.into_iter().collect()).await,
+            What::Push { rows, ledgers } => self.take_in(a.lay, rows, ledgers).await,
+            What::Have { ids } => {
+                let g = self.st.lock().unwrap();
+                Told::Have(ids.iter().map(|i| g.turns.contains_key(i)).collect())
+            }
+            What::Mend => self.mend().await,
+        }
+    }
+
+    fn find(&self, lay: u64, id: &str) -> Told {
+        let g = self.st.lock().unwrap();
+        if lay < self.lay() {
+            return Told::Newer(self.lay());
+        }
+        match g.walk(id).0 {
+            v if !v.is_empty() => Told::Rows(v),
+            _ if self.doubt.load(SeqCst) => Told::Away,
+            _ => Told::No,
+        }
+    }
+
+    async fn promise(self: &Arc<Self>, lay: u64, l: LedgerRow) -> Told {
+        let at = self.clock();
+        let (rx, all) = {
+            let mut g = self.st.lock().unwrap();
+            if lay < self.lay() {
+                return Told::Newer(self.lay());
+            }
+            if self.doubt.load(SeqCst) {
+                return Told::Away;
+            }
+            let x = g.ledgers.entry(l.program.clone()).or_default();
+            if l.epoch < x.promised {
+                self.counts.refused.fetch_add(1, Relaxed);
+                return Told::Refused(x.promised);
+            }
+            x.promised = l.epoch;
+            x.merge(&l.entries, at, l.keep);
+            let all = x.row("").entries;
+            (self.keep(vec![Item::Ledger(l, at)]), all)
+        };
+        if rx.recv().await == Ok(true) { Told::Taken(all) } else { Told::Away }
+    }
+
+    async fn add(self: &Arc<Self>, lay: u64, l: LedgerRow) -> Told {
+        let at = self.clock();
+        let rx = {
+            let mut g = self.st.lock().unwrap();
+            if lay < self.lay() {
+                return Told::Newer(self.lay());
+            }
+            // Only what was promised is accepted: a disk that forgot, or never knew, does not vouch for the owner.
+            let was = g.ledgers.get(&l.program).map(|x| x.promised).unwrap_or_default();
+            let Some(x) = g.ledgers.get_mut(&l.program).filter(|x| x.promised == l.epoch) else {
+                self.counts.refused.fetch_add(1, Relaxed);
+                return Told::Refused(was);
+            };
+            x.merge(&l.entries, at, l.keep);
+            self.keep(vec![Item::Ledger(l, at)])
+        };
+        if rx.recv().await == Ok(true) { Told::Ok } else { Told::Away }
+    }
+
+    /// Turns, oldest first, and entries that need no epoch.
+    pub async fn take_in(self: &Arc<Self>, lay: u64, rows: Vec<Row>, ledgers: Vec<LedgerRow>) -> Told {
+        let at = self.clock();
+        self.counts.writes.fetch_add(1, Relaxed);
+        let rx = {
+            let mut g = self.st.lock().unwrap();
+            if lay < self.lay() {
+                return Told::Newer(self.lay());
+            }
+            if !rows.is_empty() && g.bytes > self.max {
+                return Told::Away;
+            }
+            let mut new: BTreeSet<&str> = BTreeSet::new();
+            for r in &rows {
+                let p = r.turn.prev.as_str();
+                if !p.is_empty() && !new.contains(p) && g.get(p).is_none() {
+                    return Told::Lacks(p.into());
+                }
+                new.insert(&r.turn.id);
+            }
+            let mut items: Vec<Item> = rows.iter().filter(|r| g.get(&r.turn.id).is_none()).cloned().map(Item::Turn).collect();
+            ledgers.into_iter().for_each(|mut l| {
+                l.epoch = Epoch::default();
+                g.ledgers.entry(l.program.clone()).or_default().merge(&l.entries, at, l.keep);
+                items.push(Item::Ledger(l, at));
+            });
+            self.keep(items)
+        };
+        if rx.recv().await == Ok(true) { Told::Ok } else { Told::Away }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    async fn open(self: &Arc<Self>, program: &str, turn: &str, max: u64, budget: Option<u64>, need: &str, take: bool, until: u64) -> Told {
+        if let Some(d) = budget.and_then(|_| self.elsewhere(program, take)) {
+            return Told::Owner(d);
+        }
+        let chain = async { if need.is_empty() { Ok(vec![]) } else { self.look(program, need, until).await } };
+        let room = async {
+            match budget {
+                Some(b) => self.reserve(program, turn, max, b, take, until).await,
+                None => Told::Ok,
+            }
+        };
+        match futures_lite::future::zip(room, chain).await {
+            (Told::Ok, Ok(rows)) => Told::Opened { rows },
+            (Told::Ok, Err(t)) => {
+                if budget.is_some() {
+                    self.undo(program, turn);
+                }
+                t
+            }
+            (t, _) => t,
+        }
+    }
+
+    /// Another disk whose machine holds the program, as far as this disk knows, and is well.
+    fn elsewhere(&self, program: &str, take: bool) -> Option<String> {
+        let p = self.st.lock().unwrap().ledgers.get(program).map(|l| l.promised)?;
+        let by = p.by & !0xffff;
+        let d = self.line.seats().all().into_iter().find(|d| mark_of(d) == by)?;
+        (!take && p.n > 0 && d != self.me && self.line.well(&d)).then_some(d)
+    }
+
+    /// The chain that ends in `need`, newest first.
+    async fn look(self: &Arc<Self>, program: &str, need: &str, until: u64) -> Result<Vec<Row>, Told> {
+        let mut rows: Vec<Row> = vec![];
+        let mut at = need.to_string();
+        loop {
+            let (v, rest) = self.st.lock().unwrap().walk(&at);
+            rows.extend(v);
+            at = rest;
+            if at.is_empty() {
+                return Ok(rows);
+            }
+            if self.w.now() >= until {
+                return Err(Told::Away);
+            }
+            self.counts.lookups.fetch_add(1, Relaxed);
+            let seats = self.line.seats();
+            let key = if program.is_empty() { need } else { program };
+            let order: Vec<String> = self.line.order(key, &seats, None).into_iter().filter(|d| *d != self.me).collect();
+            let mine = seats.has(&self.me) && !self.doubt.load(SeqCst);
+            let (me, id, lay) = (self.clone(), at.clone(), seats.lay);
+            let ask = move |d: &str| -> Fut<'static, Told> {
+                let (me, d, id) = (me.clone(), d.to_string(), id.clone());
+                Box::pin(async move {
+                    let us = until.saturating_sub(me.w.now()).min(PEER_WAIT);
+                    me.line.ask(&d, lay, &What::Find { id }, us).await.unwrap_or(Told::Away)
+                })
+            };
+            let mut hit = None;
+            let enough = |s: &BTreeSet<String>| seats.read(|d| s.contains(d) || (mine && d == self.me));
+            let g = self
+                .line
+                .gather(order, false, lay, until, ask, enough, |_, t| match t {
+                    Told::Rows(v) if !v.is_empty() => {
+                        hit = Some(v);
+                        Took::Stop
+                    }
+                    Told::No => Took::Yes,
+                    _ => Took::No,
+                })
+                .await;
+            if let Some(v) = hit {
+                at = v.last().map(|r| r.turn.prev.clone()).unwrap_or_default();
+                rows.extend(v);
+                if at.is_empty() {
+                    return Ok(rows);
+                }
+                continue;
+            }
+            if g.newer > lay {
+                self.line.catch_up(g.newer).await;
+                continue;
+            }
+            return Err(if g.enough && rows.is_empty() { Told::Unknown } else { Told::Away });
+        }
+    }
+
+    async fn reserve(self: &Arc<Self>, program: &str, turn: &str, max: u64, budget: u64, take: bool, until: u64) -> Told {
+        let own = self.own.lock().unwrap().entry(program.into()).or_default().clone();
+        let entry = vec![(turn.to_string(), Entry::Open(max))];
+        let keep = LEDGER_KEPT;
+        while self.w.now() < until {
+            let mut h = own.lock().await;
+            let seats = self.line.seats();
+            if self.w.now() >= until || !seats.has(&self.me) || self.doubt.load(SeqCst) {
+                return Told::Away;
+            }
+            let promised = self.st.lock().unwrap().ledgers.get(program).map(|l| l.promised).unwrap_or_default();
+            let holds = h.epoch == Some(promised) && seats.read(|d| h.by.contains(d));
+            if !holds {
+                if let Some(d) = self.elsewhere(program, take) {
+                    return Told::Owner(d);
+                }
+                let row = LedgerRow { program: program.into(), epoch: Epoch::default(), entries: entry.clone(), keep };
+                match self.take(&mut h, &seats, row, until).await {
+                    Taken::Yes => {}
+                    Taken::Away => return Told::Away,
+                    Taken::Newer(n) => {
+                        drop(h);
+                        self.line.catch_up(n).await;
+                        continue;
+                    }
+                    Taken::Refused => {
+                        drop(h);
+                        self.w.sleep(CHAIN_AGAIN / 4 + self.w.rand() % CHAIN_AGAIN).await;
+                        continue;
+                    }
+                }
+                let (spent, mine) = {
+                    let g = self.st.lock().unwrap();
+                    g.ledgers.get(program).map(|l| (l.spent, l.entries.get(turn).cloned())).unwrap_or_default()
+                };
+                if mine != Some(Entry::Open(max)) {
+                    return Told::Away;
+                }
+                if spent > budget {
+                    self.undo(program, turn);
+                    return Told::Spent;
+                }
+                return Told::Ok;
+            }
+            let epoch = promised;
+            let row = LedgerRow { program: program.into(), epoch, entries: entry.clone(), keep };
+            let at = self.clock();
+            let rx = {
+                let mut g = self.st.lock().unwrap();
+                let Some(l) = g.ledgers.get_mut(program).filter(|l| l.promised == epoch) else { continue };
+                match l.entries.get(turn) {
+                    Some(Entry::Done(_)) => return Told::Away,
+                    Some(_) => {}
+                    None if l.spent + max > budget => return Told::Spent,
+                    None => {}
+                }
+                l.merge(&entry, at, keep);
+                self.keep(vec![Item::Ledger(row.clone(), at)])
+            };
+            let by = h.by.clone();
+            drop(h);
+            self.counts.adds.fetch_add(1, Relaxed);
+            let mut order = self.line.order(program, &seats, Some(&self.me));
+            order.retain(|d| *d != self.me);
+            order.sort_by_key(|d| !by.contains(d));
+            let ask = self.asker(seats.lay, What::Add { ledger: row }, until);
+            let mut refused = Epoch::default();
+            let enough = |s: &BTreeSet<String>| seats.wrote(|d| s.contains(d) || d == self.me);
+            let g = self
+                .line
+                .gather(order, false, seats.lay, until, ask, enough, |_, t| match t {
+                    Told::Ok => Took::Yes,
+                    Told::Refused(e) => {
+                        refused = refused.max(e);
+                        if e > epoch { Took::Stop } else { Took::No }
+                    }
+                    _ => Took::No,
+                })
+                .await;
+            if g.enough {
+                return if rx.recv().await == Ok(true) { Told::Ok } else { Told::Away };
+            }
+            if g.newer > seats.lay {
+                self.line.catch_up(g.newer).await;
+                continue;
+            }
+            // Taken over, or forgotten by too many: taken anew, if nobody else holds it.
+            let mut h = own.lock().await;
+            if h.epoch == Some(epoch) {
+                h.epoch = None;
+                h.top = h.top.max(refused.n);
+            }
+            drop(h);
+            if refused == Epoch::default() {
+                return Told::Away;
+            }
+        }
+        Told::Away
+    }
+
+    fn asker(self: &Arc<Self>, lay: u64, what: What, until: u64) -> impl Fn(&str) -> Fut<'static, Told> + use<> {
+        let (me, what) = (self.clone(), Arc::new(what));
+        move |d: &str| -> Fut<'static, Told> {
+            let (me, d, what) = (me.clone(), d.to_string(), what.clone());
+            Box::pin(async move {
+                let us = until.saturating_sub(me.w.now()).min(PEER_WAIT);
+                me.line.ask(&d, lay, &what, us).await.unwrap_or(Told::Away)
+            })
+        }
+    }
+
+    /// Becomes the program's owner, with a first entry.
+    async fn take(self: &Arc<Self>, h: &mut Hold, seats: &Seats, mut row: LedgerRow, until: u64) -> Taken {
+        self.counts.takes.fetch_add(1, Relaxed);
+        let at = self.clock();
+        let program = row.program.clone();
+        let rx = {
+            let mut g = self.st.lock().unwrap();
+            let l = g.ledgers.entry(program.clone()).or_default();
+            row.epoch = Epoch { n: l.promised.n.max(h.top) + 1, by: self.mark };
+            l.promised = row.epoch;
+            l.merge(&row.entries, at, row.keep);
+            self.keep(vec![Item::Ledger(row.clone(), at)])
+        };
+        h.epoch = None;
+        let epoch = row.epoch;
+        let mut order = self.line.order(&program, seats, Some(&self.me));
+        order.retain(|d| *d != self.me);
+        let ask = self.asker(seats.lay, What::Take { ledger: row }, until);
+        let mut known: Vec<(String, Entry)> = vec![];
+        let mut refused = Epoch::default();
+        let enough = |s: &BTreeSet<String>| seats.read(|d| s.contains(d) || d == self.me);
+        let g = self
+            .line
+            .gather(order, true, seats.lay, until, ask, enough, |_, t| match t {
+                Told::Taken(es) => {
+                    known.extend(es);
+                    Took::Yes
+                }
+                Told::Refused(e) => {
+                    refused = refused.max(e);
+                    Took::Stop
+                }
+                _ => Took::No,
+            })
+            .await;
+        if g.newer > seats.lay {
+            return Taken::Newer(g.newer);
+        }
+        if refused > Epoch::default() {
+            h.top = h.top.max(refused.n);
+            return Taken::Refused;
+        }
+        if !g.enough || rx.recv().await != Ok(true) {
+            return Taken::Away;
+        }
+        let mut s = self.st.lock().unwrap();
+        let l = s.ledgers.entry(program).or_default();
+        l.merge(&known, at, 0);
+        if l.promised != epoch {
+            return Taken::Refused;
+        }
+        h.epoch = Some(epoch);
+        h.by = g.taken.into_iter().chain([self.me.clone()]).collect();
+        Taken::Yes
+    }
+
+    /// A reservation that was not answered for is given back, wherever it may have got to.
+    fn undo(self: &Arc<Self>, program: &str, turn: &str) {
+        let l =
+            LedgerRow { program: program.into(), entries: vec![(turn.into(), Entry::Done(0))], keep: LEDGER_KEPT, ..Default::default() };
+        let me = self.clone();
+        // Here at once: the next one must not find it.
+        me.st.lock().unwrap().ledgers.entry(l.program.clone()).or_default().merge(&l.entries, me.clock(), l.keep);
+        self.w.go(async move {
+            for _ in 0..5 {
+                let seats = me.line.seats();
+                let until = me.w.now() + PEER_WAIT;
+                let mine = me.take_in(seats.lay, vec![], vec![l.clone()]).await == Told::Ok;
+                let order: Vec<String> = seats.all().into_iter().filter(|d| *d != me.me).collect();
+                let ask = me.asker(seats.lay, What::Write { rows: vec![], ledger: Some(l.clone()) }, until);
+                let enough = |s: &BTreeSet<String>| seats.wrote(|d| s.contains(d) || (mine && d == me.me));
+                let took = |_: &str, t| if t == Told::Ok { Took::Yes } else { Took::No };
+                let g = me.line.gather(order, true, seats.lay, until, ask, enough, took).await;
+                if g.enough {
+                    return;
+                }
+                me.line.catch_up(g.newer).await;
+                me.w.sleep(CHAIN_AGAIN).await;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/yewcross-control/src/chain_log.rs
@@ -0,0 +1,213 @@
+//! A store's log: batches sealed and appended to segments, one sync a batch, whatever the number that waited for it.
+
+use crate::chain::Engine;
+use async_channel::Receiver;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::{Relaxed, SeqCst};
+use yewcross::chain_wire::*;
+use yewcross::consts::*;
+use yewcross::vault::*;
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Item {
+    Turn(Row),
+    /// Entries are added; the epoch is a promise where it is higher than the one before.
+    Ledger(LedgerRow, u64),
+    /// This segment was found torn after so many bytes: what follows was never answered.
+    Torn(u64, u64),
+}
+
+impl Item {
+    pub fn bytes(&self) -> usize {
+        match self {
+            Item::Turn(r) => r.bytes(),
+            Item::Ledger(l, _) => 64 + l.program.len() + l.entries.iter().map(|e| e.0.len() + 10).sum::<usize>(),
+            Item::Torn(..) => 24,
+        }
+    }
+}
+
+#[derive(Default)]
+pub struct Log {
+    /// The segment written to, and the bytes in each.
+    pub seg: u64,
+    pub sizes: BTreeMap<u64, u64>,
+    line: Vec<(Vec<Item>, async_channel::Sender<bool>)>,
+    waiting: usize,
+    busy: bool,
+}
+
+impl Log {
+    pub fn new(seg: u64, sizes: BTreeMap<u64, u64>) -> Log {
+        Log { seg, sizes, ..Default::default() }
+    }
+}
+
+pub const DIR: &str = "chain";
+
+pub fn path(seg: u64) -> String {
+    format!("{DIR}/s-{seg:016x}")
+}
+
+/// What a folder of segments holds, in order, with the segment of each item.
+pub struct Found {
+    pub items: Vec<(Item, u64)>,
+    pub sizes: BTreeMap<u64, u64>,
+    /// Newly found torn ends.
+    pub torn: Vec<(u64, u64)>,
+    /// Damage to what had been answered.
+    pub hurt: Vec<u64>,
+}
+
+/// Sealed bodies from the start, the bytes they take, and whether another one follows what is broken.
+fn bodies(b: &[u8]) -> (Vec<&[u8]>, usize, bool) {
+    let (mut v, mut at) = (vec![], 0);
+    while let Some((x, n)) = unseal_first(&b[at..]) {
+        v.push(x);
+        at += n;
+    }
+    let mark = DISK_FORMAT.to_le_bytes();
+    let more = (at + 1..b.len()).any(|i| b[i..].starts_with(&mark) && unseal_first(&b[i..]).is_some());
+    (v, at, more)
+}
+
+pub async fn read(w: &yewcross::world::World) -> io::Result<Found> {
+    w.mkdir(DIR).await?;
+    let mut segs: Vec<u64> = w.list(DIR).await?.iter().filter_map(|f| u64::from_str_radix(f.strip_prefix("s-")?, 16).ok()).collect();
+    segs.sort();
+    let mut f = Found { items: vec![], sizes: BTreeMap::new(), torn: vec![], hurt: vec![] };
+    let (mut broken, mut known, mut last) = (vec![], vec![], None);
+    for s in segs {
+        let b = w.get(&path(s)).await?;
+        let (v, n, more) = bodies(&b);
+        f.sizes.insert(s, b.len() as u64);
+        if n < b.len() {
+            broken.push((s, n as u64, more));
+        }
+        if !v.is_empty() {
+            last = Some(s);
+        }
+        for x in v {
+            match decode::<Vec<Item>>(x) {
+                Some(is) => is.into_iter().for_each(|i| match i {
+                    Item::Torn(s, n) => known.push((s, n)),
+                    i => f.items.push((i, s)),
+                }),
+                None => f.hurt.push(s),
+            }
+        }
+    }
+    for (s, n, more) in broken {
+        // Only the last batch written can have been cut short before it was answered.
+        if more || (last.is_some_and(|l| s < l) && !known.contains(&(s, n))) {
+            f.hurt.push(s);
+        } else if !known.contains(&(s, n)) {
+            f.torn.push((s, n));
+        }
+    }
+    Ok(f)
+}
+
+impl Engine {
+    /// Queues items for the disk; `true` comes once they are safe. Called under the shelf's lock, where order matters.
+    pub fn keep(self: &Arc<Self>, items: Vec<Item>) -> Receiver<bool> {
+        let (tx, rx) = async_channel::bounded(1);
+        if self.vault.failed.load(SeqCst) {
+            return rx;
+        }
+        let mut g = self.log.lock().unwrap();
+        g.waiting += items.iter().map(Item::bytes).sum::<usize>();
+        g.line.push((items, tx));
+        if !std::mem::replace(&mut g.busy, true) {
+            let me = self.clone();
+            self.w.go(async move { me.write().await });
+        }
+        rx
+    }
+
+    /// Whether the disk has fallen too far behind to take more.
+    pub fn clogged(&self) -> bool {
+        self.log.lock().unwrap().waiting > CHAIN_QUEUE
+    }
+
+    async fn write(self: Arc<Self>) {
+        loop {
+            let (line, seg) = {
+                let mut g = self.log.lock().unwrap();
+                if g.line.is_empty() {
+                    g.busy = false;
+                    return;
+                }
+                let at = g.seg;
+                if g.sizes.get(&at).is_some_and(|n| *n >= SEGMENT) {
+                    g.seg += 1;
+                }
+                (std::mem::take(&mut g.line), g.seg)
+            };
+            let items: Vec<&Item> = line.iter().flat_map(|x| &x.0).collect();
+            let size: usize = items.iter().map(|i| i.bytes()).sum();
+            let ok = if items.is_empty() {
+                true
+            } else {
+                let b = seal(&encode(&items));
+                let n = b.len() as u64;
+                let new = !self.log.lock().unwrap().sizes.contains_key(&seg);
+                let r = self.w.append(&path(seg), b).await;
+                self.vault.syncs.fetch_add(1 + new as u64, Relaxed);
+                self.vault.bytes.fetch_add(n, Relaxed);
+                self.counts.batches.fetch_add(1, Relaxed);
+                self.counts.items.fetch_add(items.len() as u64, Relaxed);
+                *self.log.lock().unwrap().sizes.entry(seg).or_default() += n;
+                r.is_ok()
+            };
+            if !ok {
+                self.vault.failed.store(true, SeqCst);
+                self.w.log("disk failed; it takes no part until restart");
+                self.log.lock().unwrap().line.clear();
+                return;
+            }
+            {
+                let mut st = self.st.lock().unwrap();
+                line.iter().flat_map(|x| &x.0).for_each(|i| st.apply(i, seg));
+            }
+            self.log.lock().unwrap().waiting -= size;
+            line.iter().for_each(|x| _ = x.1.try_send(true));
+        }
+    }
+
+    /// Rewrites what lives in the oldest segment and removes it, as long as the log is much larger than what lives.
+    pub async fn compact(self: &Arc<Self>) {
+        loop {
+            let live = self.st.lock().unwrap().bytes as u64;
+            let (old, cur, total) = {
+                let g = self.log.lock().unwrap();
+                (g.sizes.keys().next().cloned(), g.seg, g.sizes.values().sum::<u64>())
+            };
+            let Some(s) = old.filter(|s| *s < cur) else { return };
+            let items = self.st.lock().unwrap().in_segment(s);
+            if !items.is_empty() && total <= 2 * live + SEGMENT_SLACK {
+                return;
+            }
+            let mut part = vec![];
+            let mut size = 0;
+            let mut ok = true;
+            let n = items.len();
+            for (i, x) in items.into_iter().enumerate() {
+                size += x.bytes();
+                part.push(x);
+                if size >= CHAIN_PUSH || i + 1 == n {
+                    ok &= self.keep(std::mem::take(&mut part)).recv().await == Ok(true);
+                    size = 0;
+                }
+            }
+            if !ok || self.w.remove(&path(s)).await.is_err() {
+                return;
+            }
+            self.log.lock().unwrap().sizes.remove(&s);
+            self.counts.compacted.fetch_add(1, Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/yewcross-control/src/chain_sweep.rs
@@ -0,0 +1,231 @@
+//! How a change of disks is made good: every store brings what it holds to where it is needed.
+
+use crate::chain::Engine;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::Ordering::{Relaxed, SeqCst};
+use yewcross::chain_wire::*;
+use yewcross::consts::*;
+use yewcross::hash::ranked;
+use yewcross::world::*;
+
+impl Engine {
+    /// Whether all that this disk held when it adopted the layout is where that layout needs it, and how much is not yet.
+    pub fn swept(&self, layout: u64) -> (bool, u64) {
+        (self.swept.load(SeqCst) >= layout, self.left.load(SeqCst))
+    }
+
+    pub(crate) async fn watch(self: Arc<Self>, rx: async_channel::Receiver<()>) {
+        loop {
+            let seats = self.line.seats();
+            let seated = seats.has(&self.me);
+            if seated && self.doubt.load(SeqCst) {
+                self.ask_mend(&seats).await;
+            }
+            if seated && self.swept.load(SeqCst) < seats.lay {
+                let fresh: Vec<String> = seats.now.iter().filter(|d| !seats.old.is_empty() && !seats.old.contains(d)).cloned().collect();
+                // Fewer disks than before: what was enough on the old ones may not be on those that stay.
+                let all = seats.now.len() < seats.old.len();
+                let to: Vec<String> = if all { seats.now.clone() } else { fresh };
+                let done = seats.old.is_empty() || self.sweep(&seats, &to).await;
+                if done && self.line.seats().lay == seats.lay {
+                    self.swept.fetch_max(seats.lay, SeqCst);
+                    continue;
+                }
+            }
+            let rest = if self.swept.load(SeqCst) < self.line.seats().lay { 2 * CHAIN_AGAIN } else { CHAIN_WATCH };
+            self.w.within(rest, rx.recv()).await;
+        }
+    }
+
+    /// Another disk was damaged: it is brought up to date.
+    pub(crate) async fn mend(self: &Arc<Self>) -> Told {
+        let seats = self.line.seats();
+        if self.doubt.load(SeqCst) || !self.sweep(&seats, &seats.now.clone()).await { Told::Away } else { Told::Ok }
+    }
+
+    async fn ask_mend(self: &Arc<Self>, seats: &Seats) {
+        let order: Vec<String> = seats.all().into_iter().filter(|d| *d != self.me).collect();
+        let until = self.w.now() + 10 * SEC;
+        let (me, lay) = (self.clone(), seats.lay);
+        let ask = move |d: &str| -> Fut<'static, Told> {
+            let (me, d) = (me.clone(), d.to_string());
+            Box::pin(async move { me.line.ask(&d, lay, &What::Mend, 10 * SEC).await.unwrap_or(Told::Away) })
+        };
+        let enough = |s: &BTreeSet<String>| seats.read(|d| s.contains(d));
+        let took = |_: &str, t| if t == Told::Ok { Took::Yes } else { Took::No };
+        let g = self.line.gather(order, true, lay, until, ask, enough, took).await;
+        if g.enough {
+            self.doubt.store(false, SeqCst);
+            self.w.log("what was damaged is whole again");
+        }
+    }
+
+    async fn push(self: &Arc<Self>, d: &str, lay: u64, rows: Vec<Row>, ledgers: Vec<LedgerRow>) -> bool {
+        let n = rows.len() + ledgers.len();
+        let ok = self.line.ask(d, lay, &What::Push { rows, ledgers }, 2 * SEC).await == Ok(Told::Ok);
+        self.counts.pushed.fetch_add(if ok { n as u64 } else { 0 }, Relaxed);
+        ok
+    }
+
+    async fn push_ledgers(self: &Arc<Self>, d: &str, lay: u64) -> bool {
+        let all: Vec<LedgerRow> = self.st.lock().unwrap().ledgers.iter().map(|(p, l)| l.row(p)).collect();
+        for part in all.chunks(1024) {
+            if !self.push(d, lay, vec![], part.to_vec()).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Which of these turns each of the other disks holds.
+    async fn holders(self: &Arc<Self>, seats: &Seats, ids: &[u128]) -> HashMap<String, BTreeSet<u128>> {
+        let others: Vec<String> = seats.now.iter().filter(|d| **d != self.me).cloned().collect();
+        let n = others.len();
+        let fs = others
+            .into_iter()
+            .map(|d| {
+                let (me, ids, lay) = (self.clone(), ids.to_vec(), seats.lay);
+                let f: Fut<'static, _> = Box::pin(async move {
+                    let mut has = BTreeSet::new();
+                    for part in ids.chunks(CHAIN_IDS) {
+                        let Ok(Told::Have(v)) = me.line.ask(&d, lay, &What::Have { ids: part.to_vec() }, PEER_WAIT).await else { break };
+                        has.extend(part.iter().zip(v).filter(|x| x.1).map(|x| *x.0));
+                    }
+                    (d, has)
+                });
+                f
+            })
+            .collect();
+        let rx = self.w.fan(fs);
+        let mut m = HashMap::new();
+        for _ in 0..n {
+            m.extend(rx.recv().await);
+        }
+        m
+    }
+
+    /// Brings ledgers to these disks, and every turn to as many present disks as it needs.
+    async fn sweep(self: &Arc<Self>, seats: &Seats, to: &[String]) -> bool {
+        // Whatever was checked against an older layout is on the disk after this.
+        let rx = {
+            let _g = self.st.lock().unwrap();
+            self.keep(vec![])
+        };
+        if rx.recv().await != Ok(true) {
+            return false;
+        }
+        let fs = to
+            .iter()
+            .filter(|d| **d != self.me)
+            .map(|d| {
+                let (me, d, lay) = (self.clone(), d.clone(), seats.lay);
+                let f: Fut<'static, bool> = Box::pin(async move { me.push_ledgers(&d, lay).await });
+                f
+            })
+            .collect::<Vec<_>>();
+        let (n, rx) = (fs.len(), self.w.fan(fs));
+        let mut ok = true;
+        for _ in 0..n {
+            ok &= rx.recv().await == Ok(true);
+        }
+        if !ok {
+            return false;
+        }
+        for pass in 0.. {
+            if self.line.seats().lay != seats.lay || self.vault.failed.load(SeqCst) || pass > 50 {
+                return false;
+            }
+            let now = self.line.members.clock();
+            let ids: Vec<u128> = {
+                let g = self.st.lock().unwrap();
+                g.turns.iter().filter(|(_, k)| !now.1 || k.until >= now.0).map(|x| *x.0).collect()
+            };
+            let has = self.holders(seats, &ids).await;
+            let mine = seats.now.contains(&self.me);
+            let short: Vec<u128> =
+                ids.into_iter().filter(|i| mine as usize + has.values().filter(|s| s.contains(i)).count() < seats.copies()).collect();
+            self.left.store(short.len() as u64, SeqCst);
+            if short.is_empty() {
+                return true;
+            }
+            let jobs = self.plan(seats, to, &short, &has, pass);
+            let some = !jobs.is_empty();
+            let fs = jobs
+                .into_iter()
+                .map(|(d, rows)| {
+                    let (me, lay) = (self.clone(), seats.lay);
+                    let f: Fut<'static, bool> = Box::pin(async move { me.push_turns(&d, lay, rows).await });
+                    f
+                })
+                .collect::<Vec<_>>();
+            let (n, rx) = (fs.len(), self.w.fan(fs));
+            let mut ok = true;
+            for _ in 0..n {
+                ok &= rx.recv().await == Ok(true);
+            }
+            if !some || !ok {
+                self.w.sleep(CHAIN_AGAIN * 2).await;
+            }
+        }
+        false
+    }
+
+    async fn push_turns(self: &Arc<Self>, d: &str, lay: u64, rows: Vec<Row>) -> bool {
+        let (mut part, mut size) = (vec![], 0);
+        let n = rows.len();
+        for (i, r) in rows.into_iter().enumerate() {
+            size += r.bytes();
+            part.push(r);
+            if (size >= CHAIN_PUSH || i + 1 == n) && !self.push(d, lay, std::mem::take(&mut part), vec![]).await {
+                return false;
+            }
+            if part.is_empty() {
+                size = 0;
+            }
+        }
+        true
+    }
+
+    /// Who gets which turns from this disk, each with all that comes before it that is not there. Of the holders one begins;
+    /// the others join in after some passes.
+    fn plan(
+        &self,
+        seats: &Seats,
+        fresh: &[String],
+        short: &[u128],
+        has: &HashMap<String, BTreeSet<u128>>,
+        pass: usize,
+    ) -> BTreeMap<String, Vec<Row>> {
+        let g = self.st.lock().unwrap();
+        let mut jobs: BTreeMap<String, (Vec<Row>, BTreeSet<u128>)> = BTreeMap::new();
+        for i in short {
+            let Some(k) = g.turns.get(i) else { continue };
+            let holds: Vec<&str> = has.iter().filter(|x| x.1.contains(i)).map(|x| x.0.as_str()).chain([self.me.as_str()]).collect();
+            let key = if k.row.program.is_empty() { &k.row.turn.id } else { &k.row.program };
+            if pass < 3 && ranked(key, holds.iter().cloned()).first() != Some(&self.me.as_str()) {
+                continue;
+            }
+            let want = seats.copies().saturating_sub(holds.iter().filter(|d| seats.now.iter().any(|x| x == *d)).count());
+            let mut to: Vec<&str> = ranked(key, seats.now.iter().map(|d| d.as_str()));
+            to.retain(|d| !holds.contains(d) && *d != self.me && self.line.well(d));
+            to.sort_by_key(|d| !fresh.iter().any(|x| x == d));
+            for d in to.into_iter().take(want) {
+                let (rows, sent) = jobs.entry(d.into()).or_default();
+                let there = has.get(d);
+                let mut chain: Vec<Row> = g
+                    .walk(&k.row.turn.id)
+                    .0
+                    .into_iter()
+                    .filter(|r| {
+                        let h = yewcross::hash::wide(r.turn.id.as_bytes());
+                        !there.is_some_and(|s| s.contains(&h)) && sent.insert(h)
+                    })
+                    .collect();
+                chain.reverse();
+                rows.extend(chain);
+            }
+        }
+        jobs.into_iter().map(|(d, x)| (d, x.0)).collect()
+    }
+}
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -1,3 +1,6 @@
+pub mod chain;
+pub mod chain_log;
+pub mod chain_sweep;
 pub mod config;
 pub mod duty;
 pub mod layout;
@@ -31,6 +34,7 @@
     pub replica: Arc<Replica>,
     pub owner: Arc<Owner>,
     pub store: Arc<store::Store>,
+    pub chain: Arc<chain::Engine>,
     pub follow: Arc<Follow>,
     pub duties: duty::Duties,
     pub gate: Arc<Gate>,
@@ -125,6 +129,7 @@
         let store = Arc::new(store::Store { owner: owner.clone(), members: members.clone(), w: w.clone(), route: Arc::new(route) });
         *own.lock().unwrap() = Some(Arc::downgrade(&store));
         let follow = Follow::new(&members, &book, &st.name, false);
+        let chain = chain::Engine::start(w, &st, &members, &book, &vault).await.map_err(disk)?;
         let c = Arc::new(Control {
             w: w.clone(),
             peers,
@@ -134,6 +139,7 @@
             replica,
             owner,
             store,
+            chain,
             follow,
             duties: Default::default(),
             gate: Default::default(),
@@ -190,6 +196,7 @@
                 Tell::Swept { done: self.swept.load(SeqCst) >= layout && self.layout_kept() >= layout, left: self.sweep_left.load(SeqCst) },
                 vec![],
             ),
+            Ask::Chain => (Tell::Chain, self.chain.hear(blob).await),
             a => self.store.hear(a, blob).await,
         }
     }
--- a/yewcross-lab/src/sim.rs
+++ b/yewcross-lab/src/sim.rs
@@ -482,11 +482,16 @@
                 _ => false,
             };
             let lucky = same || r.bool();
-            let kept = if lucky {
-                l.map(|l| if l.synced || same { l.data.clone() } else { Arc::new(l.data[..r.usize(0..=l.data.len())].to_vec()) })
-            } else {
-                s.cloned()
-            };
+            let kept =
+                if lucky {
+                    // What an append had made safe stays, however much of the rest is torn.
+                    let base = l.zip(s).filter(|(l, s)| l.data.starts_with(s)).map_or(0, |x| x.1.len());
+                    l.map(|l| {
+                        if l.synced || same { l.data.clone() } else { Arc::new(l.data[..base + r.usize(0..=l.data.len() - base)].to_vec()) }
+                    })
+                } else {
+                    s.cloned()
+                };
             kept.into_iter().for_each(|d| {
                 now.insert(n.clone(), d);
             });
@@ -526,13 +531,13 @@
         }
         let p = format!("{path}/");
         let here = |k: &String| k.starts_with(&p) && !k[p.len()..].contains('/');
-        self.safe.retain(|k, _| !here(k));
         let add: Vec<(String, Arc<Vec<u8>>)> = self
             .live
             .iter()
             .filter(|x| here(x.0))
-            .map(|(k, f)| (k.clone(), if f.synced { f.data.clone() } else { Arc::default() }))
+            .map(|(k, f)| (k.clone(), if f.synced { f.data.clone() } else { self.safe.get(k).cloned().unwrap_or_default() }))
             .collect();
+        self.safe.retain(|k, _| !here(k));
         self.safe.extend(add);
     }
 }
@@ -860,6 +865,30 @@
         let p = path.to_string();
         self.on_disk(20, move |d| d.live.remove(&p).map(|_| ()).ok_or(io::ErrorKind::NotFound.into()))
     }
+    fn append(&self, path: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>> {
+        let (p, dir) = (path.to_string(), path.rsplit_once('/').map_or("", |x| x.0).to_string());
+        let write = self.on_disk(60, move |d| {
+            let short = d.room.as_mut().is_some_and(|r| {
+                let none = *r < data.len();
+                *r = r.saturating_sub(data.len());
+                none
+            });
+            if d.full || short {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
+            let new = !d.live.contains_key(&p);
+            let f = d.live.entry(p).or_default();
+            f.synced = false;
+            Arc::make_mut(&mut f.data).extend(data);
+            Ok(new)
+        });
+        let (safe, named) = (self.sync(path), self.sync(&dir));
+        Box::pin(async move {
+            let new = write.await?;
+            safe.await?;
+            if new { named.await } else { Ok(()) }
+        })
+    }
     fn get(&self, path: &str) -> Fut<'static, io::Result<Vec<u8>>> {
         let p = path.to_string();
         self.on_disk(60, move |d| d.live.get(&p).map(|f| f.data.to_vec()).ok_or(io::ErrorKind::NotFound.into()))
--- /dev/null
+++ b/yewcross-lab/tests/chain.rs
@@ -0,0 +1,540 @@
+//! Stores that keep chains of turns and budgets, over the simulated world: several engines, several fronts, one judge.
+
+use bytes::Bytes;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use yewcross::ask::*;
+use yewcross::book::Book;
+use yewcross::chain::*;
+use yewcross::chain_client::Client;
+use yewcross::consts::*;
+use yewcross::member::Members;
+use yewcross::reg::Epoch;
+use yewcross::startup::{Bounds, Role, Startup};
+use yewcross::vault::Vault;
+use yewcross::wire::*;
+use yewcross::world::*;
+use yewcross_control::chain::Engine;
+use yewcross_lab::sim::Sim;
+
+struct Ear {
+    members: Arc<Members>,
+    engine: Option<Arc<Engine>>,
+}
+
+impl Listener for Ear {
+    fn hear(self: Arc<Self>, p: Parcel) -> Fut<'static, (Vec<u8>, Vec<u8>)> {
+        Box::pin(async move {
+            let (t, b) = match (p.read::<Ask>(), &self.engine) {
+                (Some(Ask::Chain), Some(e)) => (Tell::Chain, e.hear(p.blob).await),
+                (Some(Ask::Chain), None) | (None, _) => (Tell::No(yewcross::code::Code::BadField), vec![]),
+                (Some(a), _) => (self.members.hear(a).await, vec![]),
+            };
+            (serde_json::to_vec(&t).unwrap_or_default(), b)
+        })
+    }
+}
+
+#[derive(Clone)]
+struct Node {
+    w: World,
+    book: Arc<Book>,
+    disk: String,
+    engine: Option<Arc<Engine>>,
+    client: Option<Arc<Client>>,
+}
+
+#[derive(Clone, Debug)]
+struct Kept {
+    turn: Turn,
+    session: String,
+}
+
+#[derive(Default)]
+struct Judge {
+    /// Per program: its budget, and per turn what it may still put out or has put out.
+    spend: BTreeMap<String, (u64, BTreeMap<String, u64>)>,
+    /// Tokens that ended, by the time they were told to the client: late ones may still count at most.
+    ended: BTreeMap<String, u64>,
+    turns: BTreeMap<String, Kept>,
+    acked: BTreeSet<String>,
+    wrong: Vec<String>,
+    opened: u64,
+    away: u64,
+    spent: u64,
+    waits: Vec<u64>,
+}
+
+impl Judge {
+    fn bad(&mut self, s: String) {
+        self.wrong.push(s);
+    }
+
+    fn chain(&self, id: &str) -> Vec<Turn> {
+        let (mut v, mut at) = (vec![], id.to_string());
+        while let Some(k) = self.turns.get(&at) {
+            at = k.turn.prev.clone();
+            v.push(k.turn.clone());
+        }
+        v.reverse();
+        v
+    }
+}
+
+struct Town {
+    sim: Sim,
+    lost: usize,
+    stores: Vec<String>,
+    fronts: Vec<String>,
+    nodes: Mutex<BTreeMap<String, Node>>,
+    lay: Mutex<(u64, Layout)>,
+    /// Newest layout that each machine has kept.
+    had: Mutex<BTreeMap<String, u64>>,
+    past: Mutex<BTreeMap<u64, Layout>>,
+    apart: Mutex<BTreeSet<String>>,
+    judge: Mutex<Judge>,
+    running: AtomicUsize,
+    next: AtomicUsize,
+}
+
+fn addr(i: usize) -> SocketAddr {
+    SocketAddr::new([10, 0, 0, i as u8 + 1].into(), 700)
+}
+
+impl Town {
+    fn new(seed: u64, stores: usize, fronts: usize, lost: usize) -> Arc<Town> {
+        let sim = Sim::new(seed, 500);
+        let names = |tag: &str, n: usize| -> Vec<String> { (1..=n).map(|i| format!("{tag}{i}")).collect() };
+        let (s, f) = (names("store", stores), names("front", fronts));
+        s.iter().chain(&f).enumerate().for_each(|(i, n)| {
+            sim.machine(n, &format!("z{}", i % 4), addr(i).ip());
+        });
+        let t = Arc::new(Town {
+            sim,
+            lost,
+            stores: s,
+            fronts: f,
+            nodes: Default::default(),
+            lay: Default::default(),
+            had: Default::default(),
+            past: Default::default(),
+            apart: Default::default(),
+            judge: Default::default(),
+            running: AtomicUsize::new(0),
+            next: AtomicUsize::new(1),
+        });
+        t.stores.iter().chain(&t.fronts).for_each(|n| t.boot(n));
+        t.pass(2000);
+        let (mut l, mut sites) = (Layout { turn: 1, ..Default::default() }, BTreeMap::new());
+        for n in &t.stores {
+            let x = t.node(n).unwrap_or_else(|| panic!("{n} did not start"));
+            l.store.now.push(x.disk.clone());
+            sites.insert(x.disk.clone(), t.sim.site(t.sim.find(n)));
+            l.names.insert(x.disk, n.clone());
+        }
+        l.sites = sites;
+        t.decide(l);
+        t.pass(1000);
+        t
+    }
+
+    fn node(&self, n: &str) -> Option<Node> {
+        self.nodes.lock().unwrap().get(n).cloned()
+    }
+
+    fn client(&self, f: usize) -> Arc<Client> {
+        self.node(&self.fronts[f % self.fronts.len()]).and_then(|n| n.client).expect("a front that runs")
+    }
+
+    fn decide(&self, l: Layout) {
+        let mut g = self.lay.lock().unwrap();
+        *g = (g.0 + 1, l);
+        self.past.lock().unwrap().insert(g.0, g.1.clone());
+        self.sim.note(&format!("layout {}: {:?} from {:?}", g.0, g.1.store.now, g.1.store.old));
+    }
+
+    fn boot(self: &Arc<Self>, name: &str) {
+        let m = self.sim.find(name);
+        self.sim.power_on(m);
+        let w = self.sim.boot(m);
+        let (me, name) = (self.clone(), name.to_string());
+        let store = self.stores.contains(&name);
+        let st = Startup {
+            name: name.clone(),
+            role: if store { Role::Store } else { Role::Front },
+            site: self.sim.site(m),
+            peer: addr(m),
+            http: addr(m),
+            seeds: (0..3).map(addr).collect(),
+            data: String::new(),
+            platform: None,
+            threads: 1,
+            wire: WIRE_VERSION,
+            found: false,
+            bounds: Bounds { lost: self.lost, ..Default::default() },
+        };
+        let had = self.had.lock().unwrap().get(&name).cloned();
+        let past = had.and_then(|s| self.past.lock().unwrap().get(&s).cloned().map(|l| (s, l)));
+        w.clone().go(async move {
+            let vault = if store { Vault::open(&w).await.ok() } else { None };
+            let disk = vault.as_ref().map(|v| v.id.clone()).unwrap_or_default();
+            let peers = Peers::new(&w, &st.name, &st.site, st.wire);
+            let members = Members::new(&w, &st, &peers, &disk);
+            let book = Book::new(&w);
+            past.into_iter().for_each(|(s, l)| {
+                book.adopt("layout", s, Epoch::default(), serde_json::to_vec(&l).unwrap());
+            });
+            let engine = match &vault {
+                Some(v) => Engine::start(&w, &st, &members, &book, v).await.ok(),
+                None => None,
+            };
+            let client = (!store).then(|| Arc::new(Client::new(&members, &book, &st)));
+            let Ok(door) = w.bind(st.peer).await else { return };
+            w.go(peers.clone().serve(door, Arc::new(Ear { members: members.clone(), engine: engine.clone() })));
+            w.go(members.clone().run());
+            me.nodes.lock().unwrap().insert(name, Node { w, book, disk, engine, client });
+        });
+    }
+
+    fn kill(&self, n: &str, power: bool) {
+        self.nodes.lock().unwrap().remove(n);
+        self.sim.kill(self.sim.find(n), power);
+    }
+
+    /// The disk is lost; the machine comes back with an empty one.
+    fn wipe(&self, n: &str) {
+        self.kill(n, true);
+        self.sim.wipe(self.sim.find(n));
+        self.had.lock().unwrap().remove(n);
+    }
+
+    fn cut(&self, n: &str) {
+        let m = self.sim.find(n);
+        let all: Vec<usize> = self.stores.iter().chain(&self.fronts).map(|x| self.sim.find(x)).filter(|x| *x != m).collect();
+        self.sim.split(&[m], &all);
+        self.apart.lock().unwrap().insert(n.into());
+    }
+
+    fn freeze(&self, n: &str) {
+        self.sim.freeze(self.sim.find(n));
+        self.apart.lock().unwrap().insert(n.into());
+    }
+
+    fn calm(&self) {
+        self.sim.heal();
+        self.stores.iter().for_each(|n| self.sim.thaw(self.sim.find(n)));
+        self.apart.lock().unwrap().clear();
+    }
+
+    /// Carries the layout to whoever can be reached, and finishes changes of disks as the layout duty would.
+    fn tend(&self) {
+        let nodes = self.nodes.lock().unwrap().clone();
+        let apart = self.apart.lock().unwrap().clone();
+        let (seq, l) = self.lay.lock().unwrap().clone();
+        if seq == 0 {
+            return;
+        }
+        for (n, x) in nodes.iter().filter(|x| !apart.contains(x.0)) {
+            // Now and then, so that some have it before others.
+            if x.book.layout.load().0 < seq && self.sim.rand() % 4 == 0 {
+                x.book.adopt("layout", seq, Epoch::default(), serde_json::to_vec(&l).unwrap());
+                self.had.lock().unwrap().insert(n.clone(), seq);
+            }
+        }
+        if l.store.old.is_empty() {
+            let lost = self.stores.iter().find_map(|n| {
+                let x = nodes.get(n).filter(|_| !apart.contains(n))?;
+                let was = l.names.iter().find(|y| y.1 == n && l.store.now.contains(y.0))?.0.clone();
+                (was != x.disk).then(|| (was, x.disk.clone(), n.clone()))
+            });
+            if let Some((a, b, n)) = lost {
+                self.change(|g| g.iter_mut().filter(|d| **d == a).for_each(|d| *d = b.clone()), &[(b.clone(), n)]);
+            }
+            return;
+        }
+        let done =
+            |d: &String| nodes.iter().any(|(n, x)| !apart.contains(n) && x.disk == *d && x.engine.as_ref().is_some_and(|e| e.swept(seq).0));
+        let k = l.store.old.len();
+        if l.store.old.iter().filter(|d| done(d)).count() >= k - self.lost.min((k - 1) / 2) {
+            let mut l = l;
+            l.store.old.clear();
+            self.decide(l);
+        }
+    }
+
+    fn change(&self, f: impl FnOnce(&mut Vec<String>), names: &[(String, String)]) {
+        let mut l = self.lay.lock().unwrap().1.clone();
+        l.store.old = l.store.now.clone();
+        f(&mut l.store.now);
+        names.iter().for_each(|(d, n)| {
+            l.names.insert(d.clone(), n.clone());
+            l.sites.insert(d.clone(), self.sim.site(self.sim.find(n)));
+        });
+        self.decide(l);
+    }
+
+    fn pass(&self, ms: u64) {
+        let end = self.sim.now() + ms * MS;
+        while self.sim.now() < end {
+            let to = (self.sim.now() + 20 * MS).min(end);
+            self.sim.run(to, || false);
+            self.tend();
+        }
+    }
+
+    fn settled(&self) -> bool {
+        let l = self.lay.lock().unwrap().clone();
+        l.1.store.old.is_empty() && self.nodes.lock().unwrap().values().all(|x| x.book.layout.load().0 == l.0)
+    }
+
+    /// Waits until no change of disks is under way.
+    fn until_settled(&self, ms: u64) -> bool {
+        let end = self.sim.now() + ms * MS;
+        self.pass(100);
+        while self.sim.now() < end && !self.settled() {
+            self.pass(20);
+        }
+        self.settled()
+    }
+
+    /// Waits until all sessions are over.
+    fn finish(&self, ms: u64) {
+        let end = self.sim.now() + ms * MS;
+        while self.sim.now() < end && self.running.load(SeqCst) > 0 {
+            self.pass(100);
+        }
+    }
+
+    fn id(&self, tag: &str) -> String {
+        format!("{tag}-{}", self.next.fetch_add(1, SeqCst))
+    }
+
+    fn open(&self, program: &str, turn: &str, max: u64) {
+        let mut j = self.judge.lock().unwrap();
+        let Some((b, m)) = j.spend.get_mut(program) else { return };
+        m.insert(turn.into(), max);
+        let (b, sum) = (*b, m.values().sum::<u64>());
+        if sum > b {
+            j.bad(format!("{program} may put out {sum} of {b}"));
+        }
+    }
+
+    fn end(&self, program: &str, turn: &str, used: u64) {
+        let t = self.sim.now();
+        let mut j = self.judge.lock().unwrap();
+        j.spend.get_mut(program).map(|x| x.1.insert(turn.into(), used));
+        j.ended.insert(turn.into(), t);
+    }
+
+    /// A line of turns of one program through fronts picked anew each time.
+    fn session(self: &Arc<Self>, p: Plan) {
+        self.running.fetch_add(1, SeqCst);
+        let me = self.clone();
+        // Its client lives outside: a driver that no fault touches.
+        let w = self.node(&self.fronts[0]).expect("a front").w;
+        if let Some(b) = p.budget {
+            self.judge.lock().unwrap().spend.entry(p.program.clone()).or_insert((b, BTreeMap::new()));
+        }
+        w.clone().go(async move {
+            let (mut prev, mut done, mut tries) = (p.from.clone(), 0, 0);
+            while done < p.turns && tries < p.turns * 3 + 20 {
+                tries += 1;
+                let c = me.client(w.pick(me.fronts.len()));
+                let id = me.id("t");
+                let o = OpenTurn {
+                    turn: id.clone(),
+                    program: p.program.clone(),
+                    prev: prev.clone(),
+                    max_output_tokens: p.max,
+                    budget: p.budget,
+                };
+                let t0 = w.now();
+                match c.open(o.clone(), t0 + 2 * SEC).await {
+                    Ok(x) => {
+                        me.open(&p.program, &id, p.max);
+                        let mut j = me.judge.lock().unwrap();
+                        j.opened += 1;
+                        j.waits.push(w.now() - t0);
+                        let got: Vec<Turn> = x.chain.iter().map(|t| (**t).clone()).collect();
+                        if got != j.chain(&prev) {
+                            let s = format!("{id} after {prev}: chain of {} for {}", got.len(), j.chain(&prev).len());
+                            j.bad(s);
+                        }
+                    }
+                    Err(e) => {
+                        if me.refused(&p, &id, &prev, e) {
+                            break;
+                        }
+                        w.sleep(p.pause + 100 * MS).await;
+                        continue;
+                    }
+                }
+                w.sleep(p.run).await;
+                let used = w.rand() % (p.max + 1);
+                let t = Turn {
+                    id: id.clone(),
+                    prev: prev.clone(),
+                    input: Bytes::from(vec![b'i'; p.bytes]),
+                    output: Bytes::from(format!("out of {id}")),
+                    server: "m1".into(),
+                    tokens: 10,
+                    retain_ms: 600_000,
+                };
+                let session = p.program.clone();
+                me.judge.lock().unwrap().turns.insert(id.clone(), Kept { turn: t.clone(), session });
+                match w.pick(10) {
+                    0 if p.settles => {
+                        c.settle(o, used);
+                        me.end(&p.program, &id, used);
+                    }
+                    // Neither: a front that crashed.
+                    1 if p.settles => {}
+                    _ => {
+                        let r = c.finish(o, t, used, w.now() + 3 * SEC).await;
+                        me.end(&p.program, &id, used);
+                        if r.is_ok() {
+                            me.judge.lock().unwrap().acked.insert(id.clone());
+                            prev = id;
+                            done += 1;
+                        }
+                    }
+                }
+                w.sleep(p.pause).await;
+            }
+            me.running.fetch_sub(1, SeqCst);
+        });
+    }
+
+    /// Judges a refusal; `true` where the program is over.
+    fn refused(&self, p: &Plan, id: &str, prev: &str, e: Refusal) -> bool {
+        let now = self.sim.now();
+        let mut j = self.judge.lock().unwrap();
+        let sum = j.spend.get(&p.program).map_or(0, |x| {
+            let late = |id: &String| j.ended.get(id).is_none_or(|t| now < t + SEC);
+            x.1.iter().map(|(id, n)| if late(id) { p.max.max(*n) } else { *n }).sum::<u64>()
+        });
+        match e {
+            Refusal::Spent => {
+                j.spent += 1;
+                let b = p.budget.unwrap_or(u64::MAX);
+                if p.strict && sum + p.max <= b {
+                    j.bad(format!("{id} of {}: refused at {sum} of {b}", p.program));
+                }
+                return true;
+            }
+            Refusal::Unknown => j.bad(format!("{id}: {prev} is not known")),
+            Refusal::Away => j.away += 1,
+        }
+        false
+    }
+
+    /// Asks for every kept turn through a front that has nothing on hand.
+    fn read_back(self: &Arc<Self>) -> usize {
+        let f = self.fronts.last().cloned().unwrap();
+        self.kill(&f, false);
+        self.boot(&f);
+        self.until_settled(3000);
+        self.pass(1500);
+        let ids: Vec<String> = self.judge.lock().unwrap().acked.iter().cloned().collect();
+        let n = ids.len();
+        let x = self.node(&f).expect("the front");
+        self.running.fetch_add(ids.len(), SeqCst);
+        for id in ids {
+            let (me, c, w) = (self.clone(), x.client.clone().unwrap(), x.w.clone());
+            x.w.go(async move {
+                let turn = me.id("read");
+                let mut r = Err(Refusal::Away);
+                for _ in 0..5 {
+                    let o = OpenTurn { turn: turn.clone(), prev: id.clone(), ..Default::default() };
+                    r = c.open(o, w.now() + 2 * SEC).await;
+                    if r != Err(Refusal::Away) {
+                        break;
+                    }
+                }
+                let mut j = me.judge.lock().unwrap();
+                match r {
+                    Ok(x) => {
+                        let got: Vec<Turn> = x.chain.iter().map(|t| (**t).clone()).collect();
+                        let want = j.chain(&id);
+                        if got != want {
+                            j.bad(format!("{id}: read back {} of {}", got.len(), want.len()));
+                        }
+                    }
+                    Err(e) => j.bad(format!("{id}: not read back: {e:?}")),
+                }
+                drop(j);
+                me.running.fetch_sub(1, SeqCst);
+            });
+        }
+        self.finish(60_000);
+        n
+    }
+
+    fn syncs(&self) -> u64 {
+        self.stores.iter().map(|n| self.sim.disk(self.sim.find(n), |d| d.syncs)).sum()
+    }
+
+    fn verdict(&self, what: &str) {
+        let j = self.judge.lock().unwrap();
+        let held = j.turns.values().map(|k| &k.session).collect::<BTreeSet<_>>().len();
+        println!(
+            "{what}: {} opened, {} kept, {} away, {} spent, {held} programs, {} wrong",
+            j.opened,
+            j.acked.len(),
+            j.away,
+            j.spent,
+            j.wrong.len()
+        );
+        if !j.wrong.is_empty() && std::env::var("TRACE").is_ok() {
+            self.sim.log().iter().for_each(|(t, n, l)| println!("{:>9} {n}: {l}", t / MS));
+        }
+        assert!(j.wrong.is_empty(), "{what}: {:#?}", &j.wrong[..j.wrong.len().min(12)]);
+    }
+}
+
+#[derive(Clone)]
+struct Plan {
+    program: String,
+    from: String,
+    turns: usize,
+    max: u64,
+    budget: Option<u64>,
+    bytes: usize,
+    /// us that a turn runs, and that its client rests.
+    run: u64,
+    pause: u64,
+    /// Some turns are settled without being kept, some not even that.
+    settles: bool,
+    /// A refusal must be right.
+    strict: bool,
+}
+
+impl Plan {
+    fn of(program: &str) -> Plan {
+        Plan {
+            program: program.into(),
+            from: String::new(),
+            turns: 6,
+            max: 20,
+            budget: Some(1_000),
+            bytes: 500,
+            run: 30 * MS,
+            pause: 50 * MS,
+            settles: false,
+            strict: true,
+        }
+    }
+}
+
+#[test]
+fn a_chain_is_kept_and_handed_on() {
+    let t = Town::new(1, 4, 3, 1);
+    (0..10).for_each(|i| t.session(Plan::of(&format!("p{i}"))));
+    (0..3).for_each(|_| t.session(Plan { budget: None, ..Plan::of("") }));
+    t.finish(20_000);
+    assert_eq!(t.judge.lock().unwrap().acked.len(), 13 * 6);
+    assert_eq!(t.read_back(), 78);
+    t.verdict("plain");
+}
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -106,6 +106,8 @@
     },
     /// A disk found damaged files: whoever holds the same keys should mend it now.
     SweepNow,
+    /// Turns and ledgers; the question is the blob, see `chain_wire`.
+    Chain,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -164,6 +166,8 @@
         done: bool,
         left: u64,
     },
+    /// The answer is the blob.
+    Chain,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/yewcross/src/chain.rs
+++ b/yewcross/src/chain.rs
@@ -5,10 +5,11 @@
 
 use crate::world::Fut;
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// A turn that was answered whole.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Turn {
     pub id: String,
     /// The turn it goes on from; empty at the start of a chain.
--- /dev/null
+++ b/yewcross/src/chain_client.rs
@@ -0,0 +1,363 @@
+//! The front's side of `Chains`: one question to a program's owner opens a turn, one to each of enough disks keeps it.
+
+use crate::book::Book;
+use crate::chain::*;
+use crate::chain_wire::*;
+use crate::consts::*;
+use crate::member::Members;
+use crate::startup::Startup;
+use crate::world::*;
+use lru::LruCache;
+use std::collections::{BTreeSet, HashMap};
+use std::num::NonZeroUsize;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+
+pub struct Client(Arc<Inner>);
+
+#[derive(Default, Debug)]
+pub struct ClientCounts {
+    pub opens: AtomicU64,
+    /// Opened with the whole chain on hand.
+    pub at_hand: AtomicU64,
+    pub spent: AtomicU64,
+    pub unknown: AtomicU64,
+    pub away: AtomicU64,
+    /// Times that a program's next store was asked because the one before was gone.
+    pub moved: AtomicU64,
+    pub finishes: AtomicU64,
+    pub unkept: AtomicU64,
+    /// Settled without a turn, and how many were given up.
+    pub settles: AtomicU64,
+    pub unsettled: AtomicU64,
+}
+
+struct Inner {
+    line: Arc<Line>,
+    site: String,
+    hand: Mutex<Hand>,
+    counts: Arc<ClientCounts>,
+}
+
+struct Hand {
+    /// Turns by id, with disks known to hold them.
+    turns: LruCache<String, (Row, Vec<String>)>,
+    bytes: usize,
+    max: usize,
+    owners: LruCache<String, String>,
+    /// Chains of turns that are open now.
+    pins: HashMap<String, Vec<Row>>,
+}
+
+impl Hand {
+    fn put(&mut self, r: Row, holders: Vec<String>) {
+        self.bytes += r.bytes();
+        let was = self.turns.put(r.turn.id.clone(), (r, holders));
+        self.bytes -= was.map_or(0, |x| x.0.bytes());
+        while self.bytes > self.max && self.turns.len() > 1 {
+            self.bytes -= self.turns.pop_lru().map_or(0, |x| x.1.0.bytes());
+        }
+    }
+
+    /// The chain that ends in `id`, newest first, and the first turn of it that is not on hand.
+    fn walk(&mut self, id: &str) -> (Vec<Row>, String) {
+        let (mut v, mut at) = (vec![], id.to_string());
+        while let Some((r, _)) = self.turns.get(&at).filter(|_| !at.is_empty()) {
+            at = r.turn.prev.clone();
+            v.push(r.clone());
+        }
+        (v, at)
+    }
+}
+
+/// Whatever becomes of the one who asks, what was reserved does not stay at its most.
+struct Undo {
+    me: Arc<Inner>,
+    o: Option<OpenTurn>,
+    used: u64,
+}
+
+impl Drop for Undo {
+    fn drop(&mut self) {
+        self.o.take().into_iter().for_each(|o| self.me.settle(o, self.used));
+    }
+}
+
+impl Client {
+    pub fn new(members: &Arc<Members>, book: &Arc<Book>, st: &Startup) -> Client {
+        let max = if st.bounds.memory_mb == 0 { CHAIN_HAND } else { (st.bounds.memory_mb as usize) << 17 };
+        let hand = Hand {
+            turns: LruCache::unbounded(),
+            bytes: 0,
+            max: max.min(CHAIN_HAND),
+            owners: LruCache::new(NonZeroUsize::new(CHAIN_OWNERS).unwrap_or(NonZeroUsize::MIN)),
+            pins: HashMap::new(),
+        };
+        let line = Line::new(members, book, &st.name, st.bounds.lost);
+        Client(Arc::new(Inner { line, site: st.site.clone(), hand: Mutex::new(hand), counts: Default::default() }))
+    }
+
+    pub fn counts(&self) -> Arc<ClientCounts> {
+        self.0.counts.clone()
+    }
+
+    /// Bytes of turns on hand.
+    pub fn bytes(&self) -> usize {
+        self.0.hand.lock().unwrap().bytes
+    }
+}
+
+impl Chains for Client {
+    fn open(&self, o: OpenTurn, until: u64) -> Fut<'_, Result<OpenedTurn, Refusal>> {
+        let me = self.0.clone();
+        Box::pin(async move {
+            let r = me.open(o, until).await;
+            let c = &me.counts;
+            c.opens.fetch_add(1, Relaxed);
+            match &r {
+                Ok(_) => {}
+                Err(Refusal::Spent) => _ = c.spent.fetch_add(1, Relaxed),
+                Err(Refusal::Unknown) => _ = c.unknown.fetch_add(1, Relaxed),
+                Err(Refusal::Away) => _ = c.away.fetch_add(1, Relaxed),
+            }
+            r
+        })
+    }
+
+    fn finish(&self, o: OpenTurn, t: Turn, used: u64, until: u64) -> Fut<'_, Result<(), Refusal>> {
+        let me = self.0.clone();
+        Box::pin(async move { me.finish(o, t, used, until).await })
+    }
+
+    fn settle(&self, o: OpenTurn, used: u64) {
+        self.0.settle(o, used);
+    }
+}
+
+impl Inner {
+    fn budgeted(o: &OpenTurn) -> bool {
+        !o.program.is_empty() && o.budget.is_some()
+    }
+
+    /// What ranks the stores for a turn.
+    fn key(o: &OpenTurn) -> &str {
+        [&o.program, &o.prev, &o.turn].into_iter().find(|s| !s.is_empty()).map_or("", |s| s)
+    }
+
+    fn owner(&self, program: &str) -> Option<String> {
+        self.hand.lock().unwrap().owners.get(program).cloned()
+    }
+
+    fn learn(&self, program: &str, disk: &str) {
+        if !program.is_empty() {
+            self.hand.lock().unwrap().owners.put(program.into(), disk.into());
+        }
+    }
+
+    async fn open(self: &Arc<Self>, o: OpenTurn, until: u64) -> Result<OpenedTurn, Refusal> {
+        let (mut chain, need) = self.hand.lock().unwrap().walk(&o.prev);
+        if need.is_empty() {
+            self.counts.at_hand.fetch_add(1, Relaxed);
+        }
+        if !need.is_empty() || Self::budgeted(&o) {
+            let mut undo = Undo { me: self.clone(), o: Some(o.clone()), used: 0 };
+            let rows = self.ask_open(&o, need, until).await;
+            if !matches!(rows, Err(Refusal::Away)) {
+                undo.o = None;
+            }
+            chain.extend(rows?);
+        }
+        chain.reverse();
+        let turns = chain.iter().map(|r| r.turn.clone()).collect();
+        self.hand.lock().unwrap().pins.insert(o.turn, chain);
+        Ok(OpenedTurn { chain: turns })
+    }
+
+    /// Hands back what was needed of the chain, newest first.
+    async fn ask_open(self: &Arc<Self>, o: &OpenTurn, need: String, until: u64) -> Result<Vec<Row>, Refusal> {
+        let w = &self.line.w;
+        let (mut tried, mut take, mut told) = (BTreeSet::new(), false, None);
+        while w.now() < until {
+            let seats = self.line.seats();
+            let mut order = self.line.near(Self::key(o), &seats, &self.site);
+            let owner = told.take().or_else(|| self.owner(&o.program)).filter(|d| seats.has(d));
+            let first = owner.filter(|d| !tried.contains(d) && self.line.well(d));
+            order.retain(|d| !tried.contains(d) && first.as_ref() != Some(d));
+            let Some(to) = first.into_iter().chain(order).next() else {
+                tried.clear();
+                w.sleep(CHAIN_AGAIN + w.rand() % CHAIN_AGAIN).await;
+                continue;
+            };
+            let what = What::Open {
+                program: o.program.clone(),
+                turn: o.turn.clone(),
+                max: o.max_output_tokens,
+                budget: o.budget.filter(|_| !o.program.is_empty()),
+                need: need.clone(),
+                take,
+            };
+            match self.patient(&to, seats.lay, &what, until).await {
+                Some(Told::Opened { rows }) => {
+                    self.learn(&o.program, &to);
+                    let mut g = self.hand.lock().unwrap();
+                    rows.iter().for_each(|r| g.put(r.clone(), vec![to.clone()]));
+                    return Ok(rows);
+                }
+                Some(Told::Spent) => return Err(Refusal::Spent),
+                Some(Told::Unknown) => return Err(Refusal::Unknown),
+                Some(Told::Newer(n)) => self.line.catch_up(n).await,
+                Some(Told::Owner(d)) if seats.has(&d) && self.line.well(&d) && !tried.contains(&d) => told = Some(d),
+                // It holds back for one that we cannot reach.
+                Some(Told::Owner(_)) => take = true,
+                _ => {
+                    self.counts.moved.fetch_add(1, Relaxed);
+                    self.hand.lock().unwrap().owners.pop(&o.program);
+                    tried.insert(to);
+                    take = true;
+                }
+            }
+        }
+        Err(Refusal::Away)
+    }
+
+    /// Waits for one store as long as it is not suspected: one that is merely slow is not passed by.
+    async fn patient(&self, to: &str, lay: u64, what: &What, until: u64) -> Option<Told> {
+        let w = &self.line.w;
+        let ask = async { self.line.ask(to, lay, what, until.saturating_sub(w.now())).await.ok() };
+        let watch = async {
+            loop {
+                w.sleep(CHAIN_SPARE).await;
+                if !self.line.well(to) {
+                    return None;
+                }
+            }
+        };
+        futures_lite::future::or(ask, watch).await
+    }
+
+    async fn finish(self: &Arc<Self>, o: OpenTurn, t: Turn, used: u64, until: u64) -> Result<(), Refusal> {
+        let row = Row { turn: Arc::new(t), program: o.program.clone(), end: self.line.members.clock().0 };
+        let chain = {
+            let mut g = self.hand.lock().unwrap();
+            let pin = g.pins.remove(&o.turn);
+            pin.unwrap_or_else(|| g.walk(&o.prev).0.into_iter().rev().collect())
+        };
+        let ledger = Self::budgeted(&o).then(|| Self::done(&o, used, row.turn.retain_ms));
+        self.counts.finishes.fetch_add(1, Relaxed);
+        let mut undo = Undo { me: self.clone(), o: Some(o.clone()), used };
+        let got = self.write(&o, Some((row.clone(), chain)), ledger, until, &mut BTreeSet::new()).await;
+        let told = self.owner(&o.program).is_none_or(|d| got.contains(&d));
+        if !got.is_empty() {
+            self.hand.lock().unwrap().put(row, got.iter().cloned().collect());
+        }
+        if told && !got.is_empty() {
+            undo.o = None;
+        }
+        if got.is_empty() {
+            self.counts.unkept.fetch_add(1, Relaxed);
+            return Err(Refusal::Away);
+        }
+        Ok(())
+    }
+
+    fn done(o: &OpenTurn, used: u64, retain: u64) -> LedgerRow {
+        let entries = vec![(o.turn.clone(), Entry::Done(used))];
+        LedgerRow { program: o.program.clone(), entries, keep: retain.max(LEDGER_KEPT), ..Default::default() }
+    }
+
+    /// Keeps it on enough disks; hands back which, none if it was not enough.
+    async fn write(
+        self: &Arc<Self>,
+        o: &OpenTurn,
+        row: Option<(Row, Vec<Row>)>,
+        ledger: Option<LedgerRow>,
+        until: u64,
+        kept: &mut BTreeSet<String>,
+    ) -> BTreeSet<String> {
+        let w = &self.line.w;
+        let row = row.map(Arc::new);
+        while w.now() < until {
+            let seats = self.line.seats();
+            let owner = self.owner(&o.program).filter(|d| seats.has(d));
+            let held = self.hand.lock().unwrap().turns.peek(&o.prev).map(|x| x.1.clone()).unwrap_or_default();
+            let mut order: Vec<String> = vec![];
+            let rank = self.line.order(Self::key(o), &seats, owner.as_deref());
+            let likely = owner.iter().chain(&held).filter(|d| self.line.well(d) && seats.has(d)).cloned();
+            likely.chain(rank).for_each(|d| {
+                if !order.contains(&d) && !kept.contains(&d) {
+                    order.push(d);
+                }
+            });
+            let was = kept.clone();
+            let enough = |s: &BTreeSet<String>| seats.wrote(|d| s.contains(d) || was.contains(d));
+            let ask = |d: &str| -> Fut<'static, Told> {
+                let (me, d, row, ledger, lay) = (self.clone(), d.to_string(), row.clone(), ledger.clone(), seats.lay);
+                Box::pin(async move { me.write_to(&d, lay, row, ledger, until).await })
+            };
+            let g = self
+                .line
+                .gather(order, false, seats.lay, until, ask, enough, |d, t| match t {
+                    Told::Ok => {
+                        kept.insert(d.into());
+                        Took::Yes
+                    }
+                    _ => Took::No,
+                })
+                .await;
+            if g.enough {
+                return kept.clone();
+            }
+            if g.newer > seats.lay {
+                self.line.catch_up(g.newer).await;
+            } else {
+                w.sleep(CHAIN_AGAIN + w.rand() % CHAIN_AGAIN).await;
+            }
+        }
+        BTreeSet::new()
+    }
+
+    /// To one disk; with all that comes before it where the disk says that it lacks some.
+    async fn write_to(&self, d: &str, lay: u64, row: Option<Arc<(Row, Vec<Row>)>>, ledger: Option<LedgerRow>, until: u64) -> Told {
+        let w = &self.line.w;
+        let mut what = What::Write { rows: row.iter().map(|x| x.0.clone()).collect(), ledger: ledger.clone() };
+        for _ in 0..2 {
+            let left = until.saturating_sub(w.now()).min(PEER_WAIT.max(4 * CHAIN_SPARE));
+            match self.line.ask(d, lay, &what, left).await.unwrap_or(Told::Away) {
+                Told::Lacks(_) => {
+                    let rows = row.iter().flat_map(|x| x.1.iter().chain([&x.0]).cloned()).collect();
+                    what = What::Write { rows, ledger: ledger.clone() };
+                }
+                t => return t,
+            }
+        }
+        Told::Away
+    }
+
+    fn settle(self: &Arc<Self>, o: OpenTurn, used: u64) {
+        self.hand.lock().unwrap().pins.remove(&o.turn);
+        if !Self::budgeted(&o) {
+            return;
+        }
+        self.counts.settles.fetch_add(1, Relaxed);
+        let me = self.clone();
+        self.line.w.go(async move {
+            let w = &me.line.w;
+            let (end, mut rest, mut kept) = (w.now() + CHAIN_SETTLE, CHAIN_AGAIN, BTreeSet::new());
+            while w.now() < end {
+                let l = Self::done(&o, used, 0);
+                let ok = !me.write(&o, None, Some(l), (w.now() + SEC).min(end), &mut kept).await.is_empty();
+                // The owner is told too, unless it is away: it counts the turn at its most until then.
+                let owner = me.owner(&o.program).filter(|d| me.line.well(d));
+                if ok && owner.is_none_or(|d| kept.contains(&d)) {
+                    return;
+                }
+                if ok {
+                    kept.clear();
+                }
+                w.sleep(rest + w.rand() % rest).await;
+                rest = (rest * 2).min(2 * SEC);
+            }
+            me.counts.unsettled.fetch_add(1, Relaxed);
+        });
+    }
+}
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -155,3 +155,35 @@
 pub const KV_PUSH_LINES: usize = 2;
 /// count. Session transfer records a front keeps.
 pub const KV_RECORDS: usize = 8192;
+
+/// us. A store asked to keep something that has not answered by then is joined by another: ten times a slow disk's sync.
+pub const CHAIN_SPARE: u64 = 250 * MS;
+/// us. Asking again after every store said that it cannot now, doubled by chance.
+pub const CHAIN_AGAIN: u64 = 20 * MS;
+/// us. How long what a turn used is told again by itself; after that it counts at its most.
+pub const CHAIN_SETTLE: u64 = 60 * SEC;
+/// ms. A program's ledger is kept this long after its last change at least.
+pub const LEDGER_KEPT: u64 = 300_000;
+/// ms. Turns and ledgers are kept this much past their time, for clocks that differ; the shorter where memory is short.
+pub const CHAIN_MARGIN: u64 = 60_000;
+pub const CHAIN_MARGIN_SHORT: u64 = 5_000;
+/// us. How often what is over is looked for, and how often a change of layout that no request told of is.
+pub const CHAIN_TIDY: u64 = 2 * SEC;
+pub const CHAIN_WATCH: u64 = 250 * MS;
+/// bytes. A segment of a store's log; a new one costs one more sync.
+pub const SEGMENT: u64 = 8 << 20;
+/// bytes. What the log may hold beyond twice what lives.
+pub const SEGMENT_SLACK: u64 = 16 << 20;
+/// bytes. Largest blob of one push between stores, and of one piece of rewriting: it must not hold up a turn's sync.
+pub const CHAIN_PUSH: usize = 512 << 10;
+/// count. Ids asked about in one question.
+pub const CHAIN_IDS: usize = 4096;
+/// bytes. What may wait for the disk before a store says that it cannot.
+pub const CHAIN_QUEUE: usize = 16 << 20;
+/// count. Questions a store has under way before it says that it cannot.
+pub const CHAIN_BUSY: usize = 1024;
+/// bytes. Turns a front keeps on hand, and a store in memory, where the startup file sets no bound.
+pub const CHAIN_HAND: usize = 48 << 20;
+pub const CHAIN_HELD: usize = 256 << 20;
+/// count. Programs whose owner a front remembers.
+pub const CHAIN_OWNERS: usize = 16_384;
--- a/yewcross/src/lib.rs
+++ b/yewcross/src/lib.rs
@@ -1,6 +1,8 @@
 pub mod ask;
 pub mod book;
 pub mod chain;
+pub mod chain_client;
+pub mod chain_wire;
 pub mod code;
 pub mod consts;
 #[allow(clippy::all, dead_code, unused)]
--- a/yewcross/src/real.rs
+++ b/yewcross/src/real.rs
@@ -50,8 +50,12 @@
     ex: Arc<smol::Executor<'static>>,
     t0: Instant,
     root: PathBuf,
+    /// The file last appended to stays open.
+    tail: Tail,
 }
 
+type Tail = Arc<Mutex<Option<(PathBuf, std::fs::File)>>>;
+
 impl Real {
     pub fn world(root: &str, threads: usize) -> World {
         let ex = Arc::new(smol::Executor::new());
@@ -60,7 +64,7 @@
             let _ =
                 std::thread::Builder::new().name(format!("yew-{i}")).spawn(move || smol::block_on(ex.run(std::future::pending::<()>())));
         });
-        World(Arc::new(Real { ex, t0: Instant::now(), root: PathBuf::from(root) }))
+        World(Arc::new(Real { ex, t0: Instant::now(), root: PathBuf::from(root), tail: Tail::default() }))
     }
 
     fn blocking<T: Send + 'static>(
@@ -119,6 +123,23 @@
     fn remove(&self, path: &str) -> Fut<'static, io::Result<()>> {
         self.blocking(path, std::fs::remove_file)
     }
+    fn append(&self, path: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>> {
+        let tail = self.tail.clone();
+        self.blocking(path, move |p| {
+            use std::io::Write;
+            let mut g = tail.lock().unwrap();
+            if g.as_ref().is_none_or(|x| x.0 != p) {
+                let new = !p.exists();
+                let f = std::fs::OpenOptions::new().create(true).append(true).open(&p)?;
+                p.parent().filter(|_| new).map_or(Ok(()), |d| std::fs::File::open(d)?.sync_all())?;
+                *g = Some((p, f));
+            }
+            g.as_mut().map_or(Ok(()), |x| {
+                x.1.write_all(&data)?;
+                x.1.sync_data()
+            })
+        })
+    }
     fn get(&self, path: &str) -> Fut<'static, io::Result<Vec<u8>>> {
         self.blocking(path, std::fs::read)
     }
--- a/yewcross/src/vault.rs
+++ b/yewcross/src/vault.rs
@@ -6,6 +6,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 
+/// The first sealed body of several, and where the next begins.
+pub fn unseal_first(v: &[u8]) -> Option<(&[u8], usize)> {
+    let n = usize::try_from(u64::from_le_bytes(v.get(4..12)?.try_into().ok()?)).ok()?;
+    let d = v.get(..n.checked_add(12)?)?;
+    let c = v.get(n + 12..n + 16)?;
+    (d[..4] == DISK_FORMAT.to_le_bytes() && c == crc32fast::hash(d).to_le_bytes()).then_some((&d[12..], n + 16))
+}
+
 pub struct Vault {
     pub w: World,
     pub id: String,
--- a/yewcross/src/world.rs
+++ b/yewcross/src/world.rs
@@ -99,6 +99,8 @@
     fn sync(&self, path: &str) -> Fut<'static, io::Result<()>>;
     fn rename(&self, a: &str, b: &str) -> Fut<'static, io::Result<()>>;
     fn remove(&self, path: &str) -> Fut<'static, io::Result<()>>;
+    /// Adds to the file's end, and returns once it is safe; where the file is new, its name is safe too. One hop.
+    fn append(&self, path: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>>;
     fn get(&self, path: &str) -> Fut<'static, io::Result<Vec<u8>>>;
     fn list(&self, dir: &str) -> Fut<'static, io::Result<Vec<String>>>;
     fn mkdir(&self, dir: &str) -> Fut<'static, io::Result<()>>;
