--- a/yewcross/src/world.rs
+++ b/yewcross/src/world.rs
@@ -101,6 +101,8 @@
     /// Writes `data` to `aside`, syncs it, renames it to `at` and syncs the folder `dir`: safe once it returns.
     fn keep(&self, aside: &str, at: &str, dir: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>>;
     fn remove(&self, path: &str) -> Fut<'static, io::Result<()>>;
+    /// Adds to the file's end, and returns once it is safe; where the file is new, its name is safe too. One hop.
+    fn append(&self, path: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>>;
     fn get(&self, path: &str) -> Fut<'static, io::Result<Vec<u8>>>;
     fn list(&self, dir: &str) -> Fut<'static, io::Result<Vec<String>>>;
     fn mkdir(&self, dir: &str) -> Fut<'static, io::Result<()>>;
