Relay routed requests: pool, balance, scan and the path of a request

Cause: fronts serve only the product's own paths. Change: Front::start_with serves routes through the Caller, BackEnd and Chains ports.

--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -1,25 +1,32 @@
 pub mod back;
+pub mod balance;
 pub mod judge;
 pub mod kv;
 pub mod line;
 pub mod lookup;
 pub mod news;
+pub mod pool;
+pub mod relay;
+pub mod scan;
 pub mod turn;
 
 use http_types::{Method, Response};
 use serde_json::json;
 use snafu::Snafu;
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::{Arc, Mutex, OnceLock};
 use yewcross::ask::*;
 use yewcross::book::{Book, owners};
+use yewcross::chain::Chains;
 use yewcross::code::Code;
 use yewcross::consts::*;
 use yewcross::follow::Follow;
 use yewcross::http::{Gate, Job, refuse, reply};
 use yewcross::member::Members;
-use yewcross::startup::Startup;
+use yewcross::port::{BackEnd, Caller};
+use yewcross::startup::{Role, Startup};
+use yewcross::web;
 use yewcross::wire::*;
 use yewcross::world::*;
 
@@ -91,6 +98,17 @@
     /// Replicas this front has pushed.
     pub replicas: Mutex<BTreeMap<String, Place>>,
     pub counts: Counts,
+    /// Where routed requests are served instead of the product's own paths.
+    pub relay: OnceLock<Arc<relay::Relay>>,
+    web: Arc<web::Gate>,
+    leaving: AtomicBool,
+}
+
+/// Another platform's ports. Chains of turns are refused where no stores are given.
+pub struct FrontOptions {
+    pub caller: Arc<dyn Caller>,
+    pub back: Arc<dyn BackEnd>,
+    pub chains: Option<Arc<dyn Chains>>,
 }
 
 #[derive(Debug, Snafu)]
@@ -168,12 +186,83 @@
 }
 
 impl Front {
+    /// A front with the product's own doors.
     pub async fn start(w: &World, st: Startup) -> Result<Arc<Front>, BindFault> {
+        let f = Front::open(w, st);
+        let http = f.listen().await?;
+        let me = f.clone();
+        let h: yewcross::http::Handler = Arc::new(move |j| Box::pin(answer(me.clone(), j)));
+        w.go(yewcross::http::serve(w.clone(), http, h, f.gate.clone()));
+        f.run();
+        w.go(news::run(f.clone()));
+        Ok(f)
+    }
+
+    /// A front that serves routed requests through another platform's ports.
+    pub async fn start_with(w: &World, st: Startup, o: FrontOptions) -> Result<Arc<Front>, BindFault> {
+        let f = Front::open(w, st);
+        f.serve_routes(o).await?;
+        Ok(f)
+    }
+
+    /// The same in two steps, for ports that need the front's peers, members and book first.
+    pub async fn serve_routes(self: &Arc<Self>, o: FrontOptions) -> Result<(), BindFault> {
+        let (f, w) = (self, &self.w);
+        let http = f.listen().await?;
+        let m = f.members.clone();
+        let relay = Arc::new(relay::Relay {
+            w: w.clone(),
+            book: f.book.clone(),
+            site: f.st.site.clone(),
+            caller: o.caller,
+            back: o.back,
+            chains: o.chains,
+            fronts: Arc::new(move || m.alive(Role::Front).len().max(1)),
+            pool: Default::default(),
+            balance: Default::default(),
+            counts: Default::default(),
+        });
+        let _ = f.relay.set(relay.clone());
+        let r = relay.clone();
+        let h: web::Handler = Arc::new(move |q, _| Box::pin(r.clone().serve(q)));
+        let b = f.book.clone();
+        w.go(web::serve(w.clone(), http, h, Arc::new(move || b.config.load().1.routing.limits.clone()), f.web.clone()));
+        f.run();
+        let w = w.clone();
+        self.w.go(async move {
+            loop {
+                w.sleep(TIDY_EVERY).await;
+                relay.tidy();
+            }
+        });
+        Ok(())
+    }
+
+    /// Whether new callers may be sent here.
+    pub fn ready(&self) -> bool {
+        !self.leaving.load(SeqCst) && self.book.config.load().0 > 0
+    }
+
+    fn run(self: &Arc<Self>) {
+        self.w.go(self.members.clone().run());
+        self.w.go(self.follow.clone().run());
+    }
+
+    async fn listen(self: &Arc<Self>) -> Result<Box<dyn Door>, BindFault> {
+        let bind = |at: std::net::SocketAddr| move |source| BindFault { at: at.to_string(), source };
+        let door = self.w.bind(self.st.peer).await.map_err(bind(self.st.peer))?;
+        let http = self.w.bind(self.st.http).await.map_err(bind(self.st.http))?;
+        self.w.go(self.peers.clone().serve(door, Arc::new(Ear(self.clone()))));
+        Ok(http)
+    }
+
+    /// A front that nobody can reach yet.
+    pub fn open(w: &World, st: Startup) -> Arc<Front> {
         let peers = Peers::new(w, &st.name, &st.site, st.wire);
         let members = Members::new(w, &st, &peers, "");
         let book = Book::new(w);
         let follow = Follow::new(&members, &book, &st.name, true);
-        let f = Arc::new(Front {
+        Arc::new(Front {
             w: w.clone(),
             peers,
             members,
@@ -191,19 +280,11 @@
             pushing: Default::default(),
             replicas: Default::default(),
             counts: Default::default(),
+            relay: Default::default(),
+            web: Default::default(),
+            leaving: Default::default(),
             st,
-        });
-        let bind = |at: std::net::SocketAddr| move |source| BindFault { at: at.to_string(), source };
-        let door = w.bind(f.st.peer).await.map_err(bind(f.st.peer))?;
-        let http = w.bind(f.st.http).await.map_err(bind(f.st.http))?;
-        w.go(f.peers.clone().serve(door, Arc::new(Ear(f.clone()))));
-        let me = f.clone();
-        let h: yewcross::http::Handler = Arc::new(move |j| Box::pin(answer(me.clone(), j)));
-        w.go(yewcross::http::serve(w.clone(), http, h, f.gate.clone()));
-        w.go(f.members.clone().run());
-        w.go(f.follow.clone().run());
-        w.go(news::run(f.clone()));
-        Ok(f)
+        })
     }
 
     async fn hear(self: &Arc<Self>, a: Ask, blob: Vec<u8>) -> Tell {
@@ -267,6 +348,10 @@
 
     /// A planned stop: what was read whole is answered, the accept backlog included.
     pub async fn stop(&self) {
+        self.leaving.store(true, SeqCst);
+        if self.relay.get().is_some() {
+            return self.stop_routes().await;
+        }
         self.gate.closing.store(true, SeqCst);
         self.w.sleep(200 * MS).await;
         while self.gate.open.load(SeqCst) > 0 {
@@ -275,6 +360,16 @@
         self.members.leave().await;
     }
 
+    /// Callers are sent elsewhere first; then the door closes, and what is under way comes to its end.
+    async fn stop_routes(&self) {
+        let end = self.w.now() + (self.st.bounds.grace * MS).saturating_sub(STOP_SPARE);
+        self.web.last();
+        self.w.sleep(STOP_NOTICE.min(self.st.bounds.grace * MS / 3)).await;
+        self.web.close();
+        self.w.within(end.saturating_sub(self.w.now()), self.web.emptied()).await;
+        self.members.leave().await;
+    }
+
     pub fn claim(&self, server: &str) -> Claim<'_> {
         *self.sent.lock().unwrap().entry(server.into()).or_default() += 1;
         Claim(self, server.into())
--- /dev/null
+++ b/yewcross-front/src/pool.rs
@@ -0,0 +1,123 @@
+//! Connections to servers: one request at a time on each, kept while the server keeps them.
+
+use bytes::Bytes;
+use futures_lite::{AsyncRead, AsyncWrite};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use smol_hyper::rt::FuturesIo;
+use std::collections::HashMap;
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use yewcross::ask::Listed;
+use yewcross::consts::*;
+use yewcross::world::*;
+
+/// Counts the bytes that left, so that a request of which none did is known as not sent.
+struct Counted(Conn, Arc<AtomicU64>);
+
+impl AsyncRead for Counted {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let n = std::task::ready!(Pin::new(&mut self.0).poll_write(cx, buf))?;
+        self.1.fetch_add(n as u64, SeqCst);
+        Poll::Ready(Ok(n))
+    }
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_close(cx)
+    }
+}
+
+pub struct Link {
+    send: SendRequest<Full<Bytes>>,
+    wrote: Arc<AtomicU64>,
+    pub used_at: u64,
+    until: u64,
+    pub fresh: bool,
+}
+
+pub enum Failed {
+    /// No byte of the request left.
+    Unsent,
+    /// It may have run.
+    Lost,
+}
+
+impl Link {
+    pub async fn ask(&mut self, q: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failed> {
+        let n = self.wrote.load(SeqCst);
+        self.send
+            .try_send_request(q)
+            .await
+            .map_err(|e| if e.message().is_some() || self.wrote.load(SeqCst) == n { Failed::Unsent } else { Failed::Lost })
+    }
+}
+
+#[derive(Default)]
+pub struct Pool {
+    /// By instance: another life at the same address gets connections of its own.
+    idle: Mutex<HashMap<String, Vec<Link>>>,
+    pub dials: AtomicU64,
+}
+
+impl Pool {
+    /// An idle connection, the last used first; those used long ago are left alone where `recent` is asked for.
+    pub fn take(&self, server: &str, now: u64, recent: bool) -> Option<Link> {
+        let mut g = self.idle.lock().unwrap();
+        let v = g.get_mut(server)?;
+        v.retain(|l| !l.send.is_closed() && now < l.until);
+        let i = v.iter().rposition(|l| l.send.is_ready())?;
+        (!recent || now < v[i].used_at + LINK_RECENT).then(|| v.remove(i))
+    }
+
+    pub fn has(&self, server: &str) -> bool {
+        self.idle.lock().unwrap().get(server).is_some_and(|v| !v.is_empty())
+    }
+
+    pub async fn dial(&self, w: &World, to: &Listed, us: u64) -> io::Result<Link> {
+        self.dials.fetch_add(1, SeqCst);
+        let c = w.dial(to.addr, us).await?;
+        let wrote = Arc::new(AtomicU64::new(0));
+        let io = FuturesIo::new(Counted(c, wrote.clone()));
+        let (send, conn) = Builder::new().max_buf_size(LINK_BUF).handshake(io).await.map_err(io::Error::other)?;
+        w.go(async move {
+            let _ = conn.await;
+        });
+        Ok(Link { send, wrote, used_at: w.now(), until: u64::MAX, fresh: true })
+    }
+
+    /// Keeps a connection whose answer was read whole; `idle_ms` is the time that the server names.
+    pub fn keep(&self, server: &str, mut l: Link, now: u64, idle_ms: Option<u64>, most: usize) {
+        let told = idle_ms.unwrap_or(LINK_IDLE / MS) * MS;
+        l.used_at = now;
+        l.until = now + if told > 2 * LINK_SPARE { told - LINK_SPARE } else { told / 2 };
+        l.fresh = false;
+        let mut g = self.idle.lock().unwrap();
+        let v = g.entry(server.into()).or_default();
+        if v.len() >= most.max(1) {
+            v.remove(0);
+        }
+        v.push(l);
+    }
+
+    /// Drops what is over its time and what belongs to servers no longer listed.
+    pub fn tidy(&self, now: u64, listed: impl Fn(&str) -> bool) {
+        let mut g = self.idle.lock().unwrap();
+        g.retain(|s, v| {
+            v.retain(|l| !l.send.is_closed() && now < l.until);
+            !v.is_empty() && listed(s)
+        });
+    }
+}
--- a/yewcross/src/code.rs
+++ b/yewcross/src/code.rs
@@ -42,6 +42,8 @@
     WrongBudget = 2010, 400, NotRun, 0, "the program may not spend from this budget";
     OtherBody = 2011, 409, NotRun, 0, "this job id was used with another body";
     BadHead = 2012, 400, NotRun, 0, "the head is not HTTP/1.1";
+    UnknownRoute = 2013, 404, NotRun, 0, "no route for this host and path";
+    UnknownTurn = 2014, 404, NotRun, 0, "the turn that it goes on from was not answered, or is no longer kept";
     LineFull = 3001, 503, NotRun, 1, "the waiting line is full";
     TooLate = 3002, 503, NotRun, 1, "it could not start and finish within its horizon";
     NotServing = 3003, 503, NotRun, 1, "this front cannot prove that its configuration is in force";
@@ -56,6 +58,7 @@
     StillRunning = 4002, 409, MayHaveRun, 1, "this job is still running";
     Forgotten = 4003, 410, MayHaveRun, 0, "it was run; its outcome is no longer kept";
     Cancelled = 4004, 410, MayHaveRun, 0, "its caller left and its run was cut short; ask again under a new id";
+    Expired = 4005, 504, MayHaveRun, 0, "it was sent to a server that did not answer by its deadline";
     Undecided = 5001, 503, Undecided, 1, "it is not yet known whether the change holds";
     Conflict = 6001, 409, NotRun, 0, "the named version is not the newest";
     BadConfig = 6002, 422, NotRun, 0, "the configuration is refused";
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -159,3 +159,36 @@
 /// us. How long a door that closes, and an idle connection behind it, still look for what was sent before: about one
 /// way through a region.
 pub const LAST_LOOK: u64 = 50 * MS;
+
+/// us. Idle time of a server's connection where the server names none.
+pub const LINK_IDLE: u64 = 5 * SEC;
+/// us. An idle connection is given up this long before the server would close it.
+pub const LINK_SPARE: u64 = SEC;
+/// us. A connection used this recently is not about to be closed; requests that must not run twice prefer those.
+pub const LINK_RECENT: u64 = 3 * SEC;
+/// bytes. Buffer of a server connection, each way.
+pub const LINK_BUF: usize = 64 << 10;
+/// bytes. An answer up to this size is read whole before it is passed on, so that a broken one can be told as such.
+pub const ANSWER_WHOLE: u64 = 256 << 10;
+/// percent of a route's aim that a request may wait for a place; above a quarter it is priced as held.
+pub const SEAT_PATIENCE: u64 = 20;
+/// count. Requests beyond a server's slots that its own queue is trusted with.
+pub const SEAT_QUEUE: f64 = 2.0;
+/// us. A server that failed is left alone this long, doubled with each failure in a row up to sixteen times.
+pub const SEAT_BACKOFF: u64 = 250 * MS;
+/// us. What a server told of its load fades towards its mean at this pace.
+pub const TOLD_FADE: u64 = 300 * MS;
+/// tokens a ms that a server reads, as the platforms at hand name them.
+pub const READ_PER_MS: u64 = 30;
+/// us. What bytes between zones are worth against time.
+pub const ZONE_COST: f64 = 3_000.0;
+/// us. How often connections, seats and waiting lines are tidied.
+pub const TIDY_EVERY: u64 = SEC;
+/// us. From the word to stop until the door closes: the platform sends new callers elsewhere after two missed checks.
+pub const STOP_NOTICE: u64 = 2_500 * MS;
+/// us. Kept back from the grace of a stop, so that the process ends by itself.
+pub const STOP_SPARE: u64 = 500 * MS;
+/// us. How long a turn waits for the stores to open it before it is sent back; a store that moved is found in less.
+pub const STORE_PATIENCE: u64 = SEC;
+/// count. Idle connections to one server that all fronts together keep.
+pub const LINKS_KEPT: usize = 64;
