Drive sockets, timers and tasks from one thread, one system call a wake-up

Frames are read through a buffer. Sockets give up what is not acknowledged (2 s on own links, 5 s else) and ask opened ones for life each second; the backlog is 1024.

--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -35,6 +35,19 @@
 pub const PEER_WAIT: u64 = 700 * MS;
 /// us. Opening a connection inside the tier.
 pub const DIAL_WAIT: u64 = 300 * MS;
+/// us. A link of our own whose bytes are not acknowledged is given up: sooner than the usual 3 s in which a machine
+/// counts as in touch again.
+pub const LINK_SILENT: u64 = 2 * SEC;
+/// us. Any other connection: it may outlive a short cut, but not the time in which another server would answer.
+pub const SILENT: u64 = 5 * SEC;
+/// us. A connection we opened is asked for life after this long without a byte, and again as often.
+pub const SILENT_ASK: u64 = SEC;
+/// count. New connections that may wait to be accepted: a burst of all callers of a front while a turn is computed.
+pub const BACKLOG: i32 = 1024;
+/// count. Threads that may wait for the disk at once.
+pub const DISK_HANDS: usize = 4;
+/// bytes. Read from a link at once: several frames of usual size.
+pub const LINK_READ: usize = 16 << 10;
 /// bytes. Largest frame accepted from a peer.
 pub const FRAME_MAX: usize = 64 << 20;
 
--- a/yewcross/src/lib.rs
+++ b/yewcross/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod member;
 pub mod port;
+pub mod reactor;
 pub mod real;
 pub mod reg;
 pub mod route;
--- a/yewcross/src/real.rs
+++ b/yewcross/src/real.rs
@@ -1,66 +1,133 @@
 //! The world of the daemons: smol, sockets, files.
 
+use crate::consts::*;
+use crate::reactor::{READ, Reactor, WRITE, Watched};
 use crate::world::*;
-use futures_lite::{AsyncRead, AsyncWrite};
-use std::io::{self, Write};
+use async_channel::{Receiver, Sender};
+use mio::Interest;
+use mio::net::{TcpListener, TcpStream};
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
+use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
-/// Each direction keeps its own handle, since a handle carries the waiting of its last poll.
-struct Tcp {
-    rd: Mutex<smol::net::TcpStream>,
-    wr: Mutex<smol::net::TcpStream>,
-}
+struct Tcp(Watched<TcpStream>);
 
 impl Tcp {
-    fn conn(s: smol::net::TcpStream, peer: SocketAddr) -> Conn {
-        let _ = s.set_nodelay(true);
-        Conn::new(Arc::new(Tcp { rd: Mutex::new(s.clone()), wr: Mutex::new(s) }), peer)
+    fn conn(r: &Arc<Reactor>, s: TcpStream, peer: SocketAddr) -> io::Result<Conn> {
+        let s = r.watch(s, Interest::READABLE | Interest::WRITABLE)?;
+        Ok(Conn::new(Arc::new(Tcp(s)), peer))
     }
 }
 
 impl Pipe for Tcp {
     fn read(&self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.rd.lock().unwrap()).poll_read(cx, buf)
+        self.0.attempt(READ, cx, buf.len(), |mut s| s.read(buf))
     }
     fn write(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.wr.lock().unwrap()).poll_write(cx, buf)
+        self.0.attempt(WRITE, cx, buf.len(), |mut s| s.write(buf))
+    }
+    fn close(&self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Whoever is gone already has nothing left to be told.
+        let _ = self.0.io.shutdown(std::net::Shutdown::Write);
+        Poll::Ready(Ok(()))
     }
-    fn close(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.wr.lock().unwrap()).poll_close(cx)
+    fn give_up_after(&self, us: u64) {
+        let _ = SockRef::from(&self.0.io).set_tcp_user_timeout(Some(Duration::from_micros(us)));
     }
 }
 
-struct TcpDoor(smol::net::TcpListener);
+struct TcpDoor(Watched<TcpListener>, Arc<Reactor>);
 
 impl Door for TcpDoor {
     fn accept(&self) -> Fut<'_, io::Result<Conn>> {
         Box::pin(async move {
-            let (s, a) = self.0.accept().await?;
-            Ok(Tcp::conn(s, a))
+            let mut got = None;
+            std::future::poll_fn(|cx| {
+                self.0.attempt(READ, cx, 0, |l| {
+                    got = Some(l.accept()?);
+                    Ok(0)
+                })
+            })
+            .await?;
+            let (s, a) = got.ok_or(io::ErrorKind::WouldBlock)?;
+            tune(SockRef::from(&s))?;
+            Tcp::conn(&self.1, s, a)
         })
     }
 }
 
+/// A peer without power says nothing: what it does not acknowledge, or does not answer, ends the connection.
+fn tune(s: SockRef<'_>) -> io::Result<()> {
+    s.set_tcp_nodelay(true)?;
+    s.set_tcp_user_timeout(Some(Duration::from_micros(SILENT)))
+}
+
+fn dial(to: SocketAddr) -> io::Result<TcpStream> {
+    let s = Socket::new(Domain::for_address(to), Type::STREAM.nonblocking().cloexec(), Some(Protocol::TCP))?;
+    tune(SockRef::from(&s))?;
+    let alive = TcpKeepalive::new().with_time(Duration::from_micros(SILENT_ASK)).with_interval(Duration::from_micros(SILENT_ASK));
+    s.set_tcp_keepalive(&alive)?;
+    match s.connect(&to.into()) {
+        Err(e) if e.kind() != io::ErrorKind::WouldBlock && e.raw_os_error() != Some(EINPROGRESS) => Err(e),
+        _ => Ok(TcpStream::from_std(s.into())),
+    }
+}
+
+const EINPROGRESS: i32 = 115;
+
+type Work = Box<dyn FnOnce() + Send>;
+
+/// Threads that may wait for the disk; once started they stay.
+struct Hands {
+    jobs: (Sender<Work>, Receiver<Work>),
+    started: AtomicUsize,
+    idle: Arc<AtomicUsize>,
+}
+
+impl Hands {
+    fn take(&self, f: Work) {
+        let free = self.idle.load(SeqCst) > self.jobs.0.len();
+        if !free && self.started.load(SeqCst) < DISK_HANDS && self.started.fetch_add(1, SeqCst) < DISK_HANDS {
+            let (rx, idle) = (self.jobs.1.clone(), self.idle.clone());
+            let _ = std::thread::Builder::new().name("disk".into()).stack_size(256 << 10).spawn(move || {
+                loop {
+                    idle.fetch_add(1, SeqCst);
+                    let Ok(f) = rx.recv_blocking() else { return };
+                    idle.fetch_sub(1, SeqCst);
+                    f();
+                }
+            });
+        }
+        let _ = self.jobs.0.try_send(f);
+    }
+}
+
 pub struct Real {
     ex: Arc<smol::Executor<'static>>,
-    t0: Instant,
+    reactor: Arc<Reactor>,
+    hands: Hands,
     root: PathBuf,
 }
 
 impl Real {
+    /// A world whose tasks run on threads of their own; with one, the same thread waits for sockets and timers.
     pub fn world(root: &str, threads: usize) -> World {
         let ex = Arc::new(smol::Executor::new());
-        (0..threads).for_each(|i| {
-            let ex = ex.clone();
-            let _ =
-                std::thread::Builder::new().name(format!("yew-{i}")).spawn(move || smol::block_on(ex.run(std::future::pending::<()>())));
+        let (reactor, poller) = Reactor::new().unwrap_or_else(|e| panic!("no event queue: {e}"));
+        let (r, e) = (reactor.clone(), ex.clone());
+        let name = |i: usize| std::thread::Builder::new().name(format!("yew-{i}"));
+        let _ = name(0).spawn(move || r.drive(poller, e.run(std::future::pending::<()>())));
+        (1..threads).for_each(|i| {
+            let e = ex.clone();
+            let _ = name(i).spawn(move || futures_lite::future::block_on(e.run(std::future::pending::<()>())));
         });
-        World(Arc::new(Real { ex, t0: Instant::now(), root: PathBuf::from(root) }))
+        let hands = Hands { jobs: async_channel::unbounded(), started: AtomicUsize::new(0), idle: Default::default() };
+        World(Arc::new(Real { ex, reactor, hands, root: PathBuf::from(root) }))
     }
 
     fn blocking<T: Send + 'static>(
@@ -69,13 +136,17 @@
         f: impl FnOnce(PathBuf) -> io::Result<T> + Send + 'static,
     ) -> Fut<'static, io::Result<T>> {
         let p = self.root.join(path);
-        Box::pin(smol::unblock(move || f(p)))
+        let (tx, rx) = async_channel::bounded(1);
+        self.hands.take(Box::new(move || {
+            let _ = tx.try_send(f(p));
+        }));
+        Box::pin(async move { rx.recv().await.unwrap_or_else(|_| Err(io::Error::other("a disk thread ended"))) })
     }
 }
 
 impl Host for Real {
     fn now(&self) -> u64 {
-        self.t0.elapsed().as_micros() as u64 + 1
+        self.reactor.now()
     }
     fn wall(&self) -> u64 {
         SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map(|d| d.as_millis() as u64).unwrap_or(0)
@@ -84,23 +155,35 @@
         fastrand::u64(..)
     }
     fn sleep(&self, us: u64) -> Fut<'static, ()> {
-        Box::pin(async move {
-            smol::Timer::after(Duration::from_micros(us)).await;
-        })
+        Box::pin(self.reactor.sleep_until(self.reactor.now().saturating_add(us)))
     }
     fn spawn(&self, f: Fut<'static, ()>) {
         self.ex.spawn(f).detach();
     }
     fn connect(&self, to: SocketAddr) -> Fut<'static, io::Result<Conn>> {
+        let r = self.reactor.clone();
         Box::pin(async move {
-            let s = smol::net::TcpStream::connect(to).await?;
-            Ok(Tcp::conn(s, to))
+            let s = r.watch(dial(to)?, Interest::READABLE | Interest::WRITABLE)?;
+            std::future::poll_fn(|cx| {
+                s.attempt(WRITE, cx, 0, |s| match (s.take_error()?, s.peer_addr()) {
+                    (Some(e), _) => Err(e),
+                    (None, Err(e)) if e.kind() == io::ErrorKind::NotConnected => Err(io::ErrorKind::WouldBlock.into()),
+                    (None, r) => r.map(|_| 0),
+                })
+            })
+            .await?;
+            Ok(Conn::new(Arc::new(Tcp(s)), to))
         })
     }
     fn bind(&self, at: SocketAddr) -> Fut<'static, io::Result<Box<dyn Door>>> {
+        let r = self.reactor.clone();
         Box::pin(async move {
-            let l = smol::net::TcpListener::bind(at).await?;
-            Ok(Box::new(TcpDoor(l)) as Box<dyn Door>)
+            let s = Socket::new(Domain::for_address(at), Type::STREAM.nonblocking().cloexec(), Some(Protocol::TCP))?;
+            s.set_reuse_address(true)?;
+            s.bind(&at.into())?;
+            s.listen(BACKLOG)?;
+            let l = r.watch(TcpListener::from_std(s.into()), Interest::READABLE)?;
+            Ok(Box::new(TcpDoor(l, r)) as Box<dyn Door>)
         })
     }
     fn fate(&self, _: SocketAddr) -> Fate {
--- a/yewcross/src/wire.rs
+++ b/yewcross/src/wire.rs
@@ -7,6 +7,7 @@
 use async_channel::Sender;
 use capnp::message::ReaderOptions;
 use futures_lite::AsyncWriteExt;
+use futures_lite::io::BufReader;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -135,11 +136,12 @@
             return Ok(l.clone());
         }
         let c = self.w.dial(to, DIAL_WAIT).await.map_err(|_| Lost::Unsent)?;
+        c.give_up_after(LINK_SILENT);
         let (tx, rx) = async_channel::bounded::<Vec<u8>>(1024);
         let mine = Arc::new(Link { out: tx, wait: Default::default() });
         let l = self.links.lock().unwrap().entry(to).or_insert_with(|| mine.clone()).clone();
         if Arc::ptr_eq(&l, &mine) {
-            let (me, k, mut wr, mut rd) = (self.clone(), l.clone(), c.clone(), c);
+            let (me, k, mut wr, mut rd) = (self.clone(), l.clone(), c.clone(), BufReader::with_capacity(LINK_READ, c));
             self.w.go(async move {
                 let read = async {
                     while let Ok(Some(r)) = capnp_futures::serialize::try_read_message(&mut rd, limits()).await {
@@ -228,7 +230,8 @@
 
     async fn attend(self: Arc<Self>, c: Conn, h: Arc<dyn Listener>) {
         let (tx, rx) = async_channel::bounded::<Vec<u8>>(1024);
-        let (mut rd, mut wr) = (c.clone(), c);
+        c.give_up_after(LINK_SILENT);
+        let (mut rd, mut wr) = (BufReader::with_capacity(LINK_READ, c.clone()), c);
         let read = async {
             while let Ok(Some(r)) = capnp_futures::serialize::try_read_message(&mut rd, limits()).await {
                 let Some((id, false, p)) = unpack(&r, self.speak) else {
--- a/yewcross/src/world.rs
+++ b/yewcross/src/world.rs
@@ -15,6 +15,7 @@
     fn read(&self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>>;
     fn write(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>>;
     fn close(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>>;
+    fn give_up_after(&self, _us: u64) {}
 }
 
 #[derive(Clone)]
@@ -38,6 +39,10 @@
     pub fn allow(&self, n: u64) {
         self.allow.store(n, Relaxed);
     }
+    /// us. Sent bytes that stay unacknowledged this long end the connection (RFC 793's USER TIMEOUT).
+    pub fn give_up_after(&self, us: u64) {
+        self.pipe.give_up_after(us);
+    }
     pub fn spent(&self) -> bool {
         self.allow.load(Relaxed) == 0
     }
