--- a/yewcross-lab/tests/defects.rs
+++ b/yewcross-lab/tests/defects.rs
@@ -354,7 +354,6 @@
         |_| (),
         |lab| {
             Box::pin(async move {
-                use std::sync::atomic::Ordering::SeqCst;
                 let m = lab.sim.find("store2");
                 lab.sim.skew(m, 3_600_000);
                 lab.sim.kill(m, false);
