--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -24,7 +24,7 @@
 use yewcross::follow::Follow;
 use yewcross::http::{Gate, Job, refuse, reply};
 use yewcross::member::Members;
-use yewcross::port::{BackEnd, Caller};
+use yewcross::port::{BackEnd, Caller, Dialect};
 use yewcross::startup::{Role, Startup};
 use yewcross::web;
 use yewcross::wire::*;
@@ -258,10 +258,29 @@
 
     /// A front that nobody can reach yet.
     pub fn open(w: &World, st: Startup) -> Arc<Front> {
+        Front::open_by(w, st, None)
+    }
+
+    /// The same, where configurations are written in another dialect and fronts serve without leases, by what they hold.
+    pub fn open_unleased(w: &World, st: Startup, dialect: Arc<dyn Dialect>) -> Arc<Front> {
+        Front::open_by(w, st, Some(dialect))
+    }
+
+    fn open_by(w: &World, st: Startup, dialect: Option<Arc<dyn Dialect>>) -> Arc<Front> {
         let peers = Peers::new(w, &st.name, &st.site, st.wire);
         let members = Members::new(w, &st, &peers, "");
-        let book = Book::new(w);
-        let follow = Follow::new(&members, &book, &st.name, true);
+        let (book, follow) = match dialect {
+            None => {
+                let book = Book::new(w);
+                let follow = Follow::new(&members, &book, &st.name, true);
+                (book, follow)
+            }
+            Some(d) => {
+                let book = Book::of(w, d);
+                let follow = Follow::unleased(&members, &book, &st.name, true, st.bounds.apply * MS);
+                (book, follow)
+            }
+        };
         Arc::new(Front {
             w: w.clone(),
             peers,
