--- a/yewcross-lab/tests/chain.rs
+++ b/yewcross-lab/tests/chain.rs
@@ -251,7 +251,7 @@
         }
         for (n, x) in nodes.iter().filter(|x| !apart.contains(x.0)) {
             // Now and then, so that some have it before others.
-            if x.book.layout.load().0 < seq && self.sim.rand() % 4 == 0 {
+            if x.book.layout.load().0 < seq && self.sim.rand().is_multiple_of(4) {
                 x.book.adopt("layout", seq, Epoch::default(), serde_json::to_vec(&l).unwrap());
                 self.had.lock().unwrap().insert(n.clone(), seq);
             }
