--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -679,6 +679,6 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        if self.scan.is_some() { SizeHint::default() } else { self.hint.clone() }
+        if self.scan.is_some() { SizeHint::default() } else { self.hint }
     }
 }
