Let the simulator's machines charge for processor and disk: shape metered

A store's collapse under load did not show in virtual time: tasks cost nothing and any number of syncs ran at once. A machine may now have a share of a core, a price per woken task and per byte moved, and a disk that takes one sync at a time; the shapes that came first charge nothing, so their transcripts hold.

--- a/yewcross-lab/src/main.rs
+++ b/yewcross-lab/src/main.rs
@@ -96,7 +96,7 @@
         YewcrossLabCmd::Sim(s) => {
             let shape = s.shape.unwrap_or("small".into());
             if yewcross_lab::shape::shape(&shape, &|_, _| ([127, 0, 0, 1], 1).into()).is_none() {
-                fail(exit::USAGE, &format!("--shape: no shape {shape}; there are kowhai, consorcio, small, wide, disks"));
+                fail(exit::USAGE, &format!("--shape: no shape {shape}; there are kowhai, consorcio, small, metered, wide, disks"));
             }
             let which = s.acts.unwrap_or("calm".into());
             let all: Vec<Act> = Act::iter().collect();
--- a/yewcross-lab/src/proof.rs
+++ b/yewcross-lab/src/proof.rs
@@ -125,6 +125,7 @@
             return;
         }
         if let Some(st) = self.startup(name) {
+            self.sim.charge(m, self.sh.charges.of(st.role));
             w.clone().go(async move {
                 let p = match st.role {
                     Role::Front => Front::start(&w, st).await.ok().map(Proc::Front),
--- a/yewcross-lab/src/shape.rs
+++ b/yewcross-lab/src/shape.rs
@@ -1,5 +1,6 @@
 //! The two deployments' shapes: machines, servers, configuration, mix of jobs.
 
+use crate::sim::Costs;
 use crate::standin::Spec;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -18,6 +19,30 @@
     /// us between sites
     pub gap: u64,
     pub mix: Mix,
+    pub charges: Charges,
+}
+
+/// What the machines of each role charge; nothing by itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Charges {
+    pub front: Costs,
+    pub core: Costs,
+    pub store: Costs,
+}
+
+impl Charges {
+    /// Small machines with slow disks. 20 us a task and 3 ns a byte are what the daemons' release builds took.
+    pub fn small(sync: u64) -> Charges {
+        let of = |share| Costs { share, wake: 20, byte: 3, sync };
+        Charges { front: of(25), core: of(30), store: of(50) }
+    }
+    pub fn of(&self, r: Role) -> Costs {
+        match r {
+            Role::Front => self.front,
+            Role::Core => self.core,
+            Role::Store => self.store,
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -37,6 +62,7 @@
         "consorcio" => (6, 4, 4, 9, 4, 1200),
         "small" => (2, 3, 3, 3, 1, 500),
         "wide" => (4, 3, 8, 4, 2, 500),
+        "metered" => (2, 3, 4, 3, 1, 500),
         "disks" => (1, 3, 4, 1, 1, 500),
         _ => return None,
     };
@@ -118,7 +144,8 @@
         turns: vec![(common.into(), common.into(), 6, 36_000, 400, 64), (rare.into(), rare.into(), 1, 2_000, 200, 32)],
         lookups: used.iter().map(|(s, m)| (s.to_string(), m.to_string(), 4)).collect(),
     };
-    Some(Shape { name: name.into(), sites, nodes, backs, platform, config: config.to_string(), gap, mix })
+    let charges = if name == "metered" { Charges::small(2 * MS) } else { Charges::default() };
+    Some(Shape { name: name.into(), sites, nodes, backs, platform, config: config.to_string(), gap, mix, charges })
 }
 
 impl Shape {
--- a/yewcross-lab/src/sim.rs
+++ b/yewcross-lab/src/sim.rs
@@ -1,5 +1,6 @@
 //! A world of many machines in one thread: virtual time, seeded order, faults, disks that forget.
 
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::Future;
 use std::io;
@@ -57,6 +58,36 @@
     pub syncs: u64,
 }
 
+/// What a machine charges. All 0, as in the shapes that came first: its processor is free and a sync takes 400 us.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Costs {
+    /// percent of a core that the machine has; 0: its processor is free.
+    pub share: u64,
+    /// us of a whole core a task that is woken.
+    pub wake: u64,
+    /// ns of a whole core a byte read from or written to a connection.
+    pub byte: u64,
+    /// us that the disk is taken by a sync, one at a time; 0: 400 us and up to half of it, all at once.
+    pub sync: u64,
+}
+
+/// Work that waits for a machine's processor.
+#[derive(Default)]
+struct Cpu {
+    costs: Costs,
+    /// Taken until then.
+    until: u64,
+    line: VecDeque<u64>,
+    set: BTreeSet<u64>,
+    armed: bool,
+    /// Bytes moved in the poll under way.
+    bytes: u64,
+    /// us of a whole core, so far.
+    used: u64,
+    disk_until: u64,
+}
+
 pub struct Machine {
     pub name: String,
     pub site: String,
@@ -66,6 +97,7 @@
     powered: bool,
     frozen: bool,
     parked: Vec<u64>,
+    cpu: Cpu,
     pub disk: Disk,
     /// ms added to the calendar
     skew: i64,
@@ -96,6 +128,7 @@
 }
 
 enum Due {
+    Cpu(usize),
     Power(usize),
     Wake(Waker),
     Reader(u64, usize),
@@ -207,6 +240,7 @@
             powered: true,
             frozen: false,
             parked: vec![],
+            cpu: Cpu::default(),
             disk: Disk::default(),
             skew: 0,
         });
@@ -229,6 +263,13 @@
         World(Arc::new(SimHost { sim: self.clone(), who }))
     }
 
+    pub fn charge(&self, m: usize, c: Costs) {
+        self.i.lock().unwrap().machines[m].cpu.costs = c;
+    }
+    /// us of a whole core that the machine's tasks were charged so far.
+    pub fn used(&self, m: usize) -> u64 {
+        self.i.lock().unwrap().machines[m].cpu.used
+    }
     pub fn now(&self) -> u64 {
         self.i.lock().unwrap().now
     }
@@ -279,6 +320,10 @@
         g.machines[m].up = false;
         g.machines[m].frozen = false;
         g.machines[m].parked.clear();
+        let c = &mut g.machines[m].cpu;
+        (c.until, c.armed) = (0, false);
+        c.line.clear();
+        c.set.clear();
         if power {
             g.machines[m].powered = false;
             let mut r = fastrand::Rng::with_seed(g.rng.u64(..));
@@ -416,7 +461,7 @@
                 }
             };
             match id {
-                Some(id) => self.poll(id),
+                Some(id) => self.poll(id, false),
                 None => {
                     let mut g = self.i.lock().unwrap();
                     let Some((&(t, n), _)) = g.timers.first_key_value() else { return };
@@ -431,6 +476,11 @@
                         self.kill(m, true);
                         continue;
                     }
+                    if let Some(Due::Cpu(m)) = d {
+                        drop(g);
+                        self.turn(m);
+                        continue;
+                    }
                     let w = match d {
                         Some(Due::Wake(w)) => Some(w),
                         Some(Due::Reader(w, d)) => g.wires.get_mut(&w).and_then(|x| x.dirs[d].waker.take()),
@@ -443,11 +493,49 @@
         }
     }
 
-    fn poll(&self, id: u64) {
+    /// The machine's processor is free again: whoever has waited longest has its turn.
+    fn turn(&self, m: usize) {
+        let id = {
+            let mut g = self.i.lock().unwrap();
+            let c = &mut g.machines[m].cpu;
+            if !std::mem::take(&mut c.armed) {
+                return;
+            }
+            let id = c.line.pop_front();
+            id.iter().for_each(|i| {
+                c.set.remove(i);
+            });
+            id
+        };
+        id.into_iter().for_each(|i| self.poll(i, true));
+        self.arm(m);
+    }
+
+    fn arm(&self, m: usize) {
+        let mut g = self.i.lock().unwrap();
+        let now = g.now;
+        let c = &mut g.machines[m].cpu;
+        if !c.line.is_empty() && !std::mem::replace(&mut c.armed, true) {
+            let t = c.until.max(now);
+            g.at(t, Due::Cpu(m));
+        }
+    }
+
+    fn poll(&self, id: u64, its_turn: bool) {
         let mut g = self.i.lock().unwrap();
-        g.polls += 1;
         let Some(s) = g.tasks.get_mut(&id) else { return };
         let who = s.who;
+        let now = g.now;
+        let c = &mut g.machines[who.0].cpu;
+        if c.costs.share > 0 && !its_turn && (now < c.until || !c.line.is_empty()) {
+            if c.set.insert(id) {
+                c.line.push_back(id);
+            }
+            drop(g);
+            return self.arm(who.0);
+        }
+        c.bytes = 0;
+        g.polls += 1;
         if g.machines[who.0].frozen {
             g.machines[who.0].parked.push(id);
             return;
@@ -458,6 +546,10 @@
         drop(g);
         let r = f.as_mut().poll(&mut Context::from_waker(&w));
         let mut g = self.i.lock().unwrap();
+        let (now, c) = (g.now, &mut g.machines[who.0].cpu);
+        let us = if c.costs.share > 0 { c.costs.wake + c.bytes * c.costs.byte / 1000 } else { 0 };
+        c.used += us;
+        c.until = now + (us * 100).checked_div(c.costs.share).unwrap_or(0);
         let gone = if r.is_ready() || !g.alive(who) {
             g.tasks.remove(&id);
             Some(f)
@@ -582,6 +674,8 @@
             }
             d.held -= n;
             let more = d.writer.take();
+            let me = w.ends[self.side].0;
+            g.machines[me].cpu.bytes += n as u64;
             drop(g);
             more.into_iter().for_each(|w| w.wake());
             return Poll::Ready(Ok(n));
@@ -614,6 +708,9 @@
             return Poll::Pending;
         }
         d.held += n;
+        g.machines[a].cpu.bytes += n as u64;
+        let Some(w) = g.wires.get_mut(&id) else { return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into())) };
+        let d = &mut w.dirs[side];
         let buf = &buf[..n];
         let held = cut || d.chunks.back().is_some_and(|c| c.0 == u64::MAX);
         let at = if held { u64::MAX } else { (t + hop).max(d.last) };
@@ -717,9 +814,17 @@
         &self,
         us: u64,
         f: impl FnOnce(&mut Disk) -> io::Result<T> + Send + 'static,
+    ) -> Fut<'static, io::Result<T>> {
+        let us = us + self.sim.rand() % (us / 2 + 1);
+        self.on_disk_for(us, f)
+    }
+
+    fn on_disk_for<T: Send + 'static>(
+        &self,
+        us: u64,
+        f: impl FnOnce(&mut Disk) -> io::Result<T> + Send + 'static,
     ) -> Fut<'static, io::Result<T>> {
         let (sim, m) = (self.sim.clone(), self.who.0);
-        let us = us + sim.rand() % (us / 2 + 1);
         Box::pin(async move {
             let at = sim.now() + us;
             Nap { sim: sim.clone(), at, set: false }.await;
@@ -831,7 +936,9 @@
     fn sync(&self, path: &str) -> Fut<'static, io::Result<()>> {
         let p = path.to_string();
         let (sim, m) = (self.sim.clone(), self.who.0);
-        let f = self.on_disk(400, move |d| {
+        let each = sim.i.lock().unwrap().machines[m].cpu.costs.sync;
+        let us = if each > 0 { 0 } else { 400 + sim.rand() % 201 };
+        let f = self.on_disk_for(us, move |d| {
             d.sync(&p);
             let due = d.trip.iter_mut().find_map(|t| {
                 t.0 = t.0.saturating_sub(1);
@@ -841,6 +948,15 @@
             Ok(due)
         });
         Box::pin(async move {
+            if each > 0 {
+                let at = {
+                    let mut g = sim.i.lock().unwrap();
+                    let (now, c) = (g.now, &mut g.machines[m].cpu);
+                    c.disk_until = c.disk_until.max(now) + each;
+                    c.disk_until
+                };
+                Nap { sim: sim.clone(), at, set: false }.await;
+            }
             if let Some(us) = f.await? {
                 let mut g = sim.i.lock().unwrap();
                 let t = g.now + us;
--- /dev/null
+++ b/yewcross-lab/tests/charges.rs
@@ -0,0 +1,70 @@
+//! The simulator's machines charge for processor and disk as small real ones do.
+
+use std::sync::Arc;
+use yewcross::consts::*;
+use yewcross::startup::Role;
+use yewcross_lab::proof::Lab;
+use yewcross_lab::shape::Charges;
+use yewcross_lab::sim::Costs;
+
+/// Founded and left alone for ten seconds: what each role's first machine was charged, us.
+fn idle(c: Costs) -> Vec<u64> {
+    let lab = Lab::of(7, "small", |s| s.charges = Charges { front: c, core: c, store: c });
+    lab.boot("platform");
+    lab.sh.nodes.iter().for_each(|n| lab.boot(&n.name));
+    let me = lab.clone();
+    lab.op.go(async move {
+        me.op.sleep(1500 * MS).await;
+        me.found().await;
+        me.put("core1", 1, "first").await;
+    });
+    lab.sim.run(10 * SEC, || false);
+    let of = |r| lab.sim.used(lab.sim.find(&lab.sh.of(r)[0].name));
+    let all = || [Role::Front, Role::Core, Role::Store].map(of);
+    let a = all();
+    lab.sim.run(20 * SEC, || false);
+    all().iter().zip(a).map(|(b, a)| b - a).collect()
+}
+
+#[test]
+fn an_idle_machine_is_charged_by_its_wakes() {
+    let v = idle(Costs { share: 100, wake: 1, byte: 0, sync: 0 });
+    println!("tasks woken over 10 s at rest: front, core, store: {v:?}");
+    assert!(v.iter().all(|n| *n > 0));
+    let free = idle(Costs::default());
+    assert!(free.iter().all(|n| *n == 0), "{free:?}");
+}
+
+/// Turns done in 10 s by so many sessions, with servers that are never the narrow place.
+fn done(charges: Charges, sessions: usize) -> (usize, u64) {
+    let lab = Lab::of(11, "metered", |s| {
+        s.charges = charges;
+        s.backs.iter_mut().filter(|b| b.model).for_each(|b| (b.slots, b.per_k, b.per_out) = (1000, 10, 10));
+    });
+    lab.boot("platform");
+    lab.sh.backs.iter().for_each(|b| lab.boot(&b.server));
+    lab.sh.nodes.iter().for_each(|n| lab.boot(&n.name));
+    let me = lab.clone();
+    lab.op.go(async move {
+        me.op.sleep(1500 * MS).await;
+        me.found().await;
+        me.put("core1", 1, "first").await;
+        me.op.sleep(4 * SEC).await;
+        let w = me.sim.boot(me.sim.find("callers"));
+        (0..sessions).for_each(|i| w.go(yewcross_lab::caller::session(w.clone(), me.sh.clone(), me.diary.clone(), i, 100_000)));
+    });
+    lab.sim.run(18 * SEC, || false);
+    let store = lab.sim.used(lab.sim.find("store1"));
+    let d: Arc<_> = lab.diary.clone();
+    let n = d.seen.lock().unwrap().iter().filter(|s| s.kind == "turn" && matches!(s.heard, yewcross_lab::caller::Heard::Done)).count();
+    (n, store)
+}
+
+#[test]
+fn slow_disks_and_small_processors_bound_what_is_served() {
+    let (free, _) = done(Charges::default(), 150);
+    let (small, used) = done(Charges::small(2 * MS), 150);
+    println!("done by 150 sessions: free {free}, charged {small}, store1 used {} ms", used / MS);
+    assert!(small * 2 < free, "free {free}, charged {small}");
+    assert!(small > 0);
+}
