--- a/yewcross-control/src/api.rs
+++ b/yewcross-control/src/api.rs
@@ -112,7 +112,7 @@
     pub fn ready(&self) -> bool {
         let l = self.book.layout.load();
         let founded = l.0 > 0 && (self.st.role != Role::Core || self.founded.load(SeqCst));
-        founded && !self.vault.failed.load(SeqCst) && !self.members.replaced.load(SeqCst)
+        founded && !self.vault.failed.load(SeqCst) && !self.members.replaced.is_set()
     }
 
     /// A store engine tells here how far it is whole.
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -352,11 +352,9 @@
         if self.relay.get().is_some() {
             return self.stop_routes().await;
         }
-        self.gate.closing.store(true, SeqCst);
+        self.gate.closing.set();
         self.w.sleep(200 * MS).await;
-        while self.gate.open.load(SeqCst) > 0 {
-            self.w.sleep(20 * MS).await;
-        }
+        self.gate.emptied().await;
         self.members.leave().await;
     }
 
--- a/yewcross/src/lib.rs
+++ b/yewcross/src/lib.rs
@@ -7,11 +7,13 @@
 #[rustfmt::skip]
 pub mod frame_capnp;
 pub mod delta;
+pub mod event;
 pub mod follow;
 pub mod hash;
 pub mod http;
 pub mod member;
 pub mod port;
+pub mod reactor;
 pub mod real;
 pub mod reg;
 pub mod route;
--- a/yewcross/src/member.rs
+++ b/yewcross/src/member.rs
@@ -2,6 +2,7 @@
 
 use crate::ask::{Ask, Tell};
 use crate::consts::*;
+use crate::event::Latch;
 use crate::startup::{Role, Startup};
 use crate::wire::*;
 use crate::world::*;
@@ -57,7 +58,7 @@
     clocks: Mutex<BTreeMap<String, (i64, u64)>>,
     started: u64,
     /// Set when a younger process carries our name.
-    pub replaced: AtomicBool,
+    pub replaced: Latch,
     /// Outbid a younger process of our name instead of giving way to it.
     pub stays: AtomicBool,
     /// The view changed.
@@ -87,7 +88,7 @@
             me: Mutex::new(me),
             clocks: Default::default(),
             started: w.now(),
-            replaced: AtomicBool::new(false),
+            replaced: Latch::default(),
             stays: AtomicBool::new(false),
             moved: Event::new(),
         };
@@ -127,7 +128,7 @@
                     g.insert(me.name.clone(), (me.clone(), t));
                     moved = true;
                 } else if n.born > me.born {
-                    self.replaced.store(true, SeqCst);
+                    self.replaced.set();
                 } else if n.born == me.born && n.state != State::Alive && n.inc >= me.inc && me.state == State::Alive {
                     me.inc = n.inc + 1;
                     g.insert(me.name.clone(), (me.clone(), t));
