--- a/yewcross-control/src/api.rs
+++ b/yewcross-control/src/api.rs
@@ -28,13 +28,15 @@
     pub rollout: Rollout,
     /// Serve the product's own operators' interface at `Startup::http`.
     pub bind_http: bool,
+    /// Keep the seats without an operator: found the tier, admit new disks, replace lost ones.
+    pub tends: bool,
     /// Never give way to a younger process of the same name: outbid it instead.
     pub stays: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { dialect: Arc::new(Native), catalogue: None, rollout: Rollout::Proved, bind_http: true, stays: false }
+        Options { dialect: Arc::new(Native), catalogue: None, rollout: Rollout::Proved, bind_http: true, tends: false, stays: false }
     }
 }
 
@@ -59,9 +61,9 @@
 pub enum ReadAnswer {
     /// The newest configuration: its number and the operator's text, byte for byte.
     Text(u64, Arc<str>),
-    /// Nothing was ever put, or the tier is not founded.
+    /// Nothing was ever put.
     None,
-    /// No majority of core disks could be asked.
+    /// No majority of core disks could be asked, or this node does not know the layout yet.
     Away,
 }
 
--- a/yewcross-control/src/config.rs
+++ b/yewcross-control/src/config.rs
@@ -36,7 +36,7 @@
     if c.st.role != Role::Core || c.book.layout.load().0 == 0 {
         return (Tell::No(Code::NotFounded), vec![]);
     }
-    match c.owner.read(name, PEER_WAIT).await {
+    match c.owner.newest(name, PEER_WAIT).await {
         Ok((seq, epoch, v)) => {
             if seq > 0 {
                 c.book.adopt(name, seq, epoch, v.to_vec());
@@ -248,11 +248,126 @@
     false
 }
 
-/// An operator's text on top of a version that the operator numbered.
-pub async fn order(_c: &Arc<Control>, _base: u64, _text: Vec<u8>) -> PutAnswer {
-    PutAnswer::NotFounded
+/// us. A put that finds no majority is told so within this, so that the operator moves on.
+fn patience(c: &Control) -> u64 {
+    (c.st.bounds.ack * MS / 4).min(1_500 * MS)
 }
 
-pub async fn newest(_c: &Arc<Control>) -> ReadAnswer {
-    ReadAnswer::None
+enum Ordered {
+    /// The version, and the document as it now stands.
+    Stands(u64, u64, Vec<u8>),
+    Conflict(u64),
+    Bad(Vec<Bad>),
+}
+
+/// What an order makes of the document. Run again on a document that has its change, it says so again.
+fn decide(seq: u64, v: &[u8], base: u64, text: &str, number: Option<u64>, id: &str) -> Step<Ordered> {
+    let d: ConfigDoc = serde_json::from_slice(v).unwrap_or_default();
+    let now = if number.is_some() { d.number } else { seq };
+    if d.text == text && !text.is_empty() {
+        return Step::Keep(Ordered::Stands(now, seq, v.to_vec()));
+    }
+    let mark = crate::config::mark(text);
+    if let Some(p) = d.past.iter().find(|p| number.is_some() && p.1 == mark) {
+        return Step::Keep(Ordered::Stands(p.0, seq, v.to_vec()));
+    }
+    if base != now {
+        return Step::Keep(Ordered::Conflict(now));
+    }
+    let next = number.unwrap_or(seq + 1);
+    if next <= now {
+        return Step::Keep(Ordered::Bad(vec![Bad { path: "number".into(), why: format!("must be above {now}") }]));
+    }
+    let mut past = d.past.clone();
+    if !d.text.is_empty() {
+        past.insert(0, (now, crate::config::mark(&d.text), String::new()));
+        past.truncate(ORDERS_KEPT);
+    }
+    let n = ConfigDoc { text: text.into(), put: id.into(), note: String::new(), past, number: number.unwrap_or(0) };
+    let raw = serde_json::to_vec(&n).unwrap_or_default();
+    Step::Write(raw.clone(), Ordered::Stands(next, seq + 1, raw))
+}
+
+fn mark(text: &str) -> String {
+    yewcross::hash::mark(text.as_bytes())
+}
+
+/// An operator's text on top of a version: checked, decided by a majority of core disks, then carried.
+pub async fn order(c: &Arc<Control>, base: u64, text: Vec<u8>) -> PutAnswer {
+    let bad = |path: &str, why: &str| PutAnswer::Bad(vec![Bad { path: path.into(), why: why.into() }]);
+    let Ok(text) = String::from_utf8(text) else { return bad("", "not UTF-8") };
+    if c.options.rollout == Rollout::Proved {
+        return match put(c, base, text, String::new(), false).await {
+            Put::InForce(v) => PutAnswer::InForce(v),
+            Put::No(Code::BadConfig, _, b) => PutAnswer::Bad(b),
+            Put::No(Code::Conflict, _, _) => PutAnswer::Conflict(c.book.config.load().0),
+            Put::No(Code::NotFounded, ..) => PutAnswer::NotFounded,
+            Put::No(Code::NoMajority, ..) => PutAnswer::NoMajority,
+            Put::No(..) => PutAnswer::Undecided,
+        };
+    }
+    if let Err(b) = c.options.dialect.read(text.as_bytes()) {
+        return PutAnswer::Bad(b);
+    }
+    if c.book.layout.load().0 == 0 {
+        return PutAnswer::NotFounded;
+    }
+    c.counts.puts.fetch_add(1, SeqCst);
+    let number = c.options.dialect.number(text.as_bytes());
+    let (tx, rx) = async_channel::bounded(1);
+    let me = c.clone();
+    // It runs on its own: whoever asked may go, and half a change is never dropped.
+    c.w.go(async move {
+        let id = format!("{}-{:016x}", me.st.name, me.w.rand());
+        let us = patience(&me) * 9 / 10;
+        let got = me.owner.change("config", us, |seq, v| decide(seq, v, base, &text, number, &id)).await;
+        let r = match got {
+            Ok(Ordered::Stands(n, seq, raw)) => {
+                push(&me, "config", seq, raw);
+                PutAnswer::InForce(n)
+            }
+            Ok(Ordered::Conflict(n)) => PutAnswer::Conflict(n),
+            Ok(Ordered::Bad(b)) => PutAnswer::Bad(b),
+            Err(Trouble::NotDone) => PutAnswer::NoMajority,
+            Err(Trouble::Undecided) => PutAnswer::Undecided,
+        };
+        let _ = tx.try_send(r);
+    });
+    c.w.within(patience(c), rx.recv()).await.and_then(|r| r.ok()).unwrap_or(PutAnswer::Undecided)
+}
+
+pub async fn newest(c: &Arc<Control>) -> ReadAnswer {
+    if c.book.layout.load().0 == 0 {
+        return ReadAnswer::Away;
+    }
+    match c.owner.newest("config", PEER_WAIT).await {
+        Ok((seq, epoch, raw)) => {
+            c.book.adopt("config", seq, epoch, raw.to_vec());
+            let d: ConfigDoc = serde_json::from_slice(&raw).unwrap_or_default();
+            let n = if c.options.dialect.number(d.text.as_bytes()).is_some() { d.number } else { seq };
+            if d.text.is_empty() { ReadAnswer::None } else { ReadAnswer::Text(n, d.text.into()) }
+        }
+        Err(_) => ReadAnswer::Away,
+    }
+}
+
+/// Tells every node of a decided document, once; whoever misses it asks for it soon.
+pub fn push(c: &Arc<Control>, name: &'static str, seq: u64, raw: Vec<u8>) {
+    c.book.adopt(name, seq, Epoch::default(), raw.clone());
+    let raw = Arc::new(raw);
+    let mut ns: Vec<_> = c.members.view.load().values().filter(|n| n.name != c.st.name).cloned().collect();
+    ns.sort_by_key(|n| (n.role != Role::Core, n.role != Role::Store));
+    ns.into_iter().for_each(|n| {
+        let (me, raw) = (c.clone(), raw.clone());
+        c.w.go(async move {
+            for _ in 0..2 {
+                let a = Ask::Adopt { name: name.into(), seq, epoch: Epoch::default() };
+                if let Ok((Tell::Adopted { seq: s }, _)) = me.peers.ask(n.peer, &a, &raw, PEER_WAIT).await
+                    && s >= seq
+                {
+                    return;
+                }
+            }
+        });
+    });
 }
--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -7,6 +7,7 @@
 use yewcross::ask::*;
 use yewcross::consts::*;
 use yewcross::http;
+use yewcross::member::State;
 use yewcross::reg::*;
 use yewcross::world::*;
 
@@ -18,6 +19,10 @@
     given: Mutex<BTreeMap<String, (String, u64)>>,
     /// As holder: until when, on our clock.
     held: [AtomicU64; 2],
+    /// Since when the machine of a seat is missing, us, as the keeper of the seats saw it.
+    pub missing: Mutex<BTreeMap<String, u64>>,
+    /// Since when the tier is founded, us.
+    pub since: AtomicU64,
     pub polls: AtomicU64,
     etag: Mutex<String>,
 }
@@ -84,11 +89,52 @@
 impl Control {
     /// Asked right before every act, so that a node that woke from a freeze does not act on an old lease.
     pub fn on_duty(&self, i: usize) -> bool {
+        if self.options.tends {
+            return self.first_in_line();
+        }
         self.w.now() < self.duties.held[i].load(SeqCst)
     }
+
+    /// A tier that keeps itself needs no lease: whatever a duty decides is bound to the version it was made from, so two
+    /// who think it theirs cost time only. It falls to the first core seat that answers, on the side that has most.
+    fn first_in_line(&self) -> bool {
+        let l = self.book.layout.load();
+        let view = self.members.view.load();
+        let up = |d: &str| view.values().any(|n| n.disk == d && n.state == State::Alive);
+        let seats = l.1.core.now.iter().map(|s| s.as_str());
+        let n = seats.clone().filter(|d| up(d)).count();
+        let first = yewcross::hash::ranked("duty", seats).into_iter().find(|d| up(d));
+        self.founded.load(SeqCst) && n >= majority(l.1.core.now.len()) && first == Some(self.vault.id.as_str())
+    }
+}
+
+/// Keeps the seats: wakes when a machine comes, goes or returns, and when a change is under way.
+async fn keep_seats(c: Arc<Control>) {
+    let mut was = false;
+    loop {
+        let (l, m) = (c.book.moved.listen(), c.members.moved.listen());
+        let now = c.on_duty(1);
+        if was != now {
+            was = now;
+            c.w.log(if now { "on duty" } else { "off duty" });
+        }
+        let rest = if now { layout::tend_seats(&c).await } else { SEC };
+        if rest > 0 {
+            c.w.within(rest, futures_lite::future::or(l, m)).await;
+        }
+    }
 }
 
 pub async fn run(c: Arc<Control>) {
+    if c.options.tends {
+        c.w.go(layout::found_self(c.clone()));
+        c.w.go(keep_seats(c.clone()));
+        loop {
+            let rest = if c.on_duty(0) { poll_list(&c).await } else { LIST_EVERY };
+            c.w.sleep(rest).await;
+        }
+    }
+    c.founded.store(true, SeqCst);
     for (i, duty) in DUTIES.into_iter().enumerate() {
         let me = c.clone();
         c.w.go(async move {
--- a/yewcross-control/src/layout.rs
+++ b/yewcross-control/src/layout.rs
@@ -9,12 +9,14 @@
 use yewcross::book::DOCS;
 use yewcross::code::Code;
 use yewcross::consts::*;
-use yewcross::member::Node;
+use yewcross::member::{Node, State};
 use yewcross::reg::*;
 use yewcross::startup::Role;
+use yewcross::world::Fut;
 
 /// A core disk takes part only after it was founded, or once a decided layout names it.
 pub async fn found_here(c: &Arc<Control>, blob: Vec<u8>) -> Tell {
+    let _one = c.finding.lock().await;
     let p = c.book.page("layout");
     if p.seq > 0 {
         return if *p.raw == blob { Tell::Ok } else { Tell::No(Code::Conflict) };
@@ -166,7 +168,7 @@
             None => None,
         };
         match r {
-            Some(Tell::Swept { done, left }) => v.push((d.clone(), done, left)),
+            Some(Tell::Swept { done, left, .. }) => v.push((d.clone(), done, left)),
             _ => v.push((d.clone(), false, 0)),
         }
     }
@@ -193,7 +195,7 @@
     }
     let (at, v) = progress(c).await;
     let done = v.iter().filter(|x| x.1).count();
-    if at != l.0 || done + 1 < v.len() || !c.on_duty(1) {
+    if at != l.0 || done + c.st.bounds.lost < v.len() || !c.on_duty(1) {
         return;
     }
     let got = c
@@ -203,11 +205,7 @@
             if seq != at {
                 return Step::Keep(());
             }
-            let live: Vec<String> = l.core.now.iter().chain(&l.store.now).cloned().collect();
-            l.core.old.clear();
-            l.store.old.clear();
-            l.names.retain(|d, _| live.contains(d));
-            l.sites.retain(|d, _| live.contains(d));
+            settle(&mut l);
             Step::Write(serde_json::to_vec(&l).unwrap_or_default(), ())
         })
         .await;
@@ -220,10 +218,11 @@
 /// Every key on this disk is brought to all its copies, then again, at rest when nothing is amiss.
 pub async fn sweep(c: Arc<Control>) {
     loop {
+        let moved = c.book.moved.listen();
         let l = c.book.layout.load_full();
         let seated = |g: &Group| g.now.contains(&c.vault.id) || g.old.contains(&c.vault.id);
         if l.0 == 0 || !(seated(&l.1.core) || seated(&l.1.store)) {
-            c.w.sleep(500 * MS).await;
+            c.w.within(SWEEP_REST, moved).await;
             continue;
         }
         let moving = !l.1.core.old.is_empty() || !l.1.store.old.is_empty();
@@ -251,6 +250,9 @@
                 c.replica.forget(&k).await;
                 continue;
             }
+            if c.options.tends && DOCS.contains(&k.as_str()) && c.owner.uniform(&k).await {
+                continue;
+            }
             c.counts.tended.fetch_add(1, SeqCst);
             // Through the key's first owner, so that holders of the same key do not take it from each other.
             let ok = matches!((c.store.route)(k.clone(), Ask::Tend { key: k.clone() }).await, Some(Tell::Ok));
@@ -266,8 +268,13 @@
             c.swept.store(l.0, SeqCst);
         }
         let until = c.w.now() + if moving || !whole { SEC } else { SWEEP_REST };
-        while c.w.now() < until && !c.sweep_now.swap(false, SeqCst) && c.book.layout.load().0 == l.0 {
-            c.w.sleep(200 * MS).await;
+        loop {
+            let (m, s) = (c.book.moved.listen(), c.sweep_call.listen());
+            let t = c.w.now();
+            if t >= until || c.sweep_now.swap(false, SeqCst) || c.book.layout.load().0 != l.0 {
+                break;
+            }
+            c.w.within(until - t, futures_lite::future::or(m, s)).await;
         }
     }
 }
@@ -283,10 +290,372 @@
     });
 }
 
-pub async fn retire(_c: &Arc<Control>, _node: &str) -> RetireBegin {
-    RetireBegin::Away
+/// Founds the tier without a hand: the first core disks are those of the three machines that every node was told of, so
+/// that all who try write the same. Ends once the first layout and the empty configuration are decided.
+pub async fn found_self(c: Arc<Control>) {
+    let told = serde_json::to_vec(&c.st.seeds).unwrap_or_default();
+    let mut seeds = c.st.seeds.clone();
+    let mut founds = c.st.found;
+    if c.book.layout.load().0 == 0 {
+        // A founder that restarts in the middle goes on.
+        match c.vault.load("local", "founding").await {
+            Ok(Some((_, b))) => {
+                founds = true;
+                seeds = serde_json::from_slice(&b).unwrap_or(seeds);
+            }
+            _ if founds => {
+                let _ = c.vault.keep("local", "founding", 1, &told).await;
+            }
+            _ => {}
+        }
+    }
+    let nth = seeds.iter().position(|a| *a == c.st.peer);
+    loop {
+        let (l, m) = (c.book.moved.listen(), c.members.moved.listen());
+        let lay = c.book.layout.load_full();
+        let seat = lay.1.core.now.iter().position(|d| *d == c.vault.id);
+        if lay.0 == 0 {
+            if let Some(raw) = nth.filter(|_| founds).and_then(|_| first(&c, &seeds)) {
+                propose_first(&c, &seeds, raw).await;
+            }
+        } else if seat.is_none() || settle_first(&c, seat.unwrap_or(0)).await {
+            c.duties.since.store(c.w.now(), SeqCst);
+            c.founded.store(true, SeqCst);
+            c.book.moved.notify(usize::MAX);
+            return;
+        }
+        c.w.within(300 * MS, futures_lite::future::or(l, m)).await;
+    }
 }
 
-pub async fn retired(_c: &Arc<Control>, _node: &str) -> RetireState {
-    RetireState::Away
+/// The first layout, once all its machines are known.
+fn first(c: &Arc<Control>, seeds: &[std::net::SocketAddr]) -> Option<Vec<u8>> {
+    let view = c.members.view.load();
+    let ns: Option<Vec<Node>> =
+        seeds.iter().map(|a| view.values().find(|n| n.peer == *a && n.role == Role::Core && !n.disk.is_empty()).cloned()).collect();
+    let ns = ns?;
+    let mut core: Vec<String> = ns.iter().map(|n| n.disk.clone()).collect();
+    core.sort();
+    core.dedup();
+    let l = Layout {
+        core: Group { now: core, old: vec![] },
+        names: ns.iter().map(|n| (n.disk.clone(), n.name.clone())).collect(),
+        sites: ns.iter().map(|n| (n.disk.clone(), n.site.clone())).collect(),
+        turn: 1,
+        ..Default::default()
+    };
+    serde_json::to_vec(&l).ok()
+}
+
+/// In the order of the seeds: where two differ, the first seed's word decides before any other has kept one.
+async fn propose_first(c: &Arc<Control>, seeds: &[std::net::SocketAddr], raw: Vec<u8>) {
+    for a in seeds {
+        let t = if *a == c.st.peer {
+            found_here(c, raw.clone()).await
+        } else {
+            c.peers.ask(*a, &Ask::Found, &raw, PEER_WAIT).await.map(|x| x.0).unwrap_or(Tell::No(Code::StoreAway))
+        };
+        if !matches!(t, Tell::Ok) {
+            return;
+        }
+    }
+}
+
+/// Whether the first layout and configuration are decided; decides them where they are not.
+async fn settle_first(c: &Arc<Control>, nth: usize) -> bool {
+    if matches!(c.owner.newest("config", PEER_WAIT).await, Ok((s, ..)) if s > 0) {
+        return true;
+    }
+    if !c.options.tends {
+        return false;
+    }
+    // The others give the first one a moment, so that they do not take the keys from each other.
+    c.w.sleep(nth as u64 * 150 * MS).await;
+    let p = c.book.page("layout");
+    let l = c.owner.change("layout", SEC, |s, _| if s == 0 && p.seq == 1 { Step::Write(p.raw.to_vec(), ()) } else { Step::Keep(()) }).await;
+    let empty = serde_json::to_vec(&ConfigDoc::default()).unwrap_or_default();
+    let f = c.owner.change("config", SEC, |s, _| if s == 0 { Step::Write(empty.clone(), ()) } else { Step::Keep(()) }).await;
+    let ok = l.is_ok() && f.is_ok();
+    if ok {
+        c.w.log("founded");
+        spread(c).await;
+    }
+    ok
+}
+
+/// What is known of the machines when seats are planned.
+pub struct Known<'a> {
+    /// Machines that answer.
+    pub live: &'a [Node],
+    /// All that were heard of lately, the gone among them.
+    pub heard: &'a [Node],
+    /// us that the machine of a seat has been missing.
+    pub missing: &'a dyn Fn(&str) -> u64,
+    /// Disk machines that may be lost at once.
+    pub lost: usize,
+}
+
+/// The layout that the next change begins with: retired and empty seats first, then seats for disks that have none. `None`
+/// where nothing is to be done, or nothing yet.
+pub fn plan(l: &Layout, seq: u64, k: &Known) -> Option<Layout> {
+    if !l.core.old.is_empty() || !l.store.old.is_empty() {
+        return None;
+    }
+    [Role::Store, Role::Core].into_iter().find_map(|role| plan_of(l, seq, k, role))
+}
+
+fn plan_of(l: &Layout, seq: u64, k: &Known, role: Role) -> Option<Layout> {
+    let g = if role == Role::Core { &l.core } else { &l.store };
+    let free: Vec<&Node> = k
+        .live
+        .iter()
+        .filter(|n| n.role == role && n.state == State::Alive && !n.disk.is_empty())
+        .filter(|n| !g.now.contains(&n.disk) && !l.retired.contains(&n.name))
+        .collect();
+    let name = |d: &String| l.names.get(d).cloned().unwrap_or_default();
+    let mut out: Vec<&String> = g.now.iter().filter(|d| role == Role::Store && l.retired.contains(&name(d))).collect();
+    let retires = !out.is_empty();
+    let mut put: Vec<&Node> = vec![];
+    // A machine that came back empty, under its name or at its address.
+    free.iter().for_each(|n| {
+        let was = |d: &&String| name(d) == n.name || k.heard.iter().any(|h| h.disk == **d && h.peer == n.peer);
+        if let Some(d) = g.now.iter().find(|d| !out.contains(d) && was(d)) {
+            out.push(d);
+            put.push(n);
+        }
+    });
+    let mut gone: Vec<(u64, &String)> =
+        g.now.iter().filter(|d| !out.contains(d)).map(|d| ((k.missing)(d), d)).filter(|x| x.0 > 0).collect();
+    gone.sort();
+    for n in free.iter().filter(|n| !put.iter().any(|p| p.disk == n.disk)).collect::<Vec<_>>() {
+        match gone.pop() {
+            Some((us, d)) if us >= SEAT_PATIENCE => {
+                out.push(d);
+                put.push(n);
+            }
+            // It may be back in a moment.
+            Some(_) => {}
+            None => put.push(n),
+        }
+    }
+    let mut now: Vec<String> = g.now.iter().filter(|d| !out.contains(d)).cloned().collect();
+    now.extend(put.iter().map(|n| n.disk.clone()));
+    now.sort();
+    let fewest = 2 * k.lost + 1;
+    let short = role == Role::Store && now.len() < fewest;
+    if now == g.now || now.is_empty() || (short && (retires || g.now.is_empty())) {
+        return None;
+    }
+    let mut n = l.clone();
+    n.names.extend(put.iter().map(|n| (n.disk.clone(), n.name.clone())));
+    n.sites.extend(put.iter().map(|n| (n.disk.clone(), n.site.clone())));
+    let g = if role == Role::Core { &mut n.core } else { &mut n.store };
+    g.old = std::mem::replace(&mut g.now, now);
+    n.turn = seq + 1;
+    Some(n)
+}
+
+/// The duty of keeping the seats, for a tier without an operator's hand. Returns how long to rest if nothing moves, us.
+pub async fn tend_seats(c: &Arc<Control>) -> u64 {
+    let l = c.book.layout.load_full();
+    if l.0 == 0 || !c.founded.load(SeqCst) {
+        return SEC;
+    }
+    if !l.1.core.old.is_empty() {
+        return if finish_core(c, &l).await { 0 } else { MOVE_LOOK };
+    }
+    if !l.1.store.old.is_empty() {
+        return if finish_store(c, &l).await { 0 } else { MOVE_LOOK };
+    }
+    let t = c.w.now();
+    let live: Vec<Node> = c.members.view.load().values().cloned().collect();
+    let here = |d: &String| live.iter().any(|n| n.disk == *d && n.state == State::Alive);
+    {
+        let mut g = c.duties.missing.lock().unwrap();
+        let seats: Vec<&String> = l.1.core.now.iter().chain(&l.1.store.now).collect();
+        g.retain(|d, _| seats.contains(&d) && !here(d));
+        seats.into_iter().filter(|d| !here(d)).for_each(|d| {
+            g.entry(d.clone()).or_insert(t);
+        });
+    }
+    let since = c.duties.missing.lock().unwrap().clone();
+    let rest = if since.is_empty() { SEC } else { 200 * MS };
+    let stores = live.iter().filter(|n| n.role == Role::Store && n.state == State::Alive).count();
+    // The first stores are seated together.
+    let early = l.1.store.now.is_empty() && stores > 0 && t < c.duties.since.load(SeqCst) + FOUND_WAIT;
+    if early {
+        return 100 * MS;
+    }
+    let next = {
+        let missing = |d: &str| since.get(d).map_or(0, |s| (t - s).max(1));
+        plan(&l.1, l.0, &Known { live: &live, heard: &c.members.all(), missing: &missing, lost: c.st.bounds.lost })
+    };
+    let Some(n) = next else { return rest };
+    if !c.on_duty(1) {
+        return rest;
+    }
+    let raw = serde_json::to_vec(&n).unwrap_or_default();
+    let got = c.owner.change("layout", SEC, |s, _| if s == l.0 { Step::Write(raw.clone(), true) } else { Step::Keep(false) }).await;
+    if got == Ok(true) {
+        c.w.log(&format!("seats change: core {:?} store {:?}", named(&n, &n.core), named(&n, &n.store)));
+    }
+    spread(c).await;
+    if got == Ok(true) { 0 } else { 100 * MS }
+}
+
+fn named(l: &Layout, g: &Group) -> String {
+    let v: Vec<&str> = g.now.iter().map(|d| l.names.get(d).map_or("?", |n| n.as_str())).collect();
+    v.join(" ")
+}
+
+/// What each of the disks says of a layout: whether it keeps it, whether all it holds is whole under it.
+async fn said(c: &Arc<Control>, disks: &[String], lay: u64) -> Vec<(String, bool, bool)> {
+    let fs: Vec<Fut<'static, Option<(String, bool, bool)>>> = disks
+        .iter()
+        .map(|d| {
+            let (me, d) = (c.clone(), d.clone());
+            let f: Fut<'static, _> = Box::pin(async move {
+                let a = Ask::SweepDone { layout: lay };
+                let t = if d == me.vault.id {
+                    me.hear(a, vec![], "").await.0
+                } else {
+                    let n = me.members.by_disk(&d)?;
+                    me.peers.ask(n.peer, &a, &[], PEER_WAIT / 2).await.ok()?.0
+                };
+                match t {
+                    Tell::Swept { done, kept, .. } => Some((d, kept >= lay, done)),
+                    _ => None,
+                }
+            });
+            f
+        })
+        .collect();
+    let (k, rx) = (fs.len(), c.w.fan(fs));
+    let mut v = vec![];
+    for _ in 0..k {
+        v.extend(rx.recv().await.ok().flatten());
+    }
+    v
+}
+
+/// Once so many old seats refuse older layouts that no old majority is left, whoever decides does so in both sets; then the
+/// documents, once taken under both, are on majorities of the new one.
+async fn finish_core(c: &Arc<Control>, l: &Arc<(u64, Layout)>) -> bool {
+    let old = &l.1.core.old;
+    let v = said(c, old, l.0).await;
+    if v.iter().filter(|x| x.1).count() < majority(old.len()) || !majority_left(old.len(), v.iter().filter(|x| x.1).count()) {
+        spread(c).await;
+        return false;
+    }
+    for d in DOCS {
+        if c.owner.change(d, SEC, |_, _| Step::Keep(())).await.is_err() {
+            return false;
+        }
+    }
+    drop_old(c, l.0).await
+}
+
+/// No majority of the old seats can be found among those that have not kept the new layout.
+fn majority_left(n: usize, kept: usize) -> bool {
+    n - kept < majority(n)
+}
+
+async fn finish_store(c: &Arc<Control>, l: &Arc<(u64, Layout)>) -> bool {
+    let (old, now) = (&l.1.store.old, &l.1.store.now);
+    let both: Vec<String> = old.iter().chain(now.iter().filter(|d| !old.contains(d))).cloned().collect();
+    let v = said(c, &both, l.0).await;
+    let swept = v.iter().filter(|x| x.2 && old.contains(&x.0)).count();
+    let live = |d: &String| c.members.by_disk(d).is_some_and(|n| n.state == State::Alive);
+    let adopted = now.iter().filter(|d| live(d)).all(|d| v.iter().any(|x| x.0 == *d && x.1));
+    if swept + c.st.bounds.lost < old.len() || !adopted {
+        if v.iter().any(|x| !x.1) {
+            spread(c).await;
+        }
+        return false;
+    }
+    drop_old(c, l.0).await
+}
+
+/// Ends the change that layout number `at` began.
+async fn drop_old(c: &Arc<Control>, at: u64) -> bool {
+    if !c.on_duty(1) {
+        return false;
+    }
+    let got = c
+        .owner
+        .change("layout", SEC, |seq, v| {
+            let Some(mut l) = serde_json::from_slice::<Layout>(v).ok().filter(|_| seq == at) else { return Step::Keep(seq) };
+            settle(&mut l);
+            Step::Write(serde_json::to_vec(&l).unwrap_or_default(), seq + 1)
+        })
+        .await;
+    if got == Ok(at + 1) {
+        c.w.log("change of disks done");
+    }
+    spread(c).await;
+    got.is_ok()
+}
+
+/// Only the new sets are in force.
+fn settle(l: &mut Layout) {
+    let live: Vec<String> = l.core.now.iter().chain(&l.store.now).cloned().collect();
+    l.core.old.clear();
+    l.store.old.clear();
+    l.names.retain(|d, _| live.contains(d));
+    l.sites.retain(|d, _| live.contains(d));
+}
+
+/// Writes down that a store machine is to be emptied; the layout duty does it.
+pub async fn retire(c: &Arc<Control>, node: &str) -> RetireBegin {
+    if c.book.layout.load().0 == 0 {
+        return RetireBegin::Away;
+    }
+    let fewest = 2 * c.st.bounds.lost + 1;
+    let known = c.members.all().iter().any(|n| n.name == node && n.role == Role::Store);
+    let got = c
+        .owner
+        .change("layout", SEC, |seq, v| {
+            let Ok(mut l) = serde_json::from_slice::<Layout>(v) else { return Step::Keep((RetireBegin::Away, 0, vec![])) };
+            if l.retired.contains(node) {
+                return Step::Keep((RetireBegin::Begun, 0, vec![]));
+            }
+            let named = |d: &&String| l.names.get(*d).is_some_and(|n| n == node);
+            let seated = l.store.now.iter().chain(&l.store.old).any(|d| named(&d));
+            if !seated && !known {
+                return Step::Keep((RetireBegin::Unknown, 0, vec![]));
+            }
+            let left = l.store.now.iter().filter(|d| !named(d) && !l.names.get(*d).is_some_and(|n| l.retired.contains(n))).count();
+            if left < fewest {
+                return Step::Keep((RetireBegin::TooFew, 0, vec![]));
+            }
+            l.retired.insert(node.into());
+            let raw = serde_json::to_vec(&l).unwrap_or_default();
+            Step::Write(raw.clone(), (RetireBegin::Begun, seq + 1, raw))
+        })
+        .await;
+    match got {
+        Ok((r, seq, raw)) => {
+            if seq > 0 {
+                c.w.log(&format!("{node} is to retire"));
+                config::push(c, "layout", seq, raw);
+            }
+            r
+        }
+        Err(_) => RetireBegin::Away,
+    }
+}
+
+pub async fn retired(c: &Arc<Control>, node: &str) -> RetireState {
+    if c.book.layout.load().0 == 0 {
+        return RetireState::Away;
+    }
+    let Ok((seq, epoch, raw)) = c.owner.newest("layout", PEER_WAIT).await else { return RetireState::Away };
+    let Ok(l) = serde_json::from_slice::<Layout>(&raw) else { return RetireState::Away };
+    c.book.adopt("layout", seq, epoch, raw.to_vec());
+    let there = |g: &Group| g.now.iter().chain(&g.old).any(|d| l.names.get(d).is_some_and(|n| n == node));
+    match (l.retired.contains(node), there(&l.store)) {
+        (false, _) => RetireState::Unknown,
+        (true, true) => RetireState::Running,
+        (true, false) => RetireState::Finished,
+    }
 }
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod operator;
 pub mod store;
 
+use event_listener::Event;
 use snafu::Snafu;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
@@ -42,6 +43,8 @@
     pub swept: AtomicU64,
     pub sweep_left: AtomicU64,
     pub sweep_now: AtomicBool,
+    pub sweep_call: Event,
+    finding: futures_util::lock::Mutex<()>,
     /// The first layout and the empty configuration are decided.
     pub founded: AtomicBool,
     pub started: u64,
@@ -136,7 +139,10 @@
         };
         let store = Arc::new(store::Store { owner: owner.clone(), members: members.clone(), w: w.clone(), route: Arc::new(route) });
         *own.lock().unwrap() = Some(Arc::downgrade(&store));
-        let follow = Follow::new(&members, &book, &st.name, false);
+        let follow = match options.rollout {
+            api::Rollout::Proved => Follow::new(&members, &book, &st.name, false),
+            api::Rollout::Majority => Follow::unleased(&members, &book, &st.name, false, st.bounds.apply * MS),
+        };
         let c = Arc::new(Control {
             w: w.clone(),
             peers,
@@ -154,6 +160,8 @@
             swept: AtomicU64::new(0),
             sweep_left: AtomicU64::new(0),
             sweep_now: AtomicBool::new(false),
+            sweep_call: Event::new(),
+            finding: Default::default(),
             founded: AtomicBool::new(false),
             started: w.now(),
             platform: Mutex::new(st.platform),
@@ -184,12 +192,19 @@
 
     pub async fn hear(self: &Arc<Self>, a: Ask, blob: Vec<u8>, from: &str) -> (Tell, Vec<u8>) {
         match a {
-            Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } => (self.members.hear(a).await, vec![]),
+            Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => (self.members.hear(a).await, vec![]),
             Ask::Reg(r) => {
                 let (t, b) = self.replica.hear(r, blob).await;
                 (Tell::Reg(t), b)
             }
             Ask::Newer { have, front } => (config::newer(self, have, front, from).await, vec![]),
+            Ask::Page { name, more_than } => {
+                let p = self.book.page(&name);
+                if p.seq > more_than {
+                    return (Tell::Doc { seq: p.seq, epoch: p.epoch }, p.raw.to_vec());
+                }
+                config::doc(self, &name).await
+            }
             Ask::Doc { name, .. } => config::doc(self, &name).await,
             Ask::Adopt { name, seq, epoch } => {
                 self.book.adopt(&name, seq, epoch, blob);
@@ -201,12 +216,16 @@
             Ask::Duty { name, holder } => (duty::grant(self, &name, &holder), vec![]),
             Ask::SweepNow => {
                 self.sweep_now.store(true, SeqCst);
+                self.sweep_call.notify(usize::MAX);
                 (Tell::Ok, vec![])
             }
-            Ask::SweepDone { layout } => (
-                Tell::Swept { done: self.swept.load(SeqCst) >= layout && self.layout_kept() >= layout, left: self.sweep_left.load(SeqCst) },
-                vec![],
-            ),
+            Ask::SweepDone { layout } => {
+                let more = self.sweeper.lock().unwrap().clone();
+                let (beside, left) = more(layout);
+                let kept = self.layout_kept();
+                let done = self.swept.load(SeqCst) >= layout && kept >= layout && beside;
+                (Tell::Swept { done, left: self.sweep_left.load(SeqCst) + left, kept }, vec![])
+            }
             a => self.store.hear(a, blob).await,
         }
     }
@@ -254,6 +273,7 @@
         kept.insert(d, c.book.page(d).seq);
     }
     loop {
+        let moved = c.book.moved.listen();
         for d in DOCS {
             let p = c.book.page(d);
             if p.seq > kept[d] {
@@ -266,7 +286,7 @@
                 }
             }
         }
-        c.w.sleep(50 * MS).await;
+        c.w.within(if c.vault.failed.load(SeqCst) { 50 * MS } else { 10 * SEC }, moved).await;
     }
 }
 
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -208,7 +208,7 @@
 
     async fn hear(self: &Arc<Self>, a: Ask, blob: Vec<u8>) -> Tell {
         match a {
-            Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } => self.members.hear(a).await,
+            Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => self.members.hear(a).await,
             Ask::Newer { .. } => self.follow.newer(),
             Ask::Adopt { name, seq, epoch } => {
                 if self.book.adopt(&name, seq, epoch, blob) && name != "list" {
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -13,6 +13,13 @@
 pub enum Ask {
     Probe {
         dig: u64,
+        /// What the asker heard of lately.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        nodes: Vec<Node>,
+    },
+    /// News of a few nodes, told at once.
+    Heard {
+        nodes: Vec<Node>,
     },
     Second {
         to: SocketAddr,
@@ -30,6 +37,11 @@
         name: String,
         hops: u8,
     },
+    /// A document newer than the version named, as the asked node holds it or can find it; answered as `Tell::Doc`.
+    Page {
+        name: String,
+        more_than: u64,
+    },
     Adopt {
         name: String,
         seq: u64,
@@ -163,6 +175,9 @@
     Swept {
         done: bool,
         left: u64,
+        /// Newest layout that the disk keeps; it refuses older ones.
+        #[serde(default)]
+        kept: u64,
     },
 }
 
--- a/yewcross/src/book.rs
+++ b/yewcross/src/book.rs
@@ -70,10 +70,11 @@
             return false;
         }
         let ok = match name {
-            "config" => serde_json::from_slice::<ConfigDoc>(&raw)
-                .ok()
-                .and_then(|d| self.dialect.read(d.text.as_bytes()).ok())
-                .map(|t| self.config.store(Arc::new((seq, t)))),
+            "config" => serde_json::from_slice::<ConfigDoc>(&raw).ok().and_then(|d| match d.text.is_empty() {
+                // Founded, and nothing put yet.
+                true => Some(()),
+                false => self.dialect.read(d.text.as_bytes()).ok().map(|t| self.config.store(Arc::new((seq, t)))),
+            }),
             "layout" => serde_json::from_slice(&raw).ok().map(|l| self.layout.store(Arc::new((seq, l)))),
             _ => serde_json::from_slice(&raw).ok().map(|l| self.list.store(Arc::new((seq, l)))),
         };
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -15,6 +15,12 @@
 pub const PROBE_EVERY: u64 = 400 * MS;
 /// beats. How often one address that is missed, a seed's or a removed node's, is asked again.
 pub const REJOIN_BEATS: u64 = 3;
+/// us. A node that knows nobody asks its seeds this often.
+pub const SEED_EVERY: u64 = 150 * MS;
+/// us. Changes this young are told along with a probe.
+pub const NEWS_YOUNG: u64 = 8 * SEC;
+/// count. And so many at most: more than that, and whole tables are swapped.
+pub const NEWS_MOST: usize = 12;
 /// us. Sites sit about 1 ms apart; a scheduling hiccup must not look like a breakdown.
 pub const PROBE_WAIT: u64 = 250 * MS;
 /// count. Third parties asked when a direct probe is lost.
@@ -57,6 +63,14 @@
 pub const PUT_WAIT: u64 = 4 * SEC;
 /// count. Versions of the configuration kept for going back, and for the lists of fronts not yet proved.
 pub const PAST_KEPT: usize = 16;
+/// count. Marks of operators' earlier texts kept, so that a text sent again after it was superseded is still known.
+pub const ORDERS_KEPT: usize = 64;
+/// us. A seat whose machine is missing this long is given to a disk that has none.
+pub const SEAT_PATIENCE: u64 = 1_500 * MS;
+/// us. Founding waits this long for more store machines than the fewest that may be.
+pub const FOUND_WAIT: u64 = 500 * MS;
+/// us. How often a change of disks under way is looked at.
+pub const MOVE_LOOK: u64 = 120 * MS;
 /// us. Length of a duty lease as the granter counts it.
 pub const DUTY_LEASE: u64 = 3 * SEC;
 /// us. The holder counts itself out this much earlier.
--- a/yewcross/src/follow.rs
+++ b/yewcross/src/follow.rs
@@ -3,7 +3,7 @@
 use crate::ask::{Ask, Tell};
 use crate::book::Book;
 use crate::consts::*;
-use crate::member::Members;
+use crate::member::{Members, Node, State};
 use crate::reg::majority;
 use crate::startup::Role;
 use crate::world::*;
@@ -34,7 +34,7 @@
 
     /// Without leases: a front serves by what it holds, and one core is asked for news often enough for `apply` (us).
     pub fn unleased(members: &Arc<Members>, book: &Arc<Book>, name: &str, front: bool, apply: u64) -> Arc<Follow> {
-        Follow::of(members, book, name, front, (apply / 4).max(50 * MS))
+        Follow::of(members, book, name, front, (apply / 5).max(50 * MS))
     }
 
     fn of(members: &Arc<Members>, book: &Arc<Book>, name: &str, front: bool, every: u64) -> Arc<Follow> {
@@ -85,7 +85,60 @@
         }
     }
 
+    /// Asks one core at a time, those of our site every other time; wakes at once when cores become known.
+    async fn ask_in_turn(self: &Arc<Self>) {
+        let mut eager = self.every / 4;
+        loop {
+            let moved = self.members.moved.listen();
+            let cores = self.cores_in_turn();
+            match cores.first() {
+                Some(n) => {
+                    self.ask_one(n).await;
+                    let none = self.book.config.load().0 == 0;
+                    let us = if none { eager } else { self.every * 9 / 10 + self.w.rand() % (self.every / 5) };
+                    eager = (2 * eager).min(self.every);
+                    self.w.sleep(us).await;
+                }
+                None => {
+                    self.w.within(self.every, moved).await;
+                }
+            }
+        }
+    }
+
+    fn cores_in_turn(&self) -> Vec<Node> {
+        let nth = self.rounds.fetch_add(1, SeqCst) as usize;
+        let mut all: Vec<Node> =
+            self.members.alive(Role::Core).into_iter().filter(|n| n.name != self.name && n.state == State::Alive).collect();
+        let near: Vec<Node> = all.iter().filter(|n| n.site == self.members.peers.site).cloned().collect();
+        if nth.is_multiple_of(2) && !near.is_empty() {
+            all = near;
+        }
+        let k = all.len().max(1);
+        all.rotate_left(nth / 2 % k);
+        all
+    }
+
+    async fn ask_one(self: &Arc<Self>, n: &Node) {
+        let have = self.book.have();
+        let a = Ask::Newer { have: have.clone(), front: false };
+        let Ok((Tell::Newer { newest, .. }, _)) = self.members.peers.ask(n.peer, &a, &[], SERVE_ASK).await else { return };
+        for (d, s) in newest {
+            let more_than = have.iter().find(|h| h.0 == d).map_or(0, |h| h.1);
+            if s <= more_than {
+                continue;
+            }
+            let a = Ask::Page { name: d.clone(), more_than };
+            if let Ok((Tell::Doc { seq, epoch }, raw)) = self.members.peers.ask(n.peer, &a, &[], PEER_WAIT).await {
+                self.book.adopt(&d, seq, epoch, raw);
+            }
+        }
+    }
+
     pub async fn run(self: Arc<Self>) {
+        if self.every > 0 {
+            return self.ask_in_turn().await;
+        }
         loop {
             let t0 = self.w.now();
             self.round().await;
--- a/yewcross/src/member.rs
+++ b/yewcross/src/member.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -45,6 +45,11 @@
     }
 }
 
+fn weigh(g: &BTreeMap<String, (Node, u64)>) -> u64 {
+    let s: String = g.values().map(|(n, _)| format!("{}{:?}", n.name, n.rank())).collect();
+    crate::hash::weigh(&s, "")
+}
+
 pub struct Members {
     pub w: World,
     pub peers: Arc<Peers>,
@@ -56,6 +61,10 @@
     /// ms between each other node's calendar and our monotonic clock, and when it was heard.
     clocks: Mutex<BTreeMap<String, (i64, u64)>>,
     started: u64,
+    /// us between two probes of ours, and how long one may take.
+    beat: u64,
+    wait: u64,
+    dig: AtomicU64,
     /// Set when a younger process carries our name.
     pub replaced: AtomicBool,
     /// Outbid a younger process of our name instead of giving way to it.
@@ -87,10 +96,14 @@
             me: Mutex::new(me),
             clocks: Default::default(),
             started: w.now(),
+            beat: s.bounds.beat.max(50) * MS,
+            wait: PROBE_WAIT.max(s.bounds.beat * MS / 3),
+            dig: AtomicU64::new(0),
             replaced: AtomicBool::new(false),
             stays: AtomicBool::new(false),
             moved: Event::new(),
         };
+        m.dig.store(weigh(&m.table.lock().unwrap()), SeqCst);
         Arc::new(m)
     }
 
@@ -107,9 +120,16 @@
     }
 
     fn digest(&self) -> u64 {
+        self.dig.load(SeqCst)
+    }
+
+    /// What changed lately, the newest of it.
+    fn recent(&self) -> Vec<Node> {
+        let t = self.w.now();
         let g = self.table.lock().unwrap();
-        let s: String = g.values().map(|(n, _)| format!("{}{:?}", n.name, n.rank())).collect();
-        crate::hash::weigh(&s, "")
+        let mut v: Vec<&(Node, u64)> = g.values().filter(|x| t < x.1 + NEWS_YOUNG).collect();
+        v.sort_by_key(|x| std::cmp::Reverse(x.1));
+        v.into_iter().take(NEWS_MOST).map(|x| x.0.clone()).collect()
     }
 
     pub fn merge(&self, ns: Vec<Node>) {
@@ -148,6 +168,14 @@
                     self.w.log(&format!("member {} {:?}", n.name, n.state));
                 }
                 self.peers.learn(n.peer, &n.site, n.wire);
+                // A younger process at the address of another: that one is no more.
+                g.values_mut()
+                    .filter(|(o, _)| n.state == State::Alive && o.peer == n.peer && o.name != n.name && o.born < n.born)
+                    .for_each(|(o, s)| {
+                        if o.state != State::Gone {
+                            (o.state, *s) = (State::Gone, t);
+                        }
+                    });
                 g.insert(n.name.clone(), (n, t));
                 moved = true;
             }
@@ -160,6 +188,7 @@
     fn publish(&self, g: &BTreeMap<String, (Node, u64)>) {
         let v = g.values().filter(|x| x.0.state != State::Gone).map(|(n, _)| (n.name.clone(), n.clone())).collect();
         self.view.store(Arc::new(v));
+        self.dig.store(weigh(g), SeqCst);
         self.moved.notify(usize::MAX);
     }
 
@@ -167,7 +196,22 @@
         let n = self.table.lock().unwrap().get(name).map(|x| x.0.clone());
         n.filter(|n| n.born == born && n.state < to).into_iter().for_each(|mut n| {
             n.state = to;
-            self.merge(vec![n]);
+            self.merge(vec![n.clone()]);
+            if !n.disk.is_empty() {
+                self.tell_disks(n);
+            }
+        });
+    }
+
+    /// Seats and duties hang on the machines with disks: what happens to one, the others hear at once.
+    fn tell_disks(&self, n: Node) {
+        let me = self.me.lock().unwrap().name.clone();
+        let to = self.view.load().values().filter(|x| !x.disk.is_empty() && x.name != me && x.name != n.name).cloned().collect::<Vec<_>>();
+        to.into_iter().for_each(|x| {
+            let (p, a) = (self.peers.clone(), Ask::Heard { nodes: vec![n.clone()] });
+            self.w.go(async move {
+                let _ = p.ask(x.peer, &a, &[], PEER_WAIT).await;
+            });
         });
     }
 
@@ -183,7 +227,7 @@
 
     async fn probe(&self, to: SocketAddr) -> bool {
         let sent = self.w.now();
-        let r = self.peers.ask(to, &Ask::Probe { dig: self.digest() }, &[], PROBE_WAIT).await;
+        let r = self.peers.ask(to, &Ask::Probe { dig: self.digest(), nodes: self.recent() }, &[], self.wait).await;
         match r {
             Ok((Tell::Probe { dig, nodes, wall }, _)) => {
                 if wall > 0 {
@@ -215,9 +259,16 @@
 
     pub async fn hear(&self, a: Ask) -> Tell {
         match a {
-            Ask::Probe { dig } => {
+            Ask::Probe { dig, nodes } => {
+                if dig != self.digest() {
+                    self.merge(nodes);
+                }
                 let d = self.digest();
-                Tell::Probe { dig: d, nodes: if d == dig { vec![] } else { self.all() }, wall: self.w.wall() }
+                Tell::Probe { dig: d, nodes: if d == dig { vec![] } else { self.recent() }, wall: self.w.wall() }
+            }
+            Ask::Heard { nodes } => {
+                self.merge(nodes);
+                Tell::Ok
             }
             Ask::Second { to } => Tell::Second { heard: self.probe(to).await },
             Ask::Table { nodes } => {
@@ -229,37 +280,73 @@
     }
 
     pub async fn run(self: Arc<Self>) {
-        let mut line: Vec<String> = vec![];
-        let mut beat = 0u64;
+        let (me, disk) = {
+            let g = self.me.lock().unwrap();
+            (g.name.clone(), !g.disk.is_empty())
+        };
+        let (mut all, mut disks): (Vec<String>, Vec<String>) = (vec![], vec![]);
+        let (mut next_all, mut next_disk, mut next_missed, mut told) = (0, 0, self.w.now() + REJOIN_BEATS * PROBE_EVERY, false);
         loop {
+            let t = self.w.now();
             let known = self.view.load().len() > 1;
-            if !known || beat % REJOIN_BEATS == REJOIN_BEATS - 1 {
+            if !known {
+                self.missed(true).into_iter().for_each(|a| self.clone().rejoin(a));
+                let moved = self.moved.listen();
+                self.w.within(SEED_EVERY, moved).await;
+                continue;
+            }
+            if disk && !told {
+                told = true;
+                let n = self.me.lock().unwrap().clone();
+                self.tell_disks(n);
+            }
+            if t >= next_missed {
+                next_missed = t + self.beat.max(REJOIN_BEATS * PROBE_EVERY);
                 // After a cut each side holds the other for gone: one that is missed is asked, the seeds among them.
-                let ours: Vec<SocketAddr> = self.view.load().values().map(|n| n.peer).collect();
-                let mut missed = self.seeds.lock().unwrap().clone();
-                missed.extend(self.all().iter().filter(|n| n.state == State::Gone).map(|n| n.peer));
-                missed.retain(|a| !known || !ours.contains(a));
-                let n = if known { 1 } else { missed.len() };
-                (0..n.min(missed.len())).for_each(|_| {
-                    let (me, to) = (self.clone(), missed.swap_remove(self.w.pick(missed.len())));
-                    self.w.go(async move {
-                        let _ = me.swap(to).await;
-                    });
-                });
+                let mut v = self.missed(false);
+                if !v.is_empty() {
+                    self.clone().rejoin(v.swap_remove(self.w.pick(v.len())));
+                }
             }
-            beat += 1;
-            let me = self.me.lock().unwrap().name.clone();
-            if line.is_empty() {
-                line = self.view.load().keys().filter(|n| **n != me).cloned().collect();
-                (1..line.len()).rev().for_each(|i| line.swap(i, self.w.pick(i + 1)));
+            if t >= next_all {
+                next_all = t + self.beat;
+                self.clone().probe_next(&mut all, &me, false);
             }
-            let t0 = self.w.now();
-            if let Some(n) = line.pop().and_then(|n| self.view.load().get(&n).cloned()) {
-                let s = self.clone();
-                self.w.go(async move { s.check(n).await });
+            // Machines with disks look after each other more closely.
+            if disk && self.beat > PROBE_EVERY && t >= next_disk {
+                next_disk = t + PROBE_EVERY;
+                self.clone().probe_next(&mut disks, &me, true);
             }
             self.expire();
-            self.w.sleep(PROBE_EVERY.saturating_sub(self.w.now() - t0)).await;
+            let next = if disk && self.beat > PROBE_EVERY { next_disk.min(next_all) } else { next_all };
+            self.w.sleep(next.saturating_sub(self.w.now()).max(MS)).await;
+        }
+    }
+
+    /// Addresses that ought to answer and are not in the view; all that are known where it is empty.
+    fn missed(&self, all: bool) -> Vec<SocketAddr> {
+        let ours: Vec<SocketAddr> = self.view.load().values().map(|n| n.peer).collect();
+        let mut v = self.seeds.lock().unwrap().clone();
+        v.extend(self.all().iter().filter(|n| n.state == State::Gone).map(|n| n.peer));
+        v.retain(|a| all || !ours.contains(a));
+        v
+    }
+
+    fn rejoin(self: Arc<Self>, to: SocketAddr) {
+        let w = self.w.clone();
+        w.go(async move {
+            let _ = self.swap(to).await;
+        });
+    }
+
+    fn probe_next(self: Arc<Self>, line: &mut Vec<String>, me: &str, disks: bool) {
+        if line.is_empty() {
+            *line = self.view.load().values().filter(|n| n.name != me && (!disks || !n.disk.is_empty())).map(|n| n.name.clone()).collect();
+            (1..line.len()).rev().for_each(|i| line.swap(i, self.w.pick(i + 1)));
+        }
+        if let Some(n) = line.pop().and_then(|n| self.view.load().get(&n).cloned()) {
+            let w = self.w.clone();
+            w.go(async move { self.check(n).await });
         }
     }
 
@@ -273,9 +360,9 @@
         let mut fs: Vec<Fut<'static, bool>> = vec![];
         while !others.is_empty() && fs.len() < PROBE_HELPERS {
             let o = others.swap_remove(self.w.pick(others.len()));
-            let (p, to) = (self.peers.clone(), n.peer);
+            let (p, to, me_wait) = (self.peers.clone(), n.peer, self.wait);
             fs.push(Box::pin(async move {
-                let r = p.ask(o.peer, &Ask::Second { to }, &[], 2 * PROBE_WAIT).await;
+                let r = p.ask(o.peer, &Ask::Second { to }, &[], 2 * me_wait).await;
                 matches!(r, Ok((Tell::Second { heard: true }, _)))
             }));
         }
--- a/yewcross/src/reg.rs
+++ b/yewcross/src/reg.rs
@@ -47,6 +47,12 @@
         epoch: Epoch,
         lay: u64,
     },
+    /// What the copy holds; the value follows unless it is the version named.
+    Look {
+        key: String,
+        lay: u64,
+        have: (Epoch, u64),
+    },
     /// Forgets an emptied key that all copies hold as emptied.
     Drop {
         key: String,
@@ -73,6 +79,10 @@
         seq: u64,
     },
     Accepted,
+    Looked {
+        accepted: Epoch,
+        seq: u64,
+    },
     Refused {
         promised: Epoch,
     },
@@ -193,6 +203,7 @@
             | RegAsk::Accept { key, lay, .. }
             | RegAsk::Fill { key, lay, .. }
             | RegAsk::Drop { key, lay, .. }
+            | RegAsk::Look { key, lay, .. }
             | RegAsk::Confirm { key, lay, .. } => (key.clone(), *lay),
         };
         if lay < self.lay.load(SeqCst) {
@@ -242,6 +253,13 @@
                 let r = if x.promised == epoch && !x.damaged { RegTell::Accepted } else { RegTell::Refused { promised: x.promised } };
                 return (r, vec![]);
             }
+            RegAsk::Look { have, .. } => {
+                if x.damaged {
+                    return (RegTell::Damaged, vec![]);
+                }
+                let v = if have == (x.accepted, x.seq) { vec![] } else { x.value.to_vec() };
+                return (RegTell::Looked { accepted: x.accepted, seq: x.seq }, v);
+            }
             RegAsk::Drop { epoch, seq, .. } => {
                 if x.promised == epoch && x.seq == seq && x.value.is_empty() && !x.damaged {
                     g.remove(&h);
@@ -427,7 +445,7 @@
         for _ in 0..c.all().len() {
             let Ok((d, t, v)) = rx.recv().await else { break };
             match t {
-                RegTell::Promised { .. } | RegTell::Accepted => yes.push((d, t, v)),
+                RegTell::Promised { .. } | RegTell::Accepted | RegTell::Looked { .. } => yes.push((d, t, v)),
                 RegTell::Refused { promised } => {
                     p.top = p.top.max(promised.n);
                     p.refused += 1;
@@ -518,14 +536,16 @@
                     let v = Arc::new(v);
                     let d = crate::delta::diff(&h.value, &v);
                     let d = (2 * d.len() < v.len()).then(|| Arc::new(d));
+                    // Whoever gives up waiting leaves no epoch behind under which half a write may stand.
+                    h.epoch = None;
                     match self.write(key, &c, e, h.seq + 1, &v, d).await {
                         Ok(()) => {
+                            h.epoch = Some(e);
                             h.seq += 1;
                             h.value = v;
                             return Ok(r);
                         }
                         Err(p) => {
-                            h.epoch = None;
                             h.top = h.top.max(p.top);
                             if p.yes + p.unsure > 0 {
                                 bad = Trouble::Undecided;
@@ -545,6 +565,54 @@
         })
     }
 
+    async fn ask_all(&self, key: &str) -> (Copies, Slot, async_channel::Receiver<(String, RegTell, Vec<u8>)>) {
+        let c = (self.place)(key);
+        let own = self.replica.peek(key).await.unwrap_or_default();
+        let a = RegAsk::Look { key: key.into(), lay: c.lay, have: (own.accepted, own.seq) };
+        let rx = self.ballot(&c, a, &Arc::new(vec![]), None).await;
+        (c, own, rx)
+    }
+
+    /// What a majority of the copies holds alike, and none holds newer so far. Nothing is taken or written.
+    async fn look(&self, key: &str) -> Option<(u64, Epoch, Arc<Vec<u8>>)> {
+        let (c, own, rx) = self.ask_all(key).await;
+        let mut got: Vec<(String, (Epoch, u64), Vec<u8>)> = vec![];
+        for _ in 0..c.all().len() {
+            let (d, t, v) = rx.recv().await.ok()?;
+            if let RegTell::Looked { accepted, seq } = t {
+                got.push((d, (accepted, seq), v));
+            }
+            let Some(best) = got.iter().map(|g| g.1).max() else { continue };
+            if c.quorum(|d| got.iter().any(|g| g.0 == d && g.1 == best)) {
+                let same = best == (own.accepted, own.seq);
+                let v = if same { own.value.clone() } else { Arc::new(got.into_iter().find(|g| g.1 == best)?.2) };
+                return Some((best.1, best.0, v));
+            }
+        }
+        None
+    }
+
+    /// The newest decided value, by the cheapest way that proves it: a key that all hold alike is not taken.
+    pub async fn newest(&self, key: &str, us: u64) -> Result<(u64, Epoch, Arc<Vec<u8>>), Trouble> {
+        match self.w.within(us, self.look(key)).await.flatten() {
+            Some(x) => Ok(x),
+            None => self.read(key, us).await,
+        }
+    }
+
+    /// Whether all copies, old and new, are there and hold the same.
+    pub async fn uniform(&self, key: &str) -> bool {
+        let (c, _, rx) = self.ask_all(key).await;
+        let mut got = vec![];
+        for _ in 0..c.all().len() {
+            match rx.recv().await {
+                Ok((_, RegTell::Looked { accepted, seq }, _)) => got.push((accepted, seq)),
+                _ => return false,
+            }
+        }
+        got.windows(2).all(|w| w[0] == w[1])
+    }
+
     /// The value last known here, without proof that it is the newest.
     pub fn hint(&self, key: &str) -> Option<Arc<Vec<u8>>> {
         let c = self.held[at(key).1].lock().unwrap().get(key).cloned()?;
