--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -217,7 +217,7 @@
             caller: o.caller,
             back: o.back,
             chains: o.chains,
-            fronts: Arc::new(move || m.alive(Role::Front).len().max(1)),
+            fronts: Default::default(),
             pool: Default::default(),
             balance: Default::default(),
             counts: Default::default(),
@@ -232,7 +232,7 @@
         self.w.go(async move {
             loop {
                 w.sleep(TIDY_EVERY).await;
-                relay.tidy();
+                relay.tidy(m.view.load().values().filter(|n| n.role == Role::Front).count());
             }
         });
         Ok(())
--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use yewcross::ask::Listed;
@@ -47,7 +47,7 @@
     pub back: Arc<dyn BackEnd>,
     pub chains: Option<Arc<dyn Chains>>,
     /// Fronts that share the servers' connections, ourselves among them.
-    pub fronts: Arc<dyn Fn() -> usize + Send + Sync>,
+    pub fronts: AtomicUsize,
     pub pool: Pool,
     pub balance: Balance,
     pub counts: Counts,
@@ -327,7 +327,7 @@
     }
 
     fn need(&self, s: &Shot, r: &Route, up: &Upstream, prev: Option<&Turn>) -> Need {
-        let fronts = (self.fronts)().max(1) as u32;
+        let fronts = self.fronts.load(SeqCst).max(1) as u32;
         Need {
             service: up.name.clone(),
             engine: up.engine.clone(),
@@ -470,7 +470,7 @@
 
     fn give_back(&self, server: &str, l: Link, m: &AnswerMeta) {
         if !m.closes {
-            self.pool.keep(server, l, self.w.now(), m.idle_ms, (LINKS_KEPT / (self.fronts)().max(1)).max(4));
+            self.pool.keep(server, l, self.w.now(), m.idle_ms, (LINKS_KEPT / self.fronts.load(SeqCst).max(1)).max(4));
         }
     }
 
@@ -532,7 +532,8 @@
     }
 
     /// Drops idle connections and records of servers that are gone.
-    pub fn tidy(&self) {
+    pub fn tidy(&self, fronts: usize) {
+        self.fronts.store(fronts, SeqCst);
         let l = self.book.list.load();
         let listed = |s: &str| l.1.servers.iter().any(|x| x.server == s);
         self.pool.tidy(self.w.now(), listed);
--- a/yewcross-lab/tests/relay.rs
+++ b/yewcross-lab/tests/relay.rs
@@ -339,7 +339,7 @@
             caller: Arc::new(Ports),
             back: Arc::new(Ports),
             chains: Some(memory.clone()),
-            fronts: Arc::new(|| 1),
+            fronts: AtomicUsize::new(1),
             pool: Default::default(),
             balance: Default::default(),
             counts: Default::default(),
