Trust a not-run without an id on a fresh connection; test the choice of a server

Cause: an answer that sheds may carry no id; on a connection of its own nothing late can stand in its place.

--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -392,7 +392,9 @@
         };
         let meta = self.back.answer(r.status().as_u16(), r.headers());
         let (ok, code) = (r.status().is_success(), r.status());
-        if meta.attempt != s.meta.attempt || (ok && !meta.stamped) || code.is_informational() {
+        // On a connection of its own nothing late can arrive: there a "not run" needs no id.
+        let ours = meta.attempt == s.meta.attempt || (meta.attempt.is_empty() && meta.not_run && link.fresh);
+        if !ours || (ok && !meta.stamped) || code.is_informational() {
             self.counts.strangers.fetch_add(1, SeqCst);
             c.failed();
             return Sent::Lost;
--- /dev/null
+++ b/yewcross-lab/tests/balance.rs
@@ -0,0 +1,131 @@
+//! Which server is chosen, and who waits.
+
+use std::net::SocketAddr;
+use yewcross::ask::Listed;
+use yewcross::consts::*;
+use yewcross::route::Engine;
+use yewcross::world::*;
+use yewcross_front::balance::{Balance, Claim, Need, NoSeat};
+use yewcross_lab::sim::Sim;
+
+fn world() -> (Sim, World) {
+    let sim = Sim::new(1, 1_000);
+    let m = sim.machine("front", "z", "10.0.0.1".parse().unwrap());
+    let w = sim.boot(m);
+    (sim, w)
+}
+
+fn rest(sim: &Sim, w: &World, us: u64) {
+    w.go(w.sleep(us + 1));
+    sim.run(sim.now() + us, || false);
+}
+
+fn servers(n: usize) -> Vec<Listed> {
+    let addr: SocketAddr = "10.0.1.1:1".parse().unwrap();
+    (0..n).map(|i| Listed { server: format!("s{i}"), service: "x".into(), addr, site: format!("z{}", i % 2), leaving: false }).collect()
+}
+
+fn plain() -> Need {
+    Need { service: "x".into(), site: "z0".into(), target_us: 250 * MS, conns: 100, ..Need::default() }
+}
+
+fn model(parts: &[(u64, u64)]) -> Need {
+    let engine = Some(Engine { slots: 8, cache_tokens: 20_000, token_bytes: 1, tokens_per_event: 2 });
+    let prompt = parts.iter().map(|p| p.1).sum();
+    Need { engine, parts: parts.to_vec(), prompt, output: 100, ..plain() }
+}
+
+fn take(b: &Balance, w: &World, n: &Need, v: &[Listed]) -> Result<Claim, NoSeat> {
+    b.pick(w, n, v, &[], |_| true)
+}
+
+/// A claim that has told a load with so many slots, given back.
+fn tell(b: &Balance, w: &World, v: &[Listed], slots: u32) {
+    v.iter().for_each(|s| take(b, w, &plain(), std::slice::from_ref(s)).unwrap().told((1, 0, slots)));
+}
+
+#[test]
+fn requests_spread_by_what_is_under_way() {
+    let (_, w) = world();
+    let (b, v) = (Balance::default(), servers(4));
+    tell(&b, &w, &v, 6);
+    let mut held: Vec<Claim> = vec![];
+    (0..20).for_each(|_| held.push(take(&b, &w, &plain(), &v).unwrap()));
+    let n = |i: usize| held.iter().filter(|c| c.to.server == format!("s{i}")).count();
+    assert!((0..4).all(|i| (3..=7).contains(&n(i))), "{:?}", (0..4).map(n).collect::<Vec<_>>());
+}
+
+#[test]
+fn nobody_is_refused_while_a_place_is_free() {
+    let (_, w) = world();
+    let (b, v) = (Balance::default(), servers(3));
+    tell(&b, &w, &v, 6);
+    let held: Vec<Claim> = (0..18).map(|_| take(&b, &w, &plain(), &v).unwrap()).collect();
+    assert_eq!(held.len(), 18);
+    let more = (0..20).map(|_| take(&b, &w, &plain(), &v)).filter_map(|r| r.err()).next();
+    drop(held);
+    assert!(more.is_none_or(|e| matches!(e, NoSeat::Full(_))));
+}
+
+#[test]
+fn a_server_that_failed_is_left_alone_for_a_while_but_not_for_ever() {
+    let (sim, w) = world();
+    let (b, v) = (Balance::default(), servers(2));
+    let c = take(&b, &w, &plain(), &v[..1]).unwrap();
+    c.failed();
+    drop(c);
+    (0..8).for_each(|_| assert_eq!(take(&b, &w, &plain(), &v).unwrap().to.server, "s1"));
+    // Where it is the only one, it is still asked.
+    assert_eq!(take(&b, &w, &plain(), &v[..1]).unwrap().to.server, "s0");
+    rest(&sim, &w, SEAT_BACKOFF);
+    assert_eq!(take(&b, &w, &plain(), &v).unwrap().to.server, "s0", "its zone is ours");
+}
+
+#[test]
+fn a_prompt_goes_where_its_parts_are_held_unless_that_costs_more() {
+    let (_, w) = world();
+    let (b, v) = (Balance::default(), servers(4));
+    let parts = [(7, 2_500), (8, 1_000)];
+    let c = take(&b, &w, &model(&parts), &v[3..]).unwrap();
+    c.read(&parts, 20_000);
+    drop(c);
+    let longer = [(7, 2_500), (8, 1_000), (9, 300)];
+    assert_eq!(take(&b, &w, &model(&longer), &v).unwrap().to.server, "s3");
+    let n = Need { prev: "s1".into(), prev_tokens: 3_500, ..model(&[(17, 3_500), (18, 300)]) };
+    assert_eq!(take(&b, &w, &n, &v).unwrap().to.server, "s1", "the turn before ran there");
+    let held: Vec<Claim> = (0..8).map(|_| take(&b, &w, &model(&[]), &v[3..]).unwrap()).collect();
+    assert_ne!(take(&b, &w, &model(&longer), &v).unwrap().to.server, "s3", "all its places are taken");
+    drop(held);
+    let c = take(&b, &w, &model(&parts), &v[3..]).unwrap();
+    c.read(&[(30, 19_000)], 20_000);
+    drop(c);
+    let (longer, other) = (model(&longer), model(&[(40, 3_800)]));
+    let where_to = |n: &Need| (0..12).map(|_| take(&b, &w, n, &v).unwrap().to.server.clone()).collect::<std::collections::BTreeSet<_>>();
+    assert_eq!(where_to(&longer), where_to(&other), "what it held gave way");
+}
+
+#[test]
+fn those_who_wait_are_let_in_by_rank_and_by_the_time_they_have() {
+    let (sim, w) = world();
+    let (b, v) = (std::sync::Arc::new(Balance::default()), servers(1));
+    let held: Vec<Claim> = (0..8).map(|_| take(&b, &w, &model(&[]), &v).unwrap()).collect();
+    assert!(matches!(take(&b, &w, &model(&[]), &v), Err(NoSeat::Full(_))));
+    let order: std::sync::Arc<std::sync::Mutex<Vec<u64>>> = Default::default();
+    for (id, rank) in [(1, (2, 10)), (2, (0, 90)), (3, (0, 20)), (4, (1, 5))] {
+        let (b, w2, o, n) = (b.clone(), w.clone(), order.clone(), Need { rank, ..model(&[]) });
+        w.go(async move {
+            if b.wait(&w2, &n, w2.now() + SEC).await {
+                o.lock().unwrap().push(id);
+            }
+        });
+    }
+    sim.run(sim.now() + MS, || false);
+    assert_eq!(b.waiting("x"), 4);
+    let mut held = held;
+    (0..3).for_each(|_| {
+        held.pop();
+        sim.run(sim.now() + MS, || false);
+    });
+    sim.run(sim.now() + 2 * SEC, || false);
+    assert_eq!(*order.lock().unwrap(), [3, 2, 4]);
+}
