--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -160,7 +160,9 @@
         let began = self.w.now();
         let (mut head, body) = q.into_parts();
         let meta = self.caller.request(&head.headers).map_err(|_| End(Code::BadHead, "a field of the head is wrong", 0))?;
-        let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok()).unwrap_or_default().to_string();
+        let one = |h: &HeaderMap| h.get_all(header::HOST).iter().count() == 1;
+        let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok()).filter(|_| one(&head.headers)).map(str::to_string);
+        let host = host.ok_or(End(Code::BadHead, "one host is needed", 0))?;
         let (route, up, limit) = {
             let c = self.book.config.load();
             let (route, up) = self.route(&c.1.routing, c.0, &host, &head, &meta)?;
