--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -297,7 +297,7 @@
 
     /// A place at a server, by the newest configuration and list at the moment it is taken.
     async fn seat(&self, s: &Shot, first: &Route, prev: Option<&Turn>, tried: &[String]) -> Result<(Route, Claim), End> {
-        let patience = self.w.now() + first.target_ms.max(40) * MS * SEAT_PATIENCE / 100;
+        let patience = self.w.now() + first.target_ms.max(40) * MS * PLACE_PATIENCE / 100;
         loop {
             let now = self.w.now();
             let (route, up) = {
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -215,7 +215,7 @@
 /// bytes. An answer up to this size is read whole before it is passed on, so that a broken one can be told as such.
 pub const ANSWER_WHOLE: u64 = 256 << 10;
 /// percent of a route's aim that a request may wait for a place; above a quarter it is priced as held.
-pub const SEAT_PATIENCE: u64 = 20;
+pub const PLACE_PATIENCE: u64 = 20;
 /// count. Requests beyond a server's slots that its own queue is trusted with.
 pub const SEAT_QUEUE: f64 = 2.0;
 /// us. A server that failed is left alone this long, doubled with each failure in a row up to sixteen times.
