--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use yewcross::ask::Listed;
@@ -47,7 +47,7 @@
     pub back: Arc<dyn BackEnd>,
     pub chains: Option<Arc<dyn Chains>>,
     /// Fronts that share the servers' connections, ourselves among them.
-    pub fronts: Arc<dyn Fn() -> usize + Send + Sync>,
+    pub fronts: AtomicUsize,
     pub pool: Pool,
     pub balance: Balance,
     pub counts: Counts,
@@ -160,7 +160,9 @@
         let began = self.w.now();
         let (mut head, body) = q.into_parts();
         let meta = self.caller.request(&head.headers).map_err(|_| End(Code::BadHead, "a field of the head is wrong", 0))?;
-        let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok()).unwrap_or_default().to_string();
+        let one = |h: &HeaderMap| h.get_all(header::HOST).iter().count() == 1;
+        let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok()).filter(|_| one(&head.headers)).map(str::to_string);
+        let host = host.ok_or(End(Code::BadHead, "one host is needed", 0))?;
         let (route, up, limit) = {
             let c = self.book.config.load();
             let (route, up) = self.route(&c.1.routing, c.0, &host, &head, &meta)?;
@@ -295,7 +297,7 @@
 
     /// A place at a server, by the newest configuration and list at the moment it is taken.
     async fn seat(&self, s: &Shot, first: &Route, prev: Option<&Turn>, tried: &[String]) -> Result<(Route, Claim), End> {
-        let patience = self.w.now() + first.target_ms.max(40) * MS * SEAT_PATIENCE / 100;
+        let patience = self.w.now() + first.target_ms.max(40) * MS * PLACE_PATIENCE / 100;
         loop {
             let now = self.w.now();
             let (route, up) = {
@@ -327,7 +329,7 @@
     }
 
     fn need(&self, s: &Shot, r: &Route, up: &Upstream, prev: Option<&Turn>) -> Need {
-        let fronts = (self.fronts)().max(1) as u32;
+        let fronts = self.fronts.load(SeqCst).max(1) as u32;
         Need {
             service: up.name.clone(),
             engine: up.engine.clone(),
@@ -392,7 +394,9 @@
         };
         let meta = self.back.answer(r.status().as_u16(), r.headers());
         let (ok, code) = (r.status().is_success(), r.status());
-        if meta.attempt != s.meta.attempt || (ok && !meta.stamped) || code.is_informational() {
+        // On a connection of its own nothing late can arrive: there a "not run" needs no id.
+        let ours = meta.attempt == s.meta.attempt || (meta.attempt.is_empty() && meta.not_run && link.fresh);
+        if !ours || (ok && !meta.stamped) || code.is_informational() {
             self.counts.strangers.fetch_add(1, SeqCst);
             c.failed();
             return Sent::Lost;
@@ -470,7 +474,7 @@
 
     fn give_back(&self, server: &str, l: Link, m: &AnswerMeta) {
         if !m.closes {
-            self.pool.keep(server, l, self.w.now(), m.idle_ms, (LINKS_KEPT / (self.fronts)().max(1)).max(4));
+            self.pool.keep(server, l, self.w.now(), m.idle_ms, (LINKS_KEPT / self.fronts.load(SeqCst).max(1)).max(4));
         }
     }
 
@@ -532,7 +536,8 @@
     }
 
     /// Drops idle connections and records of servers that are gone.
-    pub fn tidy(&self) {
+    pub fn tidy(&self, fronts: usize) {
+        self.fronts.store(fronts, SeqCst);
         let l = self.book.list.load();
         let listed = |s: &str| l.1.servers.iter().any(|x| x.server == s);
         self.pool.tidy(self.w.now(), listed);
