--- a/yewcross-lab/tests/defects.rs
+++ b/yewcross-lab/tests/defects.rs
@@ -354,7 +354,6 @@
         |_| (),
         |lab| {
             Box::pin(async move {
-                use std::sync::atomic::Ordering::SeqCst;
                 let m = lab.sim.find("store2");
                 lab.sim.skew(m, 3_600_000);
                 lab.sim.kill(m, false);
@@ -366,7 +365,7 @@
                 lab.op.sleep(5 * SEC).await;
                 let c = lab.control("store2").unwrap();
                 let seen = lab.control("core1").unwrap().members.view.load().get("store2").map(|n| n.born);
-                (c.members.replaced.load(SeqCst), seen == Some(c.members.me.lock().unwrap().born))
+                (c.members.replaced.is_set(), seen == Some(c.members.me.lock().unwrap().born))
             })
         },
     );
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -35,6 +35,19 @@
 pub const PEER_WAIT: u64 = 700 * MS;
 /// us. Opening a connection inside the tier.
 pub const DIAL_WAIT: u64 = 300 * MS;
+/// us. A link of our own whose bytes are not acknowledged is given up: sooner than the usual 3 s in which a machine
+/// counts as in touch again.
+pub const LINK_SILENT: u64 = 2 * SEC;
+/// us. Any other connection: it may outlive a short cut, but not the time in which another server would answer.
+pub const SILENT: u64 = 5 * SEC;
+/// us. A connection we opened is asked for life after this long without a byte, and again as often.
+pub const SILENT_ASK: u64 = SEC;
+/// count. New connections that may wait to be accepted: a burst of all callers of a front while a turn is computed.
+pub const BACKLOG: i32 = 1024;
+/// count. Threads that may wait for the disk at once.
+pub const DISK_HANDS: usize = 4;
+/// bytes. Read from a link at once: several frames of usual size.
+pub const LINK_READ: usize = 16 << 10;
 /// bytes. Largest frame accepted from a peer.
 pub const FRAME_MAX: usize = 64 << 20;
 
@@ -167,9 +180,8 @@
 /// ms. Turns and ledgers are kept this much past their time, for clocks that differ; the shorter where memory is short.
 pub const CHAIN_MARGIN: u64 = 60_000;
 pub const CHAIN_MARGIN_SHORT: u64 = 5_000;
-/// us. How often what is over is looked for, and how often a change of layout that no request told of is.
+/// us. How often what is over is looked for.
 pub const CHAIN_TIDY: u64 = 2 * SEC;
-pub const CHAIN_WATCH: u64 = 250 * MS;
 /// bytes. A segment of a store's log; a new one costs one more sync.
 pub const SEGMENT: u64 = 8 << 20;
 /// bytes. What the log may hold beyond twice what lives.
@@ -187,3 +199,6 @@
 pub const CHAIN_HELD: usize = 256 << 20;
 /// count. Programs whose owner a front remembers.
 pub const CHAIN_OWNERS: usize = 16_384;
+/// us. How long a door that closes, and an idle connection behind it, still look for what was sent before: about one
+/// way through a region.
+pub const LAST_LOOK: u64 = 50 * MS;
--- a/yewcross/src/world.rs
+++ b/yewcross/src/world.rs
@@ -15,6 +15,7 @@
     fn read(&self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>>;
     fn write(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>>;
     fn close(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>>;
+    fn give_up_after(&self, _us: u64) {}
 }
 
 #[derive(Clone)]
@@ -38,6 +39,10 @@
     pub fn allow(&self, n: u64) {
         self.allow.store(n, Relaxed);
     }
+    /// us. Sent bytes that stay unacknowledged this long end the connection (RFC 793's USER TIMEOUT).
+    pub fn give_up_after(&self, us: u64) {
+        self.pipe.give_up_after(us);
+    }
     pub fn spent(&self) -> bool {
         self.allow.load(Relaxed) == 0
     }
@@ -98,6 +103,8 @@
     fn put(&self, path: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>>;
     fn sync(&self, path: &str) -> Fut<'static, io::Result<()>>;
     fn rename(&self, a: &str, b: &str) -> Fut<'static, io::Result<()>>;
+    /// Writes `data` to `aside`, syncs it, renames it to `at` and syncs the folder `dir`: safe once it returns.
+    fn keep(&self, aside: &str, at: &str, dir: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>>;
     fn remove(&self, path: &str) -> Fut<'static, io::Result<()>>;
     /// Adds to the file's end, and returns once it is safe; where the file is new, its name is safe too. One hop.
     fn append(&self, path: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>>;
