--- a/yewcross-control/src/chain.rs
+++ b/yewcross-control/src/chain.rs
@@ -558,7 +558,7 @@
             self.counts.adds.fetch_add(1, Relaxed);
             let mut order = self.line.order(program, &seats, Some(&self.me));
             order.retain(|d| *d != self.me);
-            order.sort_by_key(|d| !by.contains(d));
+            order.sort_by_key(|d| (!self.line.prompt(d), !by.contains(d)));
             let ask = self.asker(seats.lay, What::Add { ledger: row }, until);
             let mut refused = Epoch::default();
             let enough = |s: &BTreeSet<String>| seats.wrote(|d| s.contains(d) || d == self.me);
--- a/yewcross-lab/tests/chain.rs
+++ b/yewcross-lab/tests/chain.rs
@@ -9,6 +9,7 @@
 use yewcross::book::Book;
 use yewcross::chain::*;
 use yewcross::chain_client::Client;
+use yewcross::chain_wire::*;
 use yewcross::consts::*;
 use yewcross::member::Members;
 use yewcross::reg::Epoch;
@@ -685,6 +686,61 @@
     }
 }
 
+/// What one store answers to one question, asked of it directly.
+fn told(t: &Arc<Town>, n: &str, disk: &str, lay: u64, what: What) -> Told {
+    let x = t.node(n).expect("a store that runs");
+    let got: Arc<Mutex<Option<Told>>> = Arc::default();
+    let (g, a) = (got.clone(), encode(&ChainAsk { lay, disk: disk.into(), left: SEC, what }));
+    x.w.go(async move {
+        let b = x.engine.unwrap().hear(a).await;
+        *g.lock().unwrap() = decode(&b);
+    });
+    t.pass(100);
+    let v = got.lock().unwrap().take();
+    v.expect("an answer")
+}
+
+#[test]
+fn a_store_accepts_only_what_it_promised() {
+    let t = Town::new(9, 4, 2, 1);
+    let d = t.disk("store1");
+    let ledger = |n, e: &[(&str, Entry)]| LedgerRow {
+        program: "p".into(),
+        epoch: Epoch { n, by: 7 },
+        entries: e.iter().map(|(k, e)| (k.to_string(), *e)).collect(),
+        keep: 1000,
+    };
+    let ask = |what| told(&t, "store1", &d, 1, what);
+    let (open, done) = (("a", Entry::Open(5)), ("a", Entry::Done(2)));
+    let e = |n| Epoch { n, by: 7 };
+    assert_eq!(ask(What::Add { ledger: ledger(1, &[open]) }), Told::Refused(Epoch::default()), "nothing was promised");
+    assert_eq!(ask(What::Take { ledger: ledger(3, &[open]) }), Told::Taken(vec![("a".into(), Entry::Open(5))]));
+    assert_eq!(ask(What::Take { ledger: ledger(2, &[]) }), Told::Refused(e(3)), "a promise goes back");
+    assert_eq!(ask(What::Add { ledger: ledger(2, &[]) }), Told::Refused(e(3)));
+    assert_eq!(ask(What::Add { ledger: ledger(4, &[]) }), Told::Refused(e(3)), "an epoch that was never promised");
+    assert_eq!(ask(What::Write { rows: vec![], ledger: Some(ledger(9, &[done])) }), Told::Ok);
+    assert_eq!(ask(What::Add { ledger: ledger(3, &[open]) }), Told::Ok);
+    assert_eq!(ask(What::Take { ledger: ledger(4, &[]) }), Told::Taken(vec![("a".into(), Entry::Done(2))]), "what is done stands");
+    assert_eq!(told(&t, "store1", "another", 1, What::Take { ledger: ledger(5, &[]) }), Told::Away, "meant for another disk");
+    let row = |id: &str, prev: &str| {
+        let turn = Turn { id: id.into(), prev: prev.into(), retain_ms: 60_000, ..Default::default() };
+        Row { turn: Arc::new(turn), program: "p".into(), end: 1_790_000_000_000 }
+    };
+    assert_eq!(ask(What::Write { rows: vec![row("y", "x")], ledger: None }), Told::Lacks("x".into()));
+    assert_eq!(ask(What::Find { id: "y".into() }), Told::No, "what was refused is not kept");
+    assert_eq!(ask(What::Write { rows: vec![row("x", ""), row("y", "x")], ledger: None }), Told::Ok);
+    assert_eq!(ask(What::Find { id: "y".into() }), Told::Rows(vec![row("y", "x"), row("x", "")]));
+    t.kill("store1", true);
+    t.boot("store1");
+    t.pass(500);
+    let ask = |what| told(&t, "store1", &d, 1, what);
+    assert_eq!(ask(What::Add { ledger: ledger(3, &[]) }), Told::Refused(e(4)), "a promise outlasts the power");
+    assert_eq!(ask(What::Find { id: "y".into() }), Told::Rows(vec![row("y", "x"), row("x", "")]));
+    t.change(|_| (), &[]);
+    assert!(t.until_settled(5_000));
+    assert_eq!(ask(What::Find { id: "z".into() }), Told::Newer(t.lay.lock().unwrap().0), "by a layout that is over");
+}
+
 #[test]
 fn syncs_a_turn_under_load() {
     for (stores, lost, rate) in [(4, 1, 100u64), (4, 1, 250), (9, 2, 250)] {
--- a/yewcross/src/chain_client.rs
+++ b/yewcross/src/chain_client.rs
@@ -282,7 +282,7 @@
             let held = self.hand.lock().unwrap().turns.peek(&o.prev).map(|x| x.1.clone()).unwrap_or_default();
             let mut order: Vec<String> = vec![];
             let rank = self.line.order(Self::key(o), &seats, owner.as_deref());
-            let likely = owner.iter().chain(&held).filter(|d| self.line.well(d) && seats.has(d)).cloned();
+            let likely = owner.iter().chain(&held).filter(|d| self.line.prompt(d) && seats.has(d)).cloned();
             likely.chain(rank).for_each(|d| {
                 if !order.contains(&d) && !kept.contains(&d) {
                     order.push(d);
--- a/yewcross/src/chain_wire.rs
+++ b/yewcross/src/chain_wire.rs
@@ -11,8 +11,8 @@
 use crate::wire::Lost;
 use crate::world::*;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
-use std::sync::Arc;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
 
 /// What a turn counts in its program's ledger, tokens. `Done` stands against `Open`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -189,12 +189,21 @@
     pub book: Arc<Book>,
     pub follow: Arc<Follow>,
     pub lost: usize,
+    /// Disks that let somebody wait, and until when they are asked last, us.
+    slow: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Line {
     pub fn new(members: &Arc<Members>, book: &Arc<Book>, name: &str, lost: usize) -> Arc<Line> {
         let w = members.w.clone();
-        Arc::new(Line { w, members: members.clone(), book: book.clone(), follow: Follow::new(members, book, name, false), lost })
+        Arc::new(Line {
+            w,
+            members: members.clone(),
+            book: book.clone(),
+            follow: Follow::new(members, book, name, false),
+            lost,
+            slow: Default::default(),
+        })
     }
 
     pub fn seats(&self) -> Seats {
@@ -211,14 +220,23 @@
         self.node(disk).is_some_and(|n| n.state == State::Alive)
     }
 
-    /// Disks in the order in which they are asked for a key: live ones first, then those of other sites than `beside`.
+    /// Well, and not slow of late.
+    pub fn prompt(&self, disk: &str) -> bool {
+        self.well(disk) && self.slow.lock().unwrap().get(disk).is_none_or(|t| *t < self.w.now())
+    }
+
+    fn mark_slow(&self, disk: &str) {
+        self.slow.lock().unwrap().insert(disk.into(), self.w.now() + CHAIN_SLOW);
+    }
+
+    /// Disks in the order in which they are asked for a key: prompt ones first, then those of other sites than `beside`.
     pub fn order(&self, key: &str, seats: &Seats, beside: Option<&str>) -> Vec<String> {
         let l = self.book.layout.load();
         let site = |d: &str| l.1.sites.get(d).cloned();
         let all = seats.all();
         let mut v: Vec<String> = ranked(key, all.iter().map(|d| d.as_str())).into_iter().map(|d| d.to_string()).collect();
         let at = beside.and_then(&site);
-        v.sort_by_key(|d| (!self.well(d), beside == Some(d), at.is_some() && site(d) == at));
+        v.sort_by_key(|d| (!self.prompt(d), beside == Some(d), at.is_some() && site(d) == at));
         v
     }
 
@@ -226,7 +244,7 @@
     pub fn near(&self, key: &str, seats: &Seats, site: &str) -> Vec<String> {
         let l = self.book.layout.load();
         let mut v = self.order(key, seats, None);
-        v.sort_by_key(|d| (!self.well(d), l.1.sites.get(d).is_none_or(|s| s != site)));
+        v.sort_by_key(|d| (!self.prompt(d), l.1.sites.get(d).is_none_or(|s| s != site)));
         v
     }
 
@@ -263,7 +281,7 @@
         mut take: impl FnMut(&str, Told) -> Took,
     ) -> Gathered {
         let (tx, rx) = async_channel::unbounded();
-        let (mut asked, mut taken, mut out) = (BTreeSet::new(), BTreeSet::new(), 0usize);
+        let (mut asked, mut taken, mut out, mut heard) = (BTreeSet::new(), BTreeSet::new(), 0usize, BTreeSet::new());
         let mut line = order.into_iter();
         let mut g = Gathered::default();
         let mut spare = 0;
@@ -292,6 +310,7 @@
             match self.w.within(if patient { left } else { left.min(CHAIN_SPARE) }, rx.recv()).await {
                 Some(Ok((d, t))) => {
                     out -= 1;
+                    heard.insert(d.clone());
                     if let Told::Newer(n) = t {
                         g.newer = g.newer.max(n).max(lay);
                     }
@@ -313,7 +332,10 @@
                         return g;
                     }
                 }
-                _ => spare = 1,
+                _ => {
+                    spare = 1;
+                    asked.difference(&heard).for_each(|d| self.mark_slow(d));
+                }
             }
         }
     }
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -171,6 +171,8 @@
 
 /// us. A store asked to keep something that has not answered by then is joined by another: ten times a slow disk's sync.
 pub const CHAIN_SPARE: u64 = 250 * MS;
+/// us. A store that let somebody wait that long is asked last for so long: until membership has judged it.
+pub const CHAIN_SLOW: u64 = 2 * SEC;
 /// us. Asking again after every store said that it cannot now, doubled by chance.
 pub const CHAIN_AGAIN: u64 = 20 * MS;
 /// us. How long what a turn used is told again by itself; after that it counts at its most.
