--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -188,6 +188,8 @@
 pub const LAST_LOOK: u64 = 50 * MS;
 /// us. A store asked to keep something that has not answered by then is joined by another: ten times a slow disk's sync.
 pub const CHAIN_SPARE: u64 = 250 * MS;
+/// us. A store that let somebody wait that long is asked last for so long: until membership has judged it.
+pub const CHAIN_SLOW: u64 = 2 * SEC;
 /// us. Asking again after every store said that it cannot now, doubled by chance.
 pub const CHAIN_AGAIN: u64 = 20 * MS;
 /// us. How long what a turn used is told again by itself; after that it counts at its most.
@@ -197,9 +199,8 @@
 /// ms. Turns and ledgers are kept this much past their time, for clocks that differ; the shorter where memory is short.
 pub const CHAIN_MARGIN: u64 = 60_000;
 pub const CHAIN_MARGIN_SHORT: u64 = 5_000;
-/// us. How often what is over is looked for, and how often a change of layout that no request told of is.
+/// us. How often what is over is looked for.
 pub const CHAIN_TIDY: u64 = 2 * SEC;
-pub const CHAIN_WATCH: u64 = 250 * MS;
 /// bytes. A segment of a store's log; a new one costs one more sync.
 pub const SEGMENT: u64 = 8 << 20;
 /// bytes. What the log may hold beyond twice what lives.
--- a/yewcross/src/real.rs
+++ b/yewcross/src/real.rs
@@ -219,7 +219,6 @@
     fn append(&self, path: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>> {
         let tail = self.tail.clone();
         self.blocking(path, move |p| {
-            use std::io::Write;
             let mut g = tail.lock().unwrap();
             if g.as_ref().is_none_or(|x| x.0 != p) {
                 let new = !p.exists();
