--- a/yewcross-lab/src/lib.rs
+++ b/yewcross-lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod platform;
 pub mod proof;
 pub mod rogue;
+pub mod routed;
 pub mod script;
 pub mod shape;
 pub mod sim;
--- /dev/null
+++ b/yewcross-lab/src/routed.rs
@@ -0,0 +1,14 @@
+//! Whole tiers that serve routed requests, in virtual time: stand-ins of a platform of our own making that misbehave,
+//! callers that keep to the rules, troubles, and what must hold in spite of them.
+
+pub mod caller;
+pub mod cfg;
+pub mod ports;
+pub mod server;
+pub mod tier;
+pub mod verdict;
+
+/// Tokens in each event.
+pub const PER_EVENT: u64 = 2;
+/// Servers that a try may be sent to.
+pub const TRIES: usize = 3;
--- /dev/null
+++ b/yewcross-lab/src/routed/ports.rs
@@ -0,0 +1,84 @@
+//! A platform of our own making: plain heads, a list in pages.
+
+use bytes::Bytes;
+use http::{HeaderMap, Response};
+use serde::{Deserialize, Serialize};
+use yewcross::ask::Listed;
+use yewcross::code::Code;
+use yewcross::port::{AnswerMeta, BackEnd, Caller, Catalogue, RequestMeta};
+
+pub struct Ports;
+
+pub fn text<'a>(h: &'a HeaderMap, n: &str) -> &'a str {
+    h.get(n).and_then(|v| v.to_str().ok()).unwrap_or_default()
+}
+
+fn parts(s: &str) -> Option<Vec<(u64, u64)>> {
+    s.split(',').filter(|p| !p.is_empty()).map(|p| p.split_once(':').and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)))).collect()
+}
+
+impl Caller for Ports {
+    fn request(&self, h: &HeaderMap) -> Result<RequestMeta, String> {
+        let num = |n: &str| text(h, n).parse().ok();
+        let attempt = text(h, "try").to_string();
+        if attempt.is_empty() {
+            return Err("try".into());
+        }
+        Ok(RequestMeta {
+            attempt,
+            deadline_ms: num("patience"),
+            program: text(h, "program").into(),
+            session: text(h, "session").into(),
+            budget: num("budget"),
+            prompt_tokens: num("tokens").unwrap_or(0),
+            max_output_tokens: num("most").unwrap_or(0),
+            parts: parts(text(h, "parts")).ok_or("parts")?,
+            prev: text(h, "after").into(),
+            ..Default::default()
+        })
+    }
+    fn refuse(&self, c: Code, why: &str, back: u64) -> Response<Bytes> {
+        let r = Response::builder().status(c.http()).header("back-ms", back).header("why", why);
+        r.body(Bytes::new()).unwrap_or_default()
+    }
+}
+
+impl BackEnd for Ports {
+    fn dress(&self, h: &mut HeaderMap, to: &Listed, left: u64, urgency: Option<u8>) {
+        to.server.parse().into_iter().for_each(|v| {
+            h.insert("for", v);
+        });
+        h.insert("patience", left.into());
+        urgency.into_iter().for_each(|u| {
+            h.insert("urgency", u16::from(u).into());
+        });
+    }
+    fn answer(&self, status: u16, h: &HeaderMap) -> AnswerMeta {
+        let load: Vec<u32> = text(h, "load").split(',').filter_map(|x| x.parse().ok()).collect();
+        AnswerMeta {
+            attempt: text(h, "try").into(),
+            stamped: h.contains_key("stamp"),
+            not_run: h.contains_key("not-run") || status == 421,
+            load: (load.len() == 3).then(|| (load[0], load[1], load[2])),
+            idle_ms: text(h, "idle-ms").parse().ok(),
+            closes: text(h, "connection") == "close",
+            weights: String::new(),
+        }
+    }
+}
+
+#[derive(Default, Serialize, Deserialize)]
+pub struct Page {
+    pub servers: Vec<Listed>,
+    pub next: Option<String>,
+}
+
+impl Catalogue for Ports {
+    fn target(&self, page: Option<&str>) -> String {
+        page.map_or("/roster".into(), |p| format!("/roster?page={p}"))
+    }
+    fn read(&self, body: &[u8]) -> Result<(Vec<Listed>, Option<String>), String> {
+        let p: Page = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+        Ok((p.servers, p.next))
+    }
+}
--- a/yewcross-lab/src/sim.rs
+++ b/yewcross-lab/src/sim.rs
@@ -263,6 +263,11 @@
         World(Arc::new(SimHost { sim: self.clone(), who }))
     }
 
+    /// The process that runs on the machine, for more tasks of its.
+    pub fn beside(&self, m: usize) -> World {
+        let life = self.i.lock().unwrap().machines[m].life;
+        World(Arc::new(SimHost { sim: self.clone(), who: (m, life) }))
+    }
     pub fn charge(&self, m: usize, c: Costs) {
         self.i.lock().unwrap().machines[m].cpu.costs = c;
     }
