--- a/yewcross-lab/src/routed/tier.rs
+++ b/yewcross-lab/src/routed/tier.rs
@@ -170,6 +170,7 @@
                         catalogue: Some(Arc::new(Ports)),
                         rollout: Rollout::Majority,
                         bind_http: true,
+                        tends: true,
                         stays: true,
                     };
                     Control::start_with(&w, st, o).await.ok().map(Node::Control)
