Ask the platform's list page by page through the catalogue port

Cause: the duty asked only the product's own list; no server was ever known. Change: poll_catalogue in duty.rs; a list is decided when it differs, under the tier's own number.

--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -2,13 +2,16 @@
 
 use crate::{Control, config, layout};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use yewcross::ask::*;
 use yewcross::consts::*;
 use yewcross::http;
 use yewcross::member::State;
+use yewcross::port::Catalogue;
 use yewcross::reg::*;
+use yewcross::web;
 use yewcross::world::*;
 
 pub const DUTIES: [&str; 2] = ["list", "layout"];
@@ -172,6 +175,9 @@
 /// Asks the platform, in its own time, and decides a list that differs. Returns how long to wait.
 async fn poll_list(c: &Arc<Control>) -> u64 {
     let Some(to) = *c.platform.lock().unwrap() else { return SEC };
+    if let Some(k) = c.options.catalogue.clone() {
+        return poll_catalogue(c, to, &*k).await;
+    }
     c.duties.polls.fetch_add(1, SeqCst);
     let tag = c.duties.etag.lock().unwrap().clone();
     let heads: Vec<(&str, String)> = if tag.is_empty() { vec![] } else { vec![("if-none-match", tag)] };
@@ -203,3 +209,46 @@
     }
     patience.unwrap_or(LIST_EVERY)
 }
+
+/// The same in a catalogue's own words, page by page; the tier numbers the lists.
+async fn poll_catalogue(c: &Arc<Control>, to: SocketAddr, k: &dyn Catalogue) -> u64 {
+    let (mut servers, mut page) = (vec![], None);
+    for _ in 0..LIST_PAGES {
+        c.duties.polls.fetch_add(1, SeqCst);
+        let mut q = hyper::Request::new(Default::default());
+        let Ok(uri) = k.target(page.as_deref()).parse() else { return LIST_EVERY };
+        *q.uri_mut() = uri;
+        let Ok(r) = web::fetch(&c.w, to, q, FRAME_MAX, BACK_WAIT).await else { return LIST_EVERY };
+        if r.status() != 200 {
+            return 2 * LIST_EVERY;
+        }
+        let Ok((mut v, next)) = k.read(r.body()) else { return LIST_EVERY };
+        servers.append(&mut v);
+        page = next;
+        if page.is_none() {
+            break;
+        }
+    }
+    servers.sort_by(|a, b| a.server.cmp(&b.server));
+    if page.is_some() || !c.on_duty(0) || c.book.list.load().1.servers == servers {
+        return LIST_EVERY;
+    }
+    let got = c
+        .owner
+        .change("list", PEER_WAIT, |_, v| {
+            let old: List = serde_json::from_slice(v).unwrap_or_default();
+            if old.servers == servers {
+                return Step::Keep(());
+            }
+            let list = List { rev: old.rev + 1, servers: servers.clone() };
+            Step::Write(serde_json::to_vec(&list).unwrap_or_default(), ())
+        })
+        .await;
+    if got.is_ok()
+        && let Ok((seq, epoch, raw)) = c.owner.read("list", PEER_WAIT).await
+        && seq > c.book.page("list").seq
+    {
+        config::carry(c, "list", seq, epoch, &raw).await;
+    }
+    LIST_EVERY
+}
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -101,6 +101,8 @@
 pub const REPORT_LOST: u64 = 1_500 * MS;
 /// us. Poll of the platform list, unless the platform asks for more patience.
 pub const LIST_EVERY: u64 = 500 * MS;
+/// count. Pages of the platform's list read in one poll; a list without end is no list.
+pub const LIST_PAGES: usize = 256;
 /// us. Waiting for a back end's identity or report.
 pub const BACK_WAIT: u64 = 400 * MS;
 /// us. Longest silence inside a stream before the shot is given up.
