--- a/yewcross-control/src/api.rs
+++ b/yewcross-control/src/api.rs
@@ -17,9 +17,6 @@
     Majority,
 }
 
-/// Whether all is whole under the layout of this number, and how many keys are left.
-pub type Sweeper = dyn Fn(u64) -> (bool, u64) + Send + Sync;
-
 #[derive(Clone)]
 pub struct Options {
     pub dialect: Arc<dyn Dialect>,
@@ -114,11 +111,6 @@
     pub fn ready(&self) -> bool {
         let l = self.book.layout.load();
         let founded = l.0 > 0 && (self.st.role != Role::Core || self.founded.load(SeqCst));
-        founded && !self.vault.failed.load(SeqCst) && !self.members.replaced.load(SeqCst)
-    }
-
-    /// A store engine tells here how far it is whole.
-    pub fn sweep_with(&self, f: impl Fn(u64) -> (bool, u64) + Send + Sync + 'static) {
-        *self.sweeper.lock().unwrap() = Arc::new(f);
+        founded && !self.vault.failed.load(SeqCst) && !self.members.replaced.is_set()
     }
 }
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -1,4 +1,7 @@
 pub mod api;
+pub mod chain;
+pub mod chain_log;
+pub mod chain_sweep;
 pub mod config;
 pub mod duty;
 pub mod layout;
@@ -33,6 +36,7 @@
     pub replica: Arc<Replica>,
     pub owner: Arc<Owner>,
     pub store: Arc<store::Store>,
+    pub chain: Arc<chain::Engine>,
     pub follow: Arc<Follow>,
     pub duties: duty::Duties,
     pub gate: Arc<Gate>,
@@ -52,8 +56,6 @@
     pub platform: Mutex<Option<std::net::SocketAddr>>,
     pub counts: Counts,
     pub options: api::Options,
-    /// Whether what lies beside the registers is whole under a layout, and how much is left; a store engine sets it.
-    pub sweeper: Mutex<Arc<api::Sweeper>>,
 }
 
 #[derive(Default)]
@@ -143,6 +145,7 @@
             api::Rollout::Proved => Follow::new(&members, &book, &st.name, false),
             api::Rollout::Majority => Follow::unleased(&members, &book, &st.name, false, st.bounds.apply * MS),
         };
+        let chain = chain::Engine::start(w, &st, &members, &book, &vault).await.map_err(disk)?;
         let c = Arc::new(Control {
             w: w.clone(),
             peers,
@@ -152,6 +155,7 @@
             replica,
             owner,
             store,
+            chain,
             follow,
             duties: Default::default(),
             gate: Default::default(),
@@ -167,7 +171,6 @@
             platform: Mutex::new(st.platform),
             counts: Default::default(),
             options,
-            sweeper: Mutex::new(Arc::new(|_| (true, 0))),
             st,
         });
         let bind = |at: std::net::SocketAddr| move |source| StartFault::Bind { at: at.to_string(), source };
@@ -220,12 +223,12 @@
                 (Tell::Ok, vec![])
             }
             Ask::SweepDone { layout } => {
-                let more = self.sweeper.lock().unwrap().clone();
-                let (beside, left) = more(layout);
+                let (beside, left) = self.chain.swept(layout);
                 let kept = self.layout_kept();
                 let done = self.swept.load(SeqCst) >= layout && kept >= layout && beside;
                 (Tell::Swept { done, left: self.sweep_left.load(SeqCst) + left, kept }, vec![])
             }
+            Ask::Chain => (Tell::Chain, self.chain.hear(blob).await),
             a => self.store.hear(a, blob).await,
         }
     }
@@ -233,11 +236,9 @@
     /// A planned stop: operators' requests under way are answered, then the others are told.
     pub async fn stop(&self) {
         self.members.leave().await;
-        self.gate.closing.store(true, SeqCst);
+        self.gate.closing.set();
         self.w.sleep(200 * MS).await;
-        while self.gate.busy.load(SeqCst) > 0 {
-            self.w.sleep(20 * MS).await;
-        }
+        self.gate.idle().await;
     }
 
     pub fn layout_kept(&self) -> u64 {
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -41,6 +41,19 @@
 pub const PEER_WAIT: u64 = 700 * MS;
 /// us. Opening a connection inside the tier.
 pub const DIAL_WAIT: u64 = 300 * MS;
+/// us. A link of our own whose bytes are not acknowledged is given up: sooner than the usual 3 s in which a machine
+/// counts as in touch again.
+pub const LINK_SILENT: u64 = 2 * SEC;
+/// us. Any other connection: it may outlive a short cut, but not the time in which another server would answer.
+pub const SILENT: u64 = 5 * SEC;
+/// us. A connection we opened is asked for life after this long without a byte, and again as often.
+pub const SILENT_ASK: u64 = SEC;
+/// count. New connections that may wait to be accepted: a burst of all callers of a front while a turn is computed.
+pub const BACKLOG: i32 = 1024;
+/// count. Threads that may wait for the disk at once.
+pub const DISK_HANDS: usize = 4;
+/// bytes. Read from a link at once: several frames of usual size.
+pub const LINK_READ: usize = 16 << 10;
 /// bytes. Largest frame accepted from a peer.
 pub const FRAME_MAX: usize = 64 << 20;
 
@@ -66,7 +79,7 @@
 /// count. Marks of operators' earlier texts kept, so that a text sent again after it was superseded is still known.
 pub const ORDERS_KEPT: usize = 64;
 /// us. A seat whose machine is missing this long is given to a disk that has none.
-pub const SEAT_PATIENCE: u64 = 1_500 * MS;
+pub const SEAT_MISSING: u64 = 1_500 * MS;
 /// us. Founding waits this long for more store machines than the fewest that may be.
 pub const FOUND_WAIT: u64 = 500 * MS;
 /// us. How often a change of disks under way is looked at.
@@ -173,3 +186,67 @@
 /// us. How long a door that closes, and an idle connection behind it, still look for what was sent before: about one
 /// way through a region.
 pub const LAST_LOOK: u64 = 50 * MS;
+/// us. A store asked to keep something that has not answered by then is joined by another: ten times a slow disk's sync.
+pub const CHAIN_SPARE: u64 = 250 * MS;
+/// us. Asking again after every store said that it cannot now, doubled by chance.
+pub const CHAIN_AGAIN: u64 = 20 * MS;
+/// us. How long what a turn used is told again by itself; after that it counts at its most.
+pub const CHAIN_SETTLE: u64 = 60 * SEC;
+/// ms. A program's ledger is kept this long after its last change at least.
+pub const LEDGER_KEPT: u64 = 300_000;
+/// ms. Turns and ledgers are kept this much past their time, for clocks that differ; the shorter where memory is short.
+pub const CHAIN_MARGIN: u64 = 60_000;
+pub const CHAIN_MARGIN_SHORT: u64 = 5_000;
+/// us. How often what is over is looked for, and how often a change of layout that no request told of is.
+pub const CHAIN_TIDY: u64 = 2 * SEC;
+pub const CHAIN_WATCH: u64 = 250 * MS;
+/// bytes. A segment of a store's log; a new one costs one more sync.
+pub const SEGMENT: u64 = 8 << 20;
+/// bytes. What the log may hold beyond twice what lives.
+pub const SEGMENT_SLACK: u64 = 16 << 20;
+/// bytes. Largest blob of one push between stores, and of one piece of rewriting: it must not hold up a turn's sync.
+pub const CHAIN_PUSH: usize = 512 << 10;
+/// count. Ids asked about in one question.
+pub const CHAIN_IDS: usize = 4096;
+/// bytes. What may wait for the disk before a store says that it cannot.
+pub const CHAIN_QUEUE: usize = 16 << 20;
+/// count. Questions a store has under way before it says that it cannot.
+pub const CHAIN_BUSY: usize = 1024;
+/// bytes. Turns a front keeps on hand, and a store in memory, where the startup file sets no bound.
+pub const CHAIN_HAND: usize = 48 << 20;
+pub const CHAIN_HELD: usize = 256 << 20;
+/// count. Programs whose owner a front remembers.
+pub const CHAIN_OWNERS: usize = 16_384;
+
+/// us. Idle time of a server's connection where the server names none.
+pub const LINK_IDLE: u64 = 5 * SEC;
+/// us. An idle connection is given up this long before the server would close it.
+pub const LINK_SPARE: u64 = SEC;
+/// us. A connection used this recently is not about to be closed; requests that must not run twice prefer those.
+pub const LINK_RECENT: u64 = 3 * SEC;
+/// bytes. Buffer of a server connection, each way.
+pub const LINK_BUF: usize = 64 << 10;
+/// bytes. An answer up to this size is read whole before it is passed on, so that a broken one can be told as such.
+pub const ANSWER_WHOLE: u64 = 256 << 10;
+/// percent of a route's aim that a request may wait for a place; above a quarter it is priced as held.
+pub const SEAT_PATIENCE: u64 = 20;
+/// count. Requests beyond a server's slots that its own queue is trusted with.
+pub const SEAT_QUEUE: f64 = 2.0;
+/// us. A server that failed is left alone this long, doubled with each failure in a row up to sixteen times.
+pub const SEAT_BACKOFF: u64 = 250 * MS;
+/// us. What a server told of its load fades towards its mean at this pace.
+pub const TOLD_FADE: u64 = 300 * MS;
+/// tokens a ms that a server reads, as the platforms at hand name them.
+pub const READ_PER_MS: u64 = 30;
+/// us. What bytes between zones are worth against time.
+pub const ZONE_COST: f64 = 3_000.0;
+/// us. How often connections, seats and waiting lines are tidied.
+pub const TIDY_EVERY: u64 = SEC;
+/// us. From the word to stop until the door closes: the platform sends new callers elsewhere after two missed checks.
+pub const STOP_NOTICE: u64 = 2_500 * MS;
+/// us. Kept back from the grace of a stop, so that the process ends by itself.
+pub const STOP_SPARE: u64 = 500 * MS;
+/// us. How long a turn waits for the stores to open it before it is sent back; a store that moved is found in less.
+pub const STORE_PATIENCE: u64 = SEC;
+/// count. Idle connections to one server that all fronts together keep.
+pub const LINKS_KEPT: usize = 64;
--- a/yewcross/src/member.rs
+++ b/yewcross/src/member.rs
@@ -2,6 +2,7 @@
 
 use crate::ask::{Ask, Tell};
 use crate::consts::*;
+use crate::event::Latch;
 use crate::startup::{Role, Startup};
 use crate::wire::*;
 use crate::world::*;
@@ -66,7 +67,7 @@
     wait: u64,
     dig: AtomicU64,
     /// Set when a younger process carries our name.
-    pub replaced: AtomicBool,
+    pub replaced: Latch,
     /// Outbid a younger process of our name instead of giving way to it.
     pub stays: AtomicBool,
     /// The view changed.
@@ -99,7 +100,7 @@
             beat: s.bounds.beat.max(50) * MS,
             wait: PROBE_WAIT.max(s.bounds.beat * MS / 3),
             dig: AtomicU64::new(0),
-            replaced: AtomicBool::new(false),
+            replaced: Latch::default(),
             stays: AtomicBool::new(false),
             moved: Event::new(),
         };
@@ -147,7 +148,7 @@
                     g.insert(me.name.clone(), (me.clone(), t));
                     moved = true;
                 } else if n.born > me.born {
-                    self.replaced.store(true, SeqCst);
+                    self.replaced.set();
                 } else if n.born == me.born && n.state != State::Alive && n.inc >= me.inc && me.state == State::Alive {
                     me.inc = n.inc + 1;
                     g.insert(me.name.clone(), (me.clone(), t));
