--- a/yewcross-control/src/layout.rs
+++ b/yewcross-control/src/layout.rs
@@ -429,7 +429,7 @@
     gone.sort();
     for n in free.iter().filter(|n| !put.iter().any(|p| p.disk == n.disk)).collect::<Vec<_>>() {
         match gone.pop() {
-            Some((us, d)) if us >= SEAT_ABSENT => {
+            Some((us, d)) if us >= SEAT_MISSING => {
                 out.push(d);
                 put.push(n);
             }
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -56,8 +56,6 @@
     pub platform: Mutex<Option<std::net::SocketAddr>>,
     pub counts: Counts,
     pub options: api::Options,
-    /// Whether what lies beside the registers is whole under a layout, and how much is left; a store engine sets it.
-    pub sweeper: Mutex<Arc<api::Sweeper>>,
 }
 
 #[derive(Default)]
@@ -143,11 +141,11 @@
         };
         let store = Arc::new(store::Store { owner: owner.clone(), members: members.clone(), w: w.clone(), route: Arc::new(route) });
         *own.lock().unwrap() = Some(Arc::downgrade(&store));
-        let chain = chain::Engine::start(w, &st, &members, &book, &vault).await.map_err(disk)?;
         let follow = match options.rollout {
             api::Rollout::Proved => Follow::new(&members, &book, &st.name, false),
             api::Rollout::Majority => Follow::unleased(&members, &book, &st.name, false, st.bounds.apply * MS),
         };
+        let chain = chain::Engine::start(w, &st, &members, &book, &vault).await.map_err(disk)?;
         let c = Arc::new(Control {
             w: w.clone(),
             peers,
@@ -173,11 +171,8 @@
             platform: Mutex::new(st.platform),
             counts: Default::default(),
             options,
-            sweeper: Mutex::new(Arc::new(|_| (true, 0))),
             st,
         });
-        let chain = c.chain.clone();
-        c.sweep_with(move |lay| chain.swept(lay));
         let bind = |at: std::net::SocketAddr| move |source| StartFault::Bind { at: at.to_string(), source };
         let door = w.bind(c.st.peer).await.map_err(bind(c.st.peer))?;
         if c.options.bind_http {
@@ -227,14 +222,13 @@
                 self.sweep_call.notify(usize::MAX);
                 (Tell::Ok, vec![])
             }
-            Ask::Chain => (Tell::Chain, self.chain.hear(blob).await),
             Ask::SweepDone { layout } => {
-                let more = self.sweeper.lock().unwrap().clone();
-                let (beside, left) = more(layout);
+                let (beside, left) = self.chain.swept(layout);
                 let kept = self.layout_kept();
                 let done = self.swept.load(SeqCst) >= layout && kept >= layout && beside;
                 (Tell::Swept { done, left: self.sweep_left.load(SeqCst) + left, kept }, vec![])
             }
+            Ask::Chain => (Tell::Chain, self.chain.hear(blob).await),
             a => self.store.hear(a, blob).await,
         }
     }
@@ -281,7 +275,8 @@
     }
     loop {
         let moved = c.book.moved.listen();
-        for d in DOCS {
+        // Where cores are asked for all else, only the layout must be known again before anybody answers.
+        for d in DOCS.into_iter().filter(|d| !c.options.tends || *d == "layout") {
             let p = c.book.page(d);
             if p.seq > kept[d] {
                 let b = serde_json::to_vec(&(p.seq, p.epoch, String::from_utf8_lossy(&p.raw))).unwrap_or_default();
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -79,7 +79,7 @@
 /// count. Marks of operators' earlier texts kept, so that a text sent again after it was superseded is still known.
 pub const ORDERS_KEPT: usize = 64;
 /// us. A seat whose machine is missing this long is given to a disk that has none.
-pub const SEAT_ABSENT: u64 = 1_500 * MS;
+pub const SEAT_MISSING: u64 = 1_500 * MS;
 /// us. Founding waits this long for more store machines than the fewest that may be.
 pub const FOUND_WAIT: u64 = 500 * MS;
 /// us. How often a change of disks under way is looked at.
--- a/yewcross/src/member.rs
+++ b/yewcross/src/member.rs
@@ -97,10 +97,10 @@
             me: Mutex::new(me),
             clocks: Default::default(),
             started: w.now(),
-            replaced: Latch::default(),
             beat: s.bounds.beat.max(50) * MS,
             wait: PROBE_WAIT.max(s.bounds.beat * MS / 3),
             dig: AtomicU64::new(0),
+            replaced: Latch::default(),
             stays: AtomicBool::new(false),
             moved: Event::new(),
         };
