--- a/yewcross-lab/tests/chain.rs
+++ b/yewcross-lab/tests/chain.rs
@@ -445,7 +445,10 @@
                 return true;
             }
             Refusal::Unknown => j.bad(format!("{id}: {prev} is not known")),
-            Refusal::Away => j.away += 1,
+            Refusal::Away => {
+                j.away += 1;
+                self.sim.note(&format!("{id} of {}: away", p.program));
+            }
         }
         false
     }
@@ -507,7 +510,7 @@
             j.spent,
             j.wrong.len()
         );
-        if !j.wrong.is_empty() && std::env::var("TRACE").is_ok() {
+        if std::env::var("TRACE").is_ok() {
             self.sim.log().iter().for_each(|(t, n, l)| println!("{:>9} {n}: {l}", t / MS));
         }
         assert!(j.wrong.is_empty(), "{what}: {:#?}", &j.wrong[..j.wrong.len().min(12)]);
--- a/yewcross/src/chain_client.rs
+++ b/yewcross/src/chain_client.rs
@@ -227,6 +227,7 @@
         let watch = async {
             loop {
                 w.sleep(CHAIN_SPARE).await;
+                self.line.mark_slow(to);
                 if !self.line.well(to) {
                     return None;
                 }
--- a/yewcross/src/chain_wire.rs
+++ b/yewcross/src/chain_wire.rs
@@ -225,8 +225,15 @@
         self.well(disk) && self.slow.lock().unwrap().get(disk).is_none_or(|t| *t < self.w.now())
     }
 
-    fn mark_slow(&self, disk: &str) {
-        self.slow.lock().unwrap().insert(disk.into(), self.w.now() + CHAIN_SLOW);
+    /// It let somebody wait: asked last for a while, and membership looks at it now, not when its turn comes.
+    pub fn mark_slow(&self, disk: &str) {
+        let t = self.w.now();
+        let was = self.slow.lock().unwrap().insert(disk.into(), t + CHAIN_SLOW);
+        if was.is_none_or(|u| u < t)
+            && let Some(n) = self.node(disk)
+        {
+            self.w.go(self.members.clone().check(n));
+        }
     }
 
     /// Disks in the order in which they are asked for a key: prompt ones first, then those of other sites than `beside`.
--- a/yewcross/src/member.rs
+++ b/yewcross/src/member.rs
@@ -264,7 +264,8 @@
         }
     }
 
-    async fn check(self: Arc<Self>, n: Node) {
+    /// Probes a node now, ourselves and by others, and suspects it where nobody hears it.
+    pub async fn check(self: Arc<Self>, n: Node) {
         if self.probe(n.peer).await {
             return;
         }
