--- a/yewcross-control/src/chain_sweep.rs
+++ b/yewcross-control/src/chain_sweep.rs
@@ -10,13 +10,16 @@
 use yewcross::world::*;
 
 impl Engine {
-    /// Whether all that this disk held when it adopted the layout is where that layout needs it, and how much is not yet.
+    /// Whether all that this disk held when it adopted the layout is where that layout needs it, and how much is not yet. A disk
+    /// without a seat has nothing to bring.
     pub fn swept(&self, layout: u64) -> (bool, u64) {
-        (self.swept.load(SeqCst) >= layout, self.left.load(SeqCst))
+        let seated = self.line.seats().has(&self.me);
+        (!seated || self.swept.load(SeqCst) >= layout, self.left.load(SeqCst))
     }
 
-    pub(crate) async fn watch(self: Arc<Self>, rx: async_channel::Receiver<()>) {
+    pub(crate) async fn watch(self: Arc<Self>) {
         loop {
+            let moved = self.line.book.moved.listen();
             let seats = self.line.seats();
             let seated = seats.has(&self.me);
             if seated && self.doubt.load(SeqCst) {
@@ -33,8 +36,11 @@
                     continue;
                 }
             }
-            let rest = if self.swept.load(SeqCst) < self.line.seats().lay { 2 * CHAIN_AGAIN } else { CHAIN_WATCH };
-            self.w.within(rest, rx.recv()).await;
+            if seated && (self.swept.load(SeqCst) < seats.lay || self.doubt.load(SeqCst)) {
+                self.w.within(2 * CHAIN_AGAIN, moved).await;
+            } else {
+                moved.await;
+            }
         }
     }
 
--- a/yewcross/src/chain_client.rs
+++ b/yewcross/src/chain_client.rs
@@ -8,7 +8,7 @@
 use crate::startup::Startup;
 use crate::world::*;
 use lru::LruCache;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::num::NonZeroUsize;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -46,7 +46,7 @@
     max: usize,
     owners: LruCache<String, String>,
     /// Chains of turns that are open now.
-    pins: HashMap<String, Vec<Row>>,
+    pins: LruCache<String, Vec<Row>>,
 }
 
 impl Hand {
@@ -91,7 +91,7 @@
             bytes: 0,
             max: max.min(CHAIN_HAND),
             owners: LruCache::new(NonZeroUsize::new(CHAIN_OWNERS).unwrap_or(NonZeroUsize::MIN)),
-            pins: HashMap::new(),
+            pins: LruCache::new(NonZeroUsize::new(CHAIN_OWNERS).unwrap_or(NonZeroUsize::MIN)),
         };
         let line = Line::new(members, book, &st.name, st.bounds.lost);
         Client(Arc::new(Inner { line, site: st.site.clone(), hand: Mutex::new(hand), counts: Default::default() }))
@@ -169,7 +169,7 @@
         }
         chain.reverse();
         let turns = chain.iter().map(|r| r.turn.clone()).collect();
-        self.hand.lock().unwrap().pins.insert(o.turn, chain);
+        self.hand.lock().unwrap().pins.put(o.turn, chain);
         Ok(OpenedTurn { chain: turns })
     }
 
@@ -239,7 +239,7 @@
         let row = Row { turn: Arc::new(t), program: o.program.clone(), end: self.line.members.clock().0 };
         let chain = {
             let mut g = self.hand.lock().unwrap();
-            let pin = g.pins.remove(&o.turn);
+            let pin = g.pins.pop(&o.turn);
             pin.unwrap_or_else(|| g.walk(&o.prev).0.into_iter().rev().collect())
         };
         let ledger = Self::budgeted(&o).then(|| Self::done(&o, used, row.turn.retain_ms));
@@ -282,7 +282,7 @@
             let held = self.hand.lock().unwrap().turns.peek(&o.prev).map(|x| x.1.clone()).unwrap_or_default();
             let mut order: Vec<String> = vec![];
             let rank = self.line.order(Self::key(o), &seats, owner.as_deref());
-            let likely = owner.iter().chain(&held).filter(|d| self.line.well(d) && seats.has(d)).cloned();
+            let likely = owner.iter().chain(&held).filter(|d| self.line.prompt(d) && seats.has(d)).cloned();
             likely.chain(rank).for_each(|d| {
                 if !order.contains(&d) && !kept.contains(&d) {
                     order.push(d);
@@ -334,7 +334,7 @@
     }
 
     fn settle(self: &Arc<Self>, o: OpenTurn, used: u64) {
-        self.hand.lock().unwrap().pins.remove(&o.turn);
+        self.hand.lock().unwrap().pins.pop(&o.turn);
         if !Self::budgeted(&o) {
             return;
         }
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -15,6 +15,12 @@
 pub const PROBE_EVERY: u64 = 400 * MS;
 /// beats. How often one address that is missed, a seed's or a removed node's, is asked again.
 pub const REJOIN_BEATS: u64 = 3;
+/// us. A node that knows nobody asks its seeds this often.
+pub const SEED_EVERY: u64 = 150 * MS;
+/// us. Changes this young are told along with a probe.
+pub const NEWS_YOUNG: u64 = 8 * SEC;
+/// count. And so many at most: more than that, and whole tables are swapped.
+pub const NEWS_MOST: usize = 12;
 /// us. Sites sit about 1 ms apart; a scheduling hiccup must not look like a breakdown.
 pub const PROBE_WAIT: u64 = 250 * MS;
 /// count. Third parties asked when a direct probe is lost.
@@ -70,6 +76,14 @@
 pub const PUT_WAIT: u64 = 4 * SEC;
 /// count. Versions of the configuration kept for going back, and for the lists of fronts not yet proved.
 pub const PAST_KEPT: usize = 16;
+/// count. Marks of operators' earlier texts kept, so that a text sent again after it was superseded is still known.
+pub const ORDERS_KEPT: usize = 64;
+/// us. A seat whose machine is missing this long is given to a disk that has none.
+pub const SEAT_ABSENT: u64 = 1_500 * MS;
+/// us. Founding waits this long for more store machines than the fewest that may be.
+pub const FOUND_WAIT: u64 = 500 * MS;
+/// us. How often a change of disks under way is looked at.
+pub const MOVE_LOOK: u64 = 120 * MS;
 /// us. Length of a duty lease as the granter counts it.
 pub const DUTY_LEASE: u64 = 3 * SEC;
 /// us. The holder counts itself out this much earlier.
@@ -87,6 +101,8 @@
 pub const REPORT_LOST: u64 = 1_500 * MS;
 /// us. Poll of the platform list, unless the platform asks for more patience.
 pub const LIST_EVERY: u64 = 500 * MS;
+/// count. Pages of the platform's list read in one poll; a list without end is no list.
+pub const LIST_PAGES: usize = 256;
 /// us. Waiting for a back end's identity or report.
 pub const BACK_WAIT: u64 = 400 * MS;
 /// us. Longest silence inside a stream before the shot is given up.
@@ -174,6 +190,8 @@
 pub const LAST_LOOK: u64 = 50 * MS;
 /// us. A store asked to keep something that has not answered by then is joined by another: ten times a slow disk's sync.
 pub const CHAIN_SPARE: u64 = 250 * MS;
+/// us. A store that let somebody wait that long is asked last for so long: until membership has judged it.
+pub const CHAIN_SLOW: u64 = 2 * SEC;
 /// us. Asking again after every store said that it cannot now, doubled by chance.
 pub const CHAIN_AGAIN: u64 = 20 * MS;
 /// us. How long what a turn used is told again by itself; after that it counts at its most.
@@ -183,9 +201,8 @@
 /// ms. Turns and ledgers are kept this much past their time, for clocks that differ; the shorter where memory is short.
 pub const CHAIN_MARGIN: u64 = 60_000;
 pub const CHAIN_MARGIN_SHORT: u64 = 5_000;
-/// us. How often what is over is looked for, and how often a change of layout that no request told of is.
+/// us. How often what is over is looked for.
 pub const CHAIN_TIDY: u64 = 2 * SEC;
-pub const CHAIN_WATCH: u64 = 250 * MS;
 /// bytes. A segment of a store's log; a new one costs one more sync.
 pub const SEGMENT: u64 = 8 << 20;
 /// bytes. What the log may hold beyond twice what lives.
