--- a/yewcross-lab/tests/routed.rs
+++ b/yewcross-lab/tests/routed.rs
@@ -11,8 +11,11 @@
     let v = judge(&e);
     let good = e.tries.iter().filter(|t| t.good() || t.heads.contains_key("stamp")).count();
     let words: Vec<String> = acts.iter().map(|a| a.to_string()).collect();
-    let mut by: std::collections::BTreeMap<(u16, bool), usize> = Default::default();
-    e.tries.iter().for_each(|t| *by.entry((t.status, t.whole)).or_default() += 1);
+    let mut by: std::collections::BTreeMap<String, usize> = Default::default();
+    e.tries.iter().for_each(|t| {
+        let why = t.heads.get("why").and_then(|v| v.to_str().ok()).unwrap_or_default();
+        *by.entry(format!("{}{}{why}", t.status, if t.whole { " " } else { " cut " })).or_default() += 1;
+    });
     println!(
         "seed {seed} [{}]: {} tries, {good} good, {} runs, {} programs of {}, {} s, {by:?}, {} faults",
         words.join(","),
