--- a/yewcross-control/src/chain.rs
+++ b/yewcross-control/src/chain.rs
@@ -194,8 +194,6 @@
     pub doubt: AtomicBool,
     pub swept: AtomicU64,
     pub left: AtomicU64,
-    /// Tells of a change of layout, or of a disk to mend.
-    pub nudge: async_channel::Sender<()>,
 }
 
 enum Taken {
@@ -215,7 +213,6 @@
         ends.iter().for_each(|(p, u)| shelf.lengthen(p, *u));
         f.hurt.iter().for_each(|s| w.log(&format!("damaged segment {s:x} of the log; asking the other disks")));
         let seg = f.sizes.keys().last().map_or(1, |s| s + 1);
-        let (tx, rx) = async_channel::bounded(1);
         let max = if st.bounds.memory_mb == 0 { CHAIN_HELD } else { (st.bounds.memory_mb as usize) << 19 };
         let e = Arc::new(Engine {
             w: w.clone(),
@@ -232,7 +229,6 @@
             doubt: AtomicBool::new(!f.hurt.is_empty()),
             swept: AtomicU64::new(0),
             left: AtomicU64::new(0),
-            nudge: tx,
         });
         if !f.torn.is_empty() {
             // Before anything else is written behind it.
@@ -240,7 +236,7 @@
             e.keep(marks);
         }
         w.go(e.clone().upkeep());
-        w.go(e.clone().watch(rx));
+        w.go(e.clone().watch());
         Ok(e)
     }
 
@@ -424,7 +420,8 @@
         match futures_lite::future::zip(room, chain).await {
             (Told::Ok, Ok(rows)) => Told::Opened { rows },
             (Told::Ok, Err(t)) => {
-                if budget.is_some() {
+                // Where it cannot be told, another store may yet open the same turn.
+                if budget.is_some() && t == Told::Unknown {
                     self.undo(program, turn);
                 }
                 t
@@ -561,7 +558,7 @@
             self.counts.adds.fetch_add(1, Relaxed);
             let mut order = self.line.order(program, &seats, Some(&self.me));
             order.retain(|d| *d != self.me);
-            order.sort_by_key(|d| !by.contains(d));
+            order.sort_by_key(|d| (!self.line.prompt(d), !by.contains(d)));
             let ask = self.asker(seats.lay, What::Add { ledger: row }, until);
             let mut refused = Epoch::default();
             let enough = |s: &BTreeSet<String>| seats.wrote(|d| s.contains(d) || d == self.me);
--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -2,12 +2,16 @@
 
 use crate::{Control, config, layout};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use yewcross::ask::*;
 use yewcross::consts::*;
 use yewcross::http;
+use yewcross::member::State;
+use yewcross::port::Catalogue;
 use yewcross::reg::*;
+use yewcross::web;
 use yewcross::world::*;
 
 pub const DUTIES: [&str; 2] = ["list", "layout"];
@@ -18,6 +22,10 @@
     given: Mutex<BTreeMap<String, (String, u64)>>,
     /// As holder: until when, on our clock.
     held: [AtomicU64; 2],
+    /// Since when the machine of a seat is missing, us, as the keeper of the seats saw it.
+    pub missing: Mutex<BTreeMap<String, u64>>,
+    /// Since when the tier is founded, us.
+    pub since: AtomicU64,
     pub polls: AtomicU64,
     etag: Mutex<String>,
 }
@@ -84,11 +92,52 @@
 impl Control {
     /// Asked right before every act, so that a node that woke from a freeze does not act on an old lease.
     pub fn on_duty(&self, i: usize) -> bool {
+        if self.options.tends {
+            return self.first_in_line();
+        }
         self.w.now() < self.duties.held[i].load(SeqCst)
     }
+
+    /// A tier that keeps itself needs no lease: whatever a duty decides is bound to the version it was made from, so two
+    /// who think it theirs cost time only. It falls to the first core seat that answers, on the side that has most.
+    fn first_in_line(&self) -> bool {
+        let l = self.book.layout.load();
+        let view = self.members.view.load();
+        let up = |d: &str| view.values().any(|n| n.disk == d && n.state == State::Alive);
+        let seats = l.1.core.now.iter().map(|s| s.as_str());
+        let n = seats.clone().filter(|d| up(d)).count();
+        let first = yewcross::hash::ranked("duty", seats).into_iter().find(|d| up(d));
+        self.founded.load(SeqCst) && n >= majority(l.1.core.now.len()) && first == Some(self.vault.id.as_str())
+    }
+}
+
+/// Keeps the seats: wakes when a machine comes, goes or returns, and when a change is under way.
+async fn keep_seats(c: Arc<Control>) {
+    let mut was = false;
+    loop {
+        let (l, m) = (c.book.moved.listen(), c.members.moved.listen());
+        let now = c.on_duty(1);
+        if was != now {
+            was = now;
+            c.w.log(if now { "on duty" } else { "off duty" });
+        }
+        let rest = if now { layout::tend_seats(&c).await } else { SEC };
+        if rest > 0 {
+            c.w.within(rest, futures_lite::future::or(l, m)).await;
+        }
+    }
 }
 
 pub async fn run(c: Arc<Control>) {
+    if c.options.tends {
+        c.w.go(layout::found_self(c.clone()));
+        c.w.go(keep_seats(c.clone()));
+        loop {
+            let rest = if c.on_duty(0) { poll_list(&c).await } else { LIST_EVERY };
+            c.w.sleep(rest).await;
+        }
+    }
+    c.founded.store(true, SeqCst);
     for (i, duty) in DUTIES.into_iter().enumerate() {
         let me = c.clone();
         c.w.go(async move {
@@ -126,6 +175,9 @@
 /// Asks the platform, in its own time, and decides a list that differs. Returns how long to wait.
 async fn poll_list(c: &Arc<Control>) -> u64 {
     let Some(to) = *c.platform.lock().unwrap() else { return SEC };
+    if let Some(k) = c.options.catalogue.clone() {
+        return poll_catalogue(c, to, &*k).await;
+    }
     c.duties.polls.fetch_add(1, SeqCst);
     let tag = c.duties.etag.lock().unwrap().clone();
     let heads: Vec<(&str, String)> = if tag.is_empty() { vec![] } else { vec![("if-none-match", tag)] };
@@ -157,3 +209,46 @@
     }
     patience.unwrap_or(LIST_EVERY)
 }
+
+/// The same in a catalogue's own words, page by page; the tier numbers the lists.
+async fn poll_catalogue(c: &Arc<Control>, to: SocketAddr, k: &dyn Catalogue) -> u64 {
+    let (mut servers, mut page) = (vec![], None);
+    for _ in 0..LIST_PAGES {
+        c.duties.polls.fetch_add(1, SeqCst);
+        let mut q = hyper::Request::new(Default::default());
+        let Ok(uri) = k.target(page.as_deref()).parse() else { return LIST_EVERY };
+        *q.uri_mut() = uri;
+        let Ok(r) = web::fetch(&c.w, to, q, FRAME_MAX, BACK_WAIT).await else { return LIST_EVERY };
+        if r.status() != 200 {
+            return 2 * LIST_EVERY;
+        }
+        let Ok((mut v, next)) = k.read(r.body()) else { return LIST_EVERY };
+        servers.append(&mut v);
+        page = next;
+        if page.is_none() {
+            break;
+        }
+    }
+    servers.sort_by(|a, b| a.server.cmp(&b.server));
+    if page.is_some() || !c.on_duty(0) || c.book.list.load().1.servers == servers {
+        return LIST_EVERY;
+    }
+    let got = c
+        .owner
+        .change("list", PEER_WAIT, |_, v| {
+            let old: List = serde_json::from_slice(v).unwrap_or_default();
+            if old.servers == servers {
+                return Step::Keep(());
+            }
+            let list = List { rev: old.rev + 1, servers: servers.clone() };
+            Step::Write(serde_json::to_vec(&list).unwrap_or_default(), ())
+        })
+        .await;
+    if got.is_ok()
+        && let Ok((seq, epoch, raw)) = c.owner.read("list", PEER_WAIT).await
+        && seq > c.book.page("list").seq
+    {
+        config::carry(c, "list", seq, epoch, &raw).await;
+    }
+    LIST_EVERY
+}
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -217,7 +217,7 @@
             caller: o.caller,
             back: o.back,
             chains: o.chains,
-            fronts: Arc::new(move || m.alive(Role::Front).len().max(1)),
+            fronts: Default::default(),
             pool: Default::default(),
             balance: Default::default(),
             counts: Default::default(),
@@ -232,7 +232,7 @@
         self.w.go(async move {
             loop {
                 w.sleep(TIDY_EVERY).await;
-                relay.tidy();
+                relay.tidy(m.view.load().values().filter(|n| n.role == Role::Front).count());
             }
         });
         Ok(())
@@ -308,7 +308,7 @@
 
     async fn hear(self: &Arc<Self>, a: Ask, blob: Vec<u8>) -> Tell {
         match a {
-            Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } => self.members.hear(a).await,
+            Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => self.members.hear(a).await,
             Ask::Newer { .. } => self.follow.newer(),
             Ask::Adopt { name, seq, epoch } => {
                 if self.book.adopt(&name, seq, epoch, blob) && name != "list" {
