Begin a change anew when its newcomer is gone; push what changed; fence the platform's list by version

Change: amend() from the old seats; Ask::Patch with the lines that changed; poll_catalogue replaces only the version it knew before it asked, backs off when refused; a silent link is left for a new one; addresses of known machines are kept on disk; a planned stop is told to all machines with disks at once.

--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -27,6 +27,8 @@
     /// Since when the tier is founded, us.
     pub since: AtomicU64,
     pub polls: AtomicU64,
+    /// Polls refused in a row.
+    refused: AtomicU64,
     etag: Mutex<String>,
 }
 
@@ -210,45 +212,56 @@
     patience.unwrap_or(LIST_EVERY)
 }
 
-/// The same in a catalogue's own words, page by page; the tier numbers the lists.
+/// The same in a catalogue's own words, page by page; the tier numbers the lists. A list read after version `at` was known
+/// replaces that one only: one that waited somewhere replaces nothing.
 async fn poll_catalogue(c: &Arc<Control>, to: SocketAddr, k: &dyn Catalogue) -> u64 {
+    let at = c.book.page("list").seq;
     let (mut servers, mut page) = (vec![], None);
     for _ in 0..LIST_PAGES {
         c.duties.polls.fetch_add(1, SeqCst);
         let mut q = hyper::Request::new(Default::default());
-        let Ok(uri) = k.target(page.as_deref()).parse() else { return LIST_EVERY };
+        let Ok(uri) = k.target(page.as_deref()).parse() else { return PAGES_EVERY };
         *q.uri_mut() = uri;
-        let Ok(r) = web::fetch(&c.w, to, q, FRAME_MAX, BACK_WAIT).await else { return LIST_EVERY };
+        let Ok(r) = web::fetch(&c.w, to, q, FRAME_MAX, PAGE_WAIT).await else { return PAGES_EVERY };
         if r.status() != 200 {
-            return 2 * LIST_EVERY;
+            let told = r.headers().get("retry-after").and_then(|v| v.to_str().ok()?.parse::<f64>().ok()).map(|s| (s.max(0.0) * 1e6) as u64);
+            let n = c.duties.refused.fetch_add(1, SeqCst).min(3);
+            return told.unwrap_or(PAGES_EVERY << n).min(PAGES_BACK_OFF);
         }
-        let Ok((mut v, next)) = k.read(r.body()) else { return LIST_EVERY };
+        let Ok((mut v, next)) = k.read(r.body()) else { return PAGES_EVERY };
         servers.append(&mut v);
         page = next;
         if page.is_none() {
             break;
         }
     }
+    c.duties.refused.store(0, SeqCst);
     servers.sort_by(|a, b| a.server.cmp(&b.server));
-    if page.is_some() || !c.on_duty(0) || c.book.list.load().1.servers == servers {
-        return LIST_EVERY;
+    servers.dedup_by(|a, b| a.server == b.server);
+    if page.is_some() || !c.on_duty(0) || (at > 0 && c.book.list.load().1.servers == servers) {
+        return PAGES_EVERY;
     }
     let got = c
         .owner
-        .change("list", PEER_WAIT, |_, v| {
+        .change("list", PEER_WAIT, |seq, v| {
             let old: List = serde_json::from_slice(v).unwrap_or_default();
-            if old.servers == servers {
-                return Step::Keep(());
+            if seq > at || old.servers == servers {
+                return Step::Keep((seq, v.to_vec()));
             }
-            let list = List { rev: old.rev + 1, servers: servers.clone() };
-            Step::Write(serde_json::to_vec(&list).unwrap_or_default(), ())
+            let raw = lines(&List { rev: old.rev + 1, servers: servers.clone() });
+            Step::Write(raw.clone(), (seq + 1, raw))
         })
         .await;
-    if got.is_ok()
-        && let Ok((seq, epoch, raw)) = c.owner.read("list", PEER_WAIT).await
+    if let Ok((seq, raw)) = got
         && seq > c.book.page("list").seq
     {
-        config::carry(c, "list", seq, epoch, &raw).await;
+        config::push(c, "list", seq, raw);
     }
-    LIST_EVERY
+    PAGES_EVERY
+}
+
+/// A server a line, so that a change travels as the lines that changed.
+fn lines(l: &List) -> Vec<u8> {
+    let v: Vec<String> = l.servers.iter().map(|s| serde_json::to_string(s).unwrap_or_default()).collect();
+    format!("{{\"rev\":{},\"servers\":[\n{}\n]}}", l.rev, v.join(",\n")).into_bytes()
 }
--- a/yewcross-control/src/layout.rs
+++ b/yewcross-control/src/layout.rs
@@ -149,6 +149,9 @@
 
 async fn spread(c: &Arc<Control>) {
     if let Ok((seq, epoch, v)) = c.owner.read("layout", PEER_WAIT).await {
+        if c.options.tends {
+            return config::push(c, "layout", seq, v.to_vec());
+        }
         let me = c.clone();
         c.w.go(async move {
             config::carry(&me, "layout", seq, epoch, &v).await;
@@ -404,7 +407,31 @@
     [Role::Store, Role::Core].into_iter().find_map(|role| plan_of(l, seq, k, role))
 }
 
+/// A change whose newcomer is gone begins anew from the old seats, which are in force all along.
+pub fn amend(l: &Layout, seq: u64, k: &Known) -> Option<Layout> {
+    let role = if l.core.old.is_empty() { Role::Store } else { Role::Core };
+    let g = if role == Role::Core { &l.core } else { &l.store };
+    let gone = |d: &String| {
+        let back = k.live.iter().any(|n| n.disk != *d && l.names.get(d) == Some(&n.name));
+        back || (k.missing)(d) >= SEAT_MISSING
+    };
+    if g.old.is_empty() || !g.now.iter().any(|d| !g.old.contains(d) && gone(d)) {
+        return None;
+    }
+    let mut n = l.clone();
+    let g = if role == Role::Core { &mut n.core } else { &mut n.store };
+    (g.now, g.old) = (std::mem::take(&mut g.old), vec![]);
+    Some(plan_of(&n, seq, k, role).unwrap_or_else(|| {
+        settle(&mut n);
+        n
+    }))
+}
+
 fn plan_of(l: &Layout, seq: u64, k: &Known, role: Role) -> Option<Layout> {
+    plan_with(l, seq, k, role, true).or_else(|| plan_with(l, seq, k, role, false))
+}
+
+fn plan_with(l: &Layout, seq: u64, k: &Known, role: Role, retire: bool) -> Option<Layout> {
     let g = if role == Role::Core { &l.core } else { &l.store };
     let free: Vec<&Node> = k
         .live
@@ -413,7 +440,7 @@
         .filter(|n| !g.now.contains(&n.disk) && !l.retired.contains(&n.name))
         .collect();
     let name = |d: &String| l.names.get(d).cloned().unwrap_or_default();
-    let mut out: Vec<&String> = g.now.iter().filter(|d| role == Role::Store && l.retired.contains(&name(d))).collect();
+    let mut out: Vec<&String> = g.now.iter().filter(|d| retire && role == Role::Store && l.retired.contains(&name(d))).collect();
     let retires = !out.is_empty();
     let mut put: Vec<&Node> = vec![];
     // A machine that came back empty, under its name or at its address.
@@ -461,12 +488,7 @@
     if l.0 == 0 || !c.founded.load(SeqCst) {
         return SEC;
     }
-    if !l.1.core.old.is_empty() {
-        return if finish_core(c, &l).await { 0 } else { MOVE_LOOK };
-    }
-    if !l.1.store.old.is_empty() {
-        return if finish_store(c, &l).await { 0 } else { MOVE_LOOK };
-    }
+    let moving = !l.1.core.old.is_empty() || !l.1.store.old.is_empty();
     let t = c.w.now();
     let live: Vec<Node> = c.members.view.load().values().cloned().collect();
     let here = |d: &String| live.iter().any(|n| n.disk == *d && n.state == State::Alive);
@@ -480,16 +502,21 @@
     }
     let since = c.duties.missing.lock().unwrap().clone();
     let rest = if since.is_empty() { SEC } else { 200 * MS };
+    let next = {
+        let missing = |d: &str| since.get(d).map_or(0, |s| (t - s).max(1));
+        let k = Known { live: &live, heard: &c.members.all(), missing: &missing, lost: c.st.bounds.lost };
+        if moving { amend(&l.1, l.0, &k) } else { plan(&l.1, l.0, &k) }
+    };
+    if moving && next.is_none() {
+        let done = if l.1.core.old.is_empty() { finish_store(c, &l).await } else { finish_core(c, &l).await };
+        return if done { 0 } else { MOVE_LOOK };
+    }
     let stores = live.iter().filter(|n| n.role == Role::Store && n.state == State::Alive).count();
     // The first stores are seated together.
     let early = l.1.store.now.is_empty() && stores > 0 && t < c.duties.since.load(SeqCst) + FOUND_WAIT;
     if early {
         return 100 * MS;
     }
-    let next = {
-        let missing = |d: &str| since.get(d).map_or(0, |s| (t - s).max(1));
-        plan(&l.1, l.0, &Known { live: &live, heard: &c.members.all(), missing: &missing, lost: c.st.bounds.lost })
-    };
     let Some(n) = next else { return rest };
     if !c.on_duty(1) {
         return rest;
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -185,6 +185,9 @@
         w.go(c.members.clone().run());
         w.go(c.follow.clone().run());
         w.go(keep_pages(c.clone()));
+        if c.options.tends {
+            w.go(keep_peers(c.clone()));
+        }
         w.go(layout::sweep(c.clone()));
         w.go(tidy(c.clone()));
         if c.st.role == Role::Core {
@@ -213,6 +216,10 @@
                 self.book.adopt(&name, seq, epoch, blob);
                 (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
             }
+            Ask::Patch { name, seq, epoch, base } => {
+                self.book.patch(&name, base, seq, epoch, &blob);
+                (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
+            }
             Ask::Grants { name, seq } => (config::grants(self, &name, seq).await, vec![]),
             Ask::Proved { seq } => (config::proved(self, seq).await, vec![]),
             Ask::Found => (layout::found_here(self, blob).await, vec![]),
@@ -292,6 +299,28 @@
     }
 }
 
+/// Addresses of machines with disks are kept, so that a restart finds them where its seeds are down.
+async fn keep_peers(c: Arc<Control>) {
+    let was = c.vault.load("local", "peers").await.ok().flatten();
+    let (mut ver, mut kept) =
+        was.and_then(|(v, b)| Some((v, serde_json::from_slice::<Vec<std::net::SocketAddr>>(&b).ok()?))).unwrap_or_default();
+    *c.members.known.lock().unwrap() = kept.clone();
+    loop {
+        let moved = c.members.moved.listen();
+        let mut now: Vec<_> = c.members.view.load().values().filter(|n| !n.disk.is_empty()).map(|n| n.peer).collect();
+        now.sort();
+        if now != kept
+            && now.len() > 1
+            && c.vault.keep("local", "peers", ver + 1, &serde_json::to_vec(&now).unwrap_or_default()).await.is_ok()
+        {
+            ver += 1;
+            kept = now;
+        }
+        c.w.sleep(PEERS_KEPT).await;
+        moved.await;
+    }
+}
+
 async fn tidy(c: Arc<Control>) {
     loop {
         c.w.sleep(10 * SEC).await;
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -310,6 +310,12 @@
         match a {
             Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => self.members.hear(a).await,
             Ask::Newer { .. } => self.follow.newer(),
+            Ask::Patch { name, seq, epoch, base } => {
+                if self.book.patch(&name, base, seq, epoch, &blob) && name != "list" {
+                    self.follow.reset();
+                }
+                Tell::Adopted { seq: self.book.page(&name).seq }
+            }
             Ask::Adopt { name, seq, epoch } => {
                 if self.book.adopt(&name, seq, epoch, blob) && name != "list" {
                     self.follow.reset();
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -47,6 +47,13 @@
         seq: u64,
         epoch: Epoch,
     },
+    /// The same as a change to the version named, for whoever holds that one.
+    Patch {
+        name: String,
+        seq: u64,
+        epoch: Epoch,
+        base: u64,
+    },
     Grants {
         name: String,
         seq: u64,
--- a/yewcross/src/book.rs
+++ b/yewcross/src/book.rs
@@ -62,6 +62,13 @@
         DOCS.iter().position(|d| *d == name).map(|i| self.pages[i].load_full()).unwrap_or_default()
     }
 
+    /// Takes a decided document as a change to the version on hand; nothing where another is on hand.
+    pub fn patch(&self, name: &str, base: u64, seq: u64, epoch: Epoch, delta: &[u8]) -> bool {
+        let p = self.page(name);
+        let raw = Some(p).filter(|p| p.seq == base).and_then(|p| crate::delta::patch(&p.raw, delta));
+        raw.is_some_and(|raw| self.adopt(name, seq, epoch, raw))
+    }
+
     /// Takes a decided document; never an older one than is on hand.
     pub fn adopt(&self, name: &str, seq: u64, epoch: Epoch, raw: Vec<u8>) -> bool {
         let _g = self.gate.lock().unwrap();
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -15,6 +15,10 @@
 pub const PROBE_EVERY: u64 = 400 * MS;
 /// beats. How often one address that is missed, a seed's or a removed node's, is asked again.
 pub const REJOIN_BEATS: u64 = 3;
+/// count. Addresses that a node which knows nobody asks at once.
+pub const SEEDS_AT_ONCE: usize = 6;
+/// us. Addresses of known nodes are written to disk no more often.
+pub const PEERS_KEPT: u64 = 3 * SEC;
 /// us. A node that knows nobody asks its seeds this often.
 pub const SEED_EVERY: u64 = 150 * MS;
 /// us. Changes this young are told along with a probe.
@@ -39,6 +43,8 @@
 
 /// us. Cap on one exchange between our processes on the serving path.
 pub const PEER_WAIT: u64 = 700 * MS;
+/// us. A connection on which nothing came for this long after a question is left for a new one.
+pub const LINK_DOUBT: u64 = 200 * MS;
 /// us. Opening a connection inside the tier.
 pub const DIAL_WAIT: u64 = 300 * MS;
 /// us. A link of our own whose bytes are not acknowledged is given up: sooner than the usual 3 s in which a machine
@@ -101,6 +107,12 @@
 pub const REPORT_LOST: u64 = 1_500 * MS;
 /// us. Poll of the platform list, unless the platform asks for more patience.
 pub const LIST_EVERY: u64 = 500 * MS;
+/// us. Poll of a platform's list in its own words: each page is a call that has its price.
+pub const PAGES_EVERY: u64 = SEC;
+/// us. The longest that a refused poll of it backs off to.
+pub const PAGES_BACK_OFF: u64 = 8 * SEC;
+/// us. Waiting for one page.
+pub const PAGE_WAIT: u64 = 1_500 * MS;
 /// count. Pages of the platform's list read in one poll; a list without end is no list.
 pub const LIST_PAGES: usize = 256;
 /// us. Waiting for a back end's identity or report.
--- a/yewcross/src/member.rs
+++ b/yewcross/src/member.rs
@@ -56,6 +56,8 @@
     pub peers: Arc<Peers>,
     pub me: Mutex<Node>,
     pub seeds: Mutex<Vec<SocketAddr>>,
+    /// Peer addresses of an earlier life, as this machine's disk kept them.
+    pub known: Mutex<Vec<SocketAddr>>,
     table: Mutex<BTreeMap<String, (Node, u64)>>,
     /// Read-copy-update view of all nodes not gone.
     pub view: ArcSwap<BTreeMap<String, Node>>,
@@ -92,6 +94,7 @@
             w: w.clone(),
             peers: peers.clone(),
             seeds: Mutex::new(s.seeds.iter().filter(|a| **a != s.peer).cloned().collect()),
+            known: Default::default(),
             table: Mutex::new([(me.name.clone(), (me.clone(), w.now()))].into()),
             view: ArcSwap::from_pointee([(me.name.clone(), me.clone())].into()),
             me: Mutex::new(me),
@@ -328,8 +331,15 @@
     fn missed(&self, all: bool) -> Vec<SocketAddr> {
         let ours: Vec<SocketAddr> = self.view.load().values().map(|n| n.peer).collect();
         let mut v = self.seeds.lock().unwrap().clone();
+        v.extend(self.known.lock().unwrap().iter().cloned());
         v.extend(self.all().iter().filter(|n| n.state == State::Gone).map(|n| n.peer));
-        v.retain(|a| all || !ours.contains(a));
+        let me = self.me.lock().unwrap().peer;
+        v.retain(|a| *a != me && (all || !ours.contains(a)));
+        v.sort();
+        v.dedup();
+        while all && v.len() > SEEDS_AT_ONCE {
+            v.swap_remove(self.w.pick(v.len()));
+        }
         v
     }
 
@@ -399,9 +409,23 @@
             me.inc += 1;
             me.clone()
         };
-        let ns: Vec<Node> = self.view.load().values().filter(|n| n.name != me.name).take(4).cloned().collect();
-        for n in ns {
-            let _ = self.peers.ask(n.peer, &Ask::Table { nodes: vec![me.clone()] }, &[], PROBE_WAIT).await;
+        let mut ns: Vec<Node> = self.view.load().values().filter(|n| n.name != me.name).cloned().collect();
+        ns.sort_by_key(|n| n.disk.is_empty());
+        let disks = ns.iter().filter(|n| !n.disk.is_empty()).count();
+        ns.truncate(if me.disk.is_empty() { 4 } else { disks.max(4) });
+        let fs: Vec<Fut<'static, ()>> = ns
+            .into_iter()
+            .map(|n| {
+                let (p, a) = (self.peers.clone(), Ask::Table { nodes: vec![me.clone()] });
+                let f: Fut<'static, ()> = Box::pin(async move {
+                    let _ = p.ask(n.peer, &a, &[], PROBE_WAIT).await;
+                });
+                f
+            })
+            .collect();
+        let (k, rx) = (fs.len(), self.w.fan(fs));
+        for _ in 0..k {
+            let _ = rx.recv().await;
         }
     }
 }
--- a/yewcross/src/wire.rs
+++ b/yewcross/src/wire.rs
@@ -53,6 +53,8 @@
 struct Link {
     out: Sender<Vec<u8>>,
     wait: Arc<Mutex<BTreeMap<u64, Sender<Parcel>>>>,
+    /// us. When anything was last heard on it.
+    heard: AtomicU64,
 }
 
 pub struct Peers {
@@ -138,13 +140,14 @@
         let c = self.w.dial(to, DIAL_WAIT).await.map_err(|_| Lost::Unsent)?;
         c.give_up_after(LINK_SILENT);
         let (tx, rx) = async_channel::bounded::<Vec<u8>>(1024);
-        let mine = Arc::new(Link { out: tx, wait: Default::default() });
+        let mine = Arc::new(Link { out: tx, wait: Default::default(), heard: AtomicU64::new(self.w.now()) });
         let l = self.links.lock().unwrap().entry(to).or_insert_with(|| mine.clone()).clone();
         if Arc::ptr_eq(&l, &mine) {
             let (me, k, mut wr, mut rd) = (self.clone(), l.clone(), c.clone(), BufReader::with_capacity(LINK_READ, c));
             self.w.go(async move {
                 let read = async {
                     while let Ok(Some(r)) = capnp_futures::serialize::try_read_message(&mut rd, limits()).await {
+                        k.heard.store(me.w.now(), Relaxed);
                         unpack(&r, me.speak)
                             .filter(|(_, reply, _)| *reply)
                             .and_then(|(id, _, p)| k.wait.lock().unwrap().remove(&id).map(|s| s.try_send(p)));
@@ -170,6 +173,19 @@
         Ok(l)
     }
 
+    /// The next question opens a connection of its own; what is under way on the old one may still be answered.
+    fn leave_link(self: &Arc<Self>, to: SocketAddr, l: &Arc<Link>) {
+        let mut g = self.links.lock().unwrap();
+        if g.get(&to).is_some_and(|x| Arc::ptr_eq(x, l)) {
+            g.remove(&to);
+            let (w, l) = (self.w.clone(), l.clone());
+            self.w.go(async move {
+                w.sleep(LINK_SILENT).await;
+                l.out.close();
+            });
+        }
+    }
+
     async fn call(self: &Arc<Self>, to: SocketAddr, kind: &'static str, body: Vec<u8>, blob: &[u8], us: u64) -> Result<Parcel, Lost> {
         let fate = self.w.fate(to);
         let t0 = self.w.now();
@@ -204,6 +220,11 @@
             .await
             .unwrap_or(Err(Lost::Unknown));
         l.wait.lock().unwrap().remove(&id);
+        // A machine that lost power says nothing, and a retry on the old connection could come seconds after its return.
+        let t = self.w.now();
+        if matches!(r, Err(Lost::Unknown)) && t >= t0 + LINK_DOUBT && l.heard.load(Relaxed) < t0 {
+            self.leave_link(to, &l);
+        }
         let back = r.as_ref().map(|p| (p.body.len() + p.blob.len()) as u64).unwrap_or(0);
         let mut g = self.tally.kinds.lock().unwrap();
         let e = g.entry(kind).or_default();
