Give up seats that nobody takes; look at all seats before one more is given; test wear and size

Change: a seat is added only while all others answer; a seat missing for 8 s is given up while 2t+1 remain.

--- a/yewcross-control/src/layout.rs
+++ b/yewcross-control/src/layout.rs
@@ -465,10 +465,18 @@
             None => put.push(n),
         }
     }
+    // With a seat that nobody takes, a further loss would be one too many: fewer seats bear it.
+    let fewest = 2 * k.lost + 1;
+    let mut left = g.now.len() + put.len() - out.len();
+    gone.iter().rev().filter(|x| x.0 >= SEAT_LOST).for_each(|x| {
+        if left > fewest {
+            out.push(x.1);
+            left -= 1;
+        }
+    });
     let mut now: Vec<String> = g.now.iter().filter(|d| !out.contains(d)).cloned().collect();
     now.extend(put.iter().map(|n| n.disk.clone()));
     now.sort();
-    let fewest = 2 * k.lost + 1;
     let short = role == Role::Store && now.len() < fewest;
     if now == g.now || now.is_empty() || (short && (retires || g.now.is_empty())) {
         return None;
@@ -518,6 +526,23 @@
         return 100 * MS;
     }
     let Some(n) = next else { return rest };
+    // A seat more is given only while all that have one answer: a newcomer may stand for one whose loss is not yet seen.
+    let grows = |was: &Group, now: &Group| !was.now.is_empty() && now.now.len() > was.now.len();
+    for g in [&l.1.core, &l.1.store].into_iter().zip([&n.core, &n.store]).filter(|(a, b)| !moving && grows(a, b)).map(|x| x.0) {
+        let v = said(c, &g.now, l.0).await;
+        let mute: Vec<&String> = g.now.iter().filter(|d| !v.iter().any(|x| x.0 == **d)).collect();
+        if !mute.is_empty() {
+            let now = c.w.now();
+            mute.iter().for_each(|d| {
+                c.duties.missing.lock().unwrap().entry(d.to_string()).or_insert(now);
+            });
+            let nodes: Vec<Node> = mute.iter().filter_map(|d| c.members.by_disk(d)).collect();
+            for x in nodes {
+                c.members.clone().check(x).await;
+            }
+            return 50 * MS;
+        }
+    }
     if !c.on_duty(1) {
         return rest;
     }
--- a/yewcross-lab/tests/control.rs
+++ b/yewcross-lab/tests/control.rs
@@ -17,7 +17,7 @@
 use yewcross::world::*;
 use yewcross_control::Control;
 use yewcross_control::api::*;
-use yewcross_lab::sim::{Sim, Weather};
+use yewcross_lab::sim::{Costs, Sim, Weather};
 
 /// `number mark`; the tree is empty.
 struct Numbered;
@@ -741,3 +741,141 @@
         assert!(us < 2 * SEC);
     }
 }
+
+/// Seventy-two machines with a tenth of a core each: how long founding takes, and what quiet costs.
+#[test]
+fn many_small_machines_stay_cheap() {
+    let t = Tier::new(600, [8, 9, 55], 2);
+    for (r, share) in [(Role::Core, 11), (Role::Store, 30), (Role::Front, 12)] {
+        t.names(r).iter().for_each(|n| t.sim.charge(t.sim.find(n), Costs { share, wake: 20, byte: 3, sync: 500 }));
+    }
+    let (found, put, all, quiet, kinds) = play(&t, |t| {
+        Box::pin(async move {
+            let found = up(&t).await;
+            t.op.sleep(5 * SEC).await;
+            let text = format!("5 {}", "x".repeat(20_000));
+            let put = t.put_surely(0, &text).await;
+            let all = t.adopted(&text, 3 * SEC).await.unwrap_or_else(|| panic!("{}", tell(&t)));
+            t.op.sleep(5 * SEC).await;
+            let used = |t: &Tier, r| t.names(r).iter().map(|n| t.sim.used(t.sim.find(n))).collect::<Vec<u64>>();
+            let sum = |t: &Tier| {
+                let mut m: BTreeMap<&str, u64> = BTreeMap::new();
+                t.control.lock().unwrap().values().for_each(|c| {
+                    c.peers.tally.kinds.lock().unwrap().iter().for_each(|(k, v)| *m.entry(k).or_default() += v.0);
+                });
+                m
+            };
+            let (a, ka) = ([Role::Core, Role::Store, Role::Front].map(|r| used(&t, r)), sum(&t));
+            t.op.sleep(20 * SEC).await;
+            let (b, kb) = ([Role::Core, Role::Store, Role::Front].map(|r| used(&t, r)), sum(&t));
+            let quiet: Vec<u64> = a.iter().zip(&b).map(|(a, b)| a.iter().zip(b).map(|(a, b)| (b - a) / 20).max().unwrap_or(0)).collect();
+            let kinds: Vec<(String, u64)> =
+                kb.iter().map(|(k, v)| (k.to_string(), v - ka.get(k).unwrap_or(&0))).filter(|x| x.1 > 0).collect();
+            (found, put, all, quiet, kinds)
+        })
+    });
+    println!(
+        "founded {} ms, put {} ms, adopted {} ms; us of a core a second at rest, the busiest core, store, front: {quiet:?}",
+        found / MS,
+        put / MS,
+        all / MS
+    );
+    println!("asked by the 17 with disks in 20 s: {kinds:?}");
+    assert!(found < 5 * SEC, "{found}");
+    assert!(put < SEC && all < SEC, "{put} {all}");
+    assert!(quiet[0] < 20_000 && quiet[1] < 20_000 && quiet[2] < 10_000, "{quiet:?}");
+}
+
+/// Any machine with a disk may die, be wiped, come back elsewhere, be added, one after the other's return; the newest
+/// acknowledged configuration stays readable, and in the end every machine has its seat.
+fn wear(seed: u64) -> usize {
+    let t = Tier::new(seed, [4, 4, 3], 1);
+    play(&t, |t| {
+        Box::pin(async move {
+            up(&t).await;
+            t.put_surely(0, "1 a").await;
+            let (mut base, mut spare, mut acts) = (1u64, 60, 0);
+            t.sim.weather(Weather { lose: 5, twice: 10, late: 10, jitter: 300 });
+            for _ in 0..14 {
+                let all: Vec<String> = t.names(Role::Core).into_iter().chain(t.names(Role::Store)).collect();
+                let n = all[t.op.rand() as usize % all.len()].clone();
+                let role = t.specs.lock().unwrap()[&n].role;
+                acts += 1;
+                let down = 200 * MS + t.op.rand() % (2 * SEC);
+                match t.op.rand() % 5 {
+                    0 => {
+                        t.kill(&n, false);
+                        t.op.sleep(down).await;
+                        t.boot(&n, false);
+                    }
+                    1 | 2 => {
+                        t.kill(&n, true);
+                        if t.op.rand().is_multiple_of(2) {
+                            t.sim.wipe(t.sim.find(&n));
+                        }
+                        t.op.sleep(down).await;
+                        t.boot(&n, false);
+                    }
+                    3 => {
+                        spare += 1;
+                        t.kill(&n, true);
+                        t.specs.lock().unwrap().remove(&n);
+                        t.op.sleep(down).await;
+                        let name = format!("other{spare}");
+                        t.add(&name, role, spare % 4, spare, 1);
+                        t.boot(&name, false);
+                    }
+                    _ => {
+                        let m = t.sim.find(&n);
+                        t.sim.freeze(m);
+                        t.op.sleep(down).await;
+                        t.sim.thaw(m);
+                    }
+                }
+                let next = format!("{} b", base + 1);
+                t.put_surely(base, &next).await;
+                base += 1;
+                // Whole again within the bound, then the next.
+                t.op.sleep(4_200 * MS).await;
+                assert_eq!(t.read(&t.names(Role::Core)[0]).await, Some(ReadAnswer::Text(base, next.as_str().into())), "{}", tell(&t));
+            }
+            t.sim.weather(Weather::default());
+            let (c, s) = (t.names(Role::Core), t.names(Role::Store));
+            t.seated(&c, &s, 8 * SEC).await.unwrap_or_else(|| panic!("seed {seed}: no end\n{}", tell(&t)));
+            t.adopted(&format!("{base} b"), 2 * SEC).await.unwrap_or_else(|| panic!("{}", tell(&t)));
+            acts
+        })
+    })
+}
+
+#[test]
+fn seats_outlive_wear() {
+    let n: usize = (0..16).map(|i| wear(700 + i)).sum();
+    println!("{n} acts");
+}
+
+/// Every core process dies at once and is back within a second, disks kept; then every machine loses power.
+#[test]
+fn the_core_comes_back_whole() {
+    for power in [false, true] {
+        let t = Tier::new(800, [5, 5, 6], 2);
+        let us = play(&t, |t| {
+            Box::pin(async move {
+                up(&t).await;
+                t.put_surely(0, "5 a").await;
+                t.op.sleep(3 * SEC).await;
+                let cores = t.names(Role::Core);
+                cores.iter().for_each(|n| t.kill(n, power));
+                t.op.sleep(800 * MS).await;
+                cores.iter().for_each(|n| t.boot(n, false));
+                let t0 = t.op.now();
+                t.put_surely(5, "6 b").await;
+                let us = t.op.now() - t0;
+                t.adopted("6 b", 2 * SEC).await.unwrap_or_else(|| panic!("{}", tell(&t)));
+                us
+            })
+        });
+        println!("power {power}: next put {} ms after their return", us / MS);
+        assert!(us < SEC);
+    }
+}
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -86,6 +86,9 @@
 pub const ORDERS_KEPT: usize = 64;
 /// us. A seat whose machine is missing this long is given to a disk that has none.
 pub const SEAT_MISSING: u64 = 1_500 * MS;
+/// us. A seat whose machine is missing this long, and that no disk takes, is given up while enough remain: the next loss
+/// would else be one too many.
+pub const SEAT_LOST: u64 = 8 * SEC;
 /// us. Founding waits this long for more store machines than the fewest that may be.
 pub const FOUND_WAIT: u64 = 500 * MS;
 /// us. How often a change of disks under way is looked at.
