--- a/yewcross-control/src/api.rs
+++ b/yewcross-control/src/api.rs
@@ -17,9 +17,6 @@
     Majority,
 }
 
-/// Whether all is whole under the layout of this number, and how many keys are left.
-pub type Sweeper = dyn Fn(u64) -> (bool, u64) + Send + Sync;
-
 #[derive(Clone)]
 pub struct Options {
     pub dialect: Arc<dyn Dialect>,
@@ -116,9 +113,4 @@
         let founded = l.0 > 0 && (self.st.role != Role::Core || self.founded.load(SeqCst));
         founded && !self.vault.failed.load(SeqCst) && !self.members.replaced.is_set()
     }
-
-    /// A store engine tells here how far it is whole.
-    pub fn sweep_with(&self, f: impl Fn(u64) -> (bool, u64) + Send + Sync + 'static) {
-        *self.sweeper.lock().unwrap() = Arc::new(f);
-    }
 }
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -56,8 +56,6 @@
     pub platform: Mutex<Option<std::net::SocketAddr>>,
     pub counts: Counts,
     pub options: api::Options,
-    /// Whether what lies beside the registers is whole under a layout, and how much is left; a store engine sets it.
-    pub sweeper: Mutex<Arc<api::Sweeper>>,
 }
 
 #[derive(Default)]
@@ -143,11 +141,11 @@
         };
         let store = Arc::new(store::Store { owner: owner.clone(), members: members.clone(), w: w.clone(), route: Arc::new(route) });
         *own.lock().unwrap() = Some(Arc::downgrade(&store));
-        let chain = chain::Engine::start(w, &st, &members, &book, &vault).await.map_err(disk)?;
         let follow = match options.rollout {
             api::Rollout::Proved => Follow::new(&members, &book, &st.name, false),
             api::Rollout::Majority => Follow::unleased(&members, &book, &st.name, false, st.bounds.apply * MS),
         };
+        let chain = chain::Engine::start(w, &st, &members, &book, &vault).await.map_err(disk)?;
         let c = Arc::new(Control {
             w: w.clone(),
             peers,
@@ -173,11 +171,8 @@
             platform: Mutex::new(st.platform),
             counts: Default::default(),
             options,
-            sweeper: Mutex::new(Arc::new(|_| (true, 0))),
             st,
         });
-        let chain = c.chain.clone();
-        c.sweep_with(move |lay| chain.swept(lay));
         let bind = |at: std::net::SocketAddr| move |source| StartFault::Bind { at: at.to_string(), source };
         let door = w.bind(c.st.peer).await.map_err(bind(c.st.peer))?;
         if c.options.bind_http {
@@ -190,6 +185,9 @@
         w.go(c.members.clone().run());
         w.go(c.follow.clone().run());
         w.go(keep_pages(c.clone()));
+        if c.options.tends {
+            w.go(keep_peers(c.clone()));
+        }
         w.go(layout::sweep(c.clone()));
         w.go(tidy(c.clone()));
         if c.st.role == Role::Core {
@@ -218,6 +216,10 @@
                 self.book.adopt(&name, seq, epoch, blob);
                 (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
             }
+            Ask::Patch { name, seq, epoch, base } => {
+                self.book.patch(&name, base, seq, epoch, &blob);
+                (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
+            }
             Ask::Grants { name, seq } => (config::grants(self, &name, seq).await, vec![]),
             Ask::Proved { seq } => (config::proved(self, seq).await, vec![]),
             Ask::Found => (layout::found_here(self, blob).await, vec![]),
@@ -227,14 +229,13 @@
                 self.sweep_call.notify(usize::MAX);
                 (Tell::Ok, vec![])
             }
-            Ask::Chain => (Tell::Chain, self.chain.hear(blob).await),
             Ask::SweepDone { layout } => {
-                let more = self.sweeper.lock().unwrap().clone();
-                let (beside, left) = more(layout);
+                let (beside, left) = self.chain.swept(layout);
                 let kept = self.layout_kept();
                 let done = self.swept.load(SeqCst) >= layout && kept >= layout && beside;
                 (Tell::Swept { done, left: self.sweep_left.load(SeqCst) + left, kept }, vec![])
             }
+            Ask::Chain => (Tell::Chain, self.chain.hear(blob).await),
             a => self.store.hear(a, blob).await,
         }
     }
@@ -281,7 +282,8 @@
     }
     loop {
         let moved = c.book.moved.listen();
-        for d in DOCS {
+        // Where cores are asked for all else, only the layout must be known again before anybody answers.
+        for d in DOCS.into_iter().filter(|d| !c.options.tends || *d == "layout") {
             let p = c.book.page(d);
             if p.seq > kept[d] {
                 let b = serde_json::to_vec(&(p.seq, p.epoch, String::from_utf8_lossy(&p.raw))).unwrap_or_default();
@@ -297,6 +299,28 @@
     }
 }
 
+/// Addresses of machines with disks are kept, so that a restart finds them where its seeds are down.
+async fn keep_peers(c: Arc<Control>) {
+    let was = c.vault.load("local", "peers").await.ok().flatten();
+    let (mut ver, mut kept) =
+        was.and_then(|(v, b)| Some((v, serde_json::from_slice::<Vec<std::net::SocketAddr>>(&b).ok()?))).unwrap_or_default();
+    *c.members.known.lock().unwrap() = kept.clone();
+    loop {
+        let moved = c.members.moved.listen();
+        let mut now: Vec<_> = c.members.view.load().values().filter(|n| !n.disk.is_empty()).map(|n| n.peer).collect();
+        now.sort();
+        if now != kept
+            && now.len() > 1
+            && c.vault.keep("local", "peers", ver + 1, &serde_json::to_vec(&now).unwrap_or_default()).await.is_ok()
+        {
+            ver += 1;
+            kept = now;
+        }
+        c.w.sleep(PEERS_KEPT).await;
+        moved.await;
+    }
+}
+
 async fn tidy(c: Arc<Control>) {
     loop {
         c.w.sleep(10 * SEC).await;
--- a/yewcross/src/chain_wire.rs
+++ b/yewcross/src/chain_wire.rs
@@ -91,7 +91,7 @@
     Take { ledger: LedgerRow },
     /// Add entries under the very epoch that was promised.
     Add { ledger: LedgerRow },
-    /// Keep turns, and count what they used; the epoch is not looked at.
+    /// Keep turns, and count what they used. The epoch is no promise: it names whom the asker takes for the owner.
     Write { rows: Vec<Row>, ledger: Option<LedgerRow> },
     /// Which of these turns, by the hash of their id, does the disk hold safely?
     Have { ids: Vec<u128> },
@@ -225,8 +225,15 @@
         self.well(disk) && self.slow.lock().unwrap().get(disk).is_none_or(|t| *t < self.w.now())
     }
 
-    fn mark_slow(&self, disk: &str) {
-        self.slow.lock().unwrap().insert(disk.into(), self.w.now() + CHAIN_SLOW);
+    /// It let somebody wait: asked last for a while, and membership looks at it now, not when its turn comes.
+    pub fn mark_slow(&self, disk: &str) {
+        let t = self.w.now();
+        let was = self.slow.lock().unwrap().insert(disk.into(), t + CHAIN_SLOW);
+        if was.is_none_or(|u| u < t)
+            && let Some(n) = self.node(disk)
+        {
+            self.w.go(self.members.clone().check(n));
+        }
     }
 
     /// Disks in the order in which they are asked for a key: prompt ones first, then those of other sites than `beside`.
