Prefer servers of the own zone more, and wait for the first news after a start

Change: 20 ms (models) and 8 ms (lookups) for another zone, one of the two drawn servers near; up to 400 ms for the first news.

--- a/yewcross-front/src/balance.rs
+++ b/yewcross-front/src/balance.rs
@@ -271,14 +271,19 @@
         let free: Vec<&Listed> = from.iter().filter(|s| !g.seats[&s.server].full(n, &s.server, now, usual)).copied().collect();
         let cost = |s: &&&Listed| {
             let x = &g.seats[&s.server];
-            let far = if s.site == n.site { 0.0 } else { ZONE_COST };
-            let dial = if kept(&s.server) { 0.0 } else { ZONE_COST };
+            let far = match (s.site == n.site, n.engine.is_some()) {
+                (true, _) => 0.0,
+                (_, true) => ZONE_COST_MODEL,
+                _ => ZONE_COST_PLAIN,
+            };
+            let dial = if kept(&s.server) { 0.0 } else { DIAL_COST };
             ((x.cost(n, &s.server, now, usual) + far + dial) * 16.0) as i64 + (w.rand() & 15) as i64
         };
-        // Fronts that all saw the same load must not all choose the same server.
+        // Fronts that all saw the same load must not all choose the same server. One of the two is near.
         let two: Vec<&Listed> = match free.len() {
             k if n.engine.is_none() && k > 2 => {
-                let a = w.pick(k);
+                let near: Vec<usize> = (0..k).filter(|i| free[*i].site == n.site).collect();
+                let a = near.get(w.pick(near.len())).copied().unwrap_or_else(|| w.pick(k));
                 let b = (a + 1 + w.pick(k - 1)) % k;
                 vec![free[a], free[b]]
             }
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -240,7 +240,7 @@
 
     /// Whether new callers may be sent here.
     pub fn ready(&self) -> bool {
-        !self.leaving.load(SeqCst) && self.book.config.load().0 > 0
+        !self.leaving.load(SeqCst) && self.relay.get().is_some_and(|r| r.informed())
     }
 
     fn run(self: &Arc<Self>) {
--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -158,6 +158,9 @@
 
     async fn take(self: Arc<Self>, q: Request<Incoming>) -> Result<Response<Body>, End> {
         let began = self.w.now();
+        if !self.informed() {
+            self.w.within(FIRST_NEWS, self.news()).await;
+        }
         let (mut head, body) = q.into_parts();
         let meta = self.caller.request(&head.headers).map_err(|_| End(Code::BadHead, "a field of the head is wrong", 0))?;
         let one = |h: &HeaderMap| h.get_all(header::HOST).iter().count() == 1;
@@ -220,6 +223,21 @@
         Ok(self.pass(a, turn, keep, shot.until, streamed))
     }
 
+    /// A configuration and a list are on hand.
+    pub fn informed(&self) -> bool {
+        self.book.config.load().0 > 0 && self.book.list.load().0 > 0
+    }
+
+    async fn news(&self) {
+        loop {
+            let l = self.book.moved.listen();
+            if self.informed() {
+                return;
+            }
+            l.await;
+        }
+    }
+
     /// The route and the service, both of one configuration.
     fn route(&self, r: &Routes, seq: u64, host: &str, head: &request::Parts, m: &RequestMeta) -> Result<(Route, Upstream), End> {
         if seq == 0 {
--- a/yewcross-lab/tests/relay.rs
+++ b/yewcross-lab/tests/relay.rs
@@ -702,6 +702,49 @@
     assert_eq!(rig.ask("b", "/other/x", &[], "b").status, 503, "service b has no server");
 }
 
+#[test]
+fn a_front_that_has_just_begun_waits_for_its_first_news() {
+    let rig = Rig::new(68, 1);
+    // A relay of its own that knows nothing yet.
+    let h = rig.with(|r, w| {
+        Box::pin(async move {
+            let old = r.relay.book.page("list");
+            let book = Book::new(&w);
+            let fresh = Relay {
+                w: w.clone(),
+                book: book.clone(),
+                site: "z".into(),
+                caller: Arc::new(Ports),
+                back: Arc::new(Ports),
+                chains: None,
+                fronts: AtomicUsize::new(1),
+                pool: Default::default(),
+                balance: Default::default(),
+                counts: Default::default(),
+            };
+            let (fresh, w2) = (Arc::new(fresh), w.clone());
+            let own: SocketAddr = "10.9.9.9:81".parse().unwrap();
+            let me = r.sim.machine("young", "z", own.ip());
+            let wd = r.sim.boot(me);
+            let d = wd.bind(own).await.unwrap();
+            let h: yewcross::web::Handler = Arc::new(move |q, _| Box::pin(fresh.clone().serve(q)));
+            w2.go(yewcross::web::serve(w2.clone(), d, h, Arc::new(Limits::default), Default::default()));
+            let ask = |id: &'static str| {
+                let w = w.clone();
+                w.clone().fan(vec![Box::pin(async move { call(&w, own, id, "/once/x", &[], "").await }) as Fut<'static, Heard>])
+            };
+            let one = ask("early");
+            w.sleep(100 * MS).await;
+            book.adopt("config", 1, Epoch::default(), config(routes()));
+            w.sleep(100 * MS).await;
+            book.adopt("list", 1, Epoch::default(), old.raw.to_vec());
+            one.recv().await.unwrap()
+        })
+    });
+    assert_eq!((h.status, rig.runs("early").len()), (200, 1));
+    assert!((200 * MS..220 * MS).contains(&h.took), "{}", h.took);
+}
+
 #[test]
 fn bad_requests_are_refused_without_a_run() {
     let rig = Rig::new(66, 1);
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -255,8 +255,14 @@
 pub const TOLD_FADE: u64 = 300 * MS;
 /// tokens a ms that a server reads, as the platforms at hand name them.
 pub const READ_PER_MS: u64 = 30;
-/// us. What bytes between zones are worth against time.
-pub const ZONE_COST: f64 = 3_000.0;
+/// us. What a prompt's bytes between zones are worth against its time to the first event.
+pub const ZONE_COST_MODEL: f64 = 20_000.0;
+/// us. The same of a lookup's bytes against its answer.
+pub const ZONE_COST_PLAIN: f64 = 8_000.0;
+/// us. What a new connection is worth against time.
+pub const DIAL_COST: f64 = 4_000.0;
+/// us. A front that has just begun lets requests wait this long for its first configuration and list.
+pub const FIRST_NEWS: u64 = 400 * MS;
 /// us. How often connections, seats and waiting lines are tidied.
 pub const TIDY_EVERY: u64 = SEC;
 /// us. From the word to stop until the door closes: the platform sends new callers elsewhere after two missed checks.
