--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -240,7 +240,7 @@
 
     /// Whether new callers may be sent here.
     pub fn ready(&self) -> bool {
-        !self.leaving.load(SeqCst) && self.book.config.load().0 > 0
+        !self.leaving.load(SeqCst) && self.relay.get().is_some_and(|r| r.informed())
     }
 
     fn run(self: &Arc<Self>) {
@@ -310,6 +310,12 @@
         match a {
             Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => self.members.hear(a).await,
             Ask::Newer { .. } => self.follow.newer(),
+            Ask::Patch { name, seq, epoch, base } => {
+                if self.book.patch(&name, base, seq, epoch, &blob) && name != "list" {
+                    self.follow.reset();
+                }
+                Tell::Adopted { seq: self.book.page(&name).seq }
+            }
             Ask::Adopt { name, seq, epoch } => {
                 if self.book.adopt(&name, seq, epoch, blob) && name != "list" {
                     self.follow.reset();
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -15,6 +15,10 @@
 pub const PROBE_EVERY: u64 = 400 * MS;
 /// beats. How often one address that is missed, a seed's or a removed node's, is asked again.
 pub const REJOIN_BEATS: u64 = 3;
+/// count. Addresses that a node which knows nobody asks at once.
+pub const SEEDS_AT_ONCE: usize = 6;
+/// us. Addresses of known nodes are written to disk no more often.
+pub const PEERS_KEPT: u64 = 3 * SEC;
 /// us. A node that knows nobody asks its seeds this often.
 pub const SEED_EVERY: u64 = 150 * MS;
 /// us. Changes this young are told along with a probe.
@@ -39,6 +43,8 @@
 
 /// us. Cap on one exchange between our processes on the serving path.
 pub const PEER_WAIT: u64 = 700 * MS;
+/// us. A connection on which nothing came for this long after a question is left for a new one.
+pub const LINK_DOUBT: u64 = 200 * MS;
 /// us. Opening a connection inside the tier.
 pub const DIAL_WAIT: u64 = 300 * MS;
 /// us. A link of our own whose bytes are not acknowledged is given up: sooner than the usual 3 s in which a machine
@@ -80,6 +86,9 @@
 pub const ORDERS_KEPT: usize = 64;
 /// us. A seat whose machine is missing this long is given to a disk that has none.
 pub const SEAT_MISSING: u64 = 1_500 * MS;
+/// us. A seat whose machine is missing this long, and that no disk takes, is given up while enough remain: the next loss
+/// would else be one too many.
+pub const SEAT_LOST: u64 = 8 * SEC;
 /// us. Founding waits this long for more store machines than the fewest that may be.
 pub const FOUND_WAIT: u64 = 500 * MS;
 /// us. How often a change of disks under way is looked at.
@@ -101,6 +110,12 @@
 pub const REPORT_LOST: u64 = 1_500 * MS;
 /// us. Poll of the platform list, unless the platform asks for more patience.
 pub const LIST_EVERY: u64 = 500 * MS;
+/// us. Poll of a platform's list in its own words: each page is a call that has its price.
+pub const PAGES_EVERY: u64 = SEC;
+/// us. The longest that a refused poll of it backs off to.
+pub const PAGES_BACK_OFF: u64 = 8 * SEC;
+/// us. Waiting for one page.
+pub const PAGE_WAIT: u64 = 1_500 * MS;
 /// count. Pages of the platform's list read in one poll; a list without end is no list.
 pub const LIST_PAGES: usize = 256;
 /// us. Waiting for a back end's identity or report.
@@ -196,6 +211,8 @@
 pub const CHAIN_AGAIN: u64 = 20 * MS;
 /// us. How long what a turn used is told again by itself; after that it counts at its most.
 pub const CHAIN_SETTLE: u64 = 60 * SEC;
+/// us. Before a program is refused, its owner asks the other disks what ended, unless it did so just now.
+pub const CHAIN_FRESH: u64 = 300 * MS;
 /// ms. A program's ledger is kept this long after its last change at least.
 pub const LEDGER_KEPT: u64 = 300_000;
 /// ms. Turns and ledgers are kept this much past their time, for clocks that differ; the shorter where memory is short.
@@ -241,8 +258,14 @@
 pub const TOLD_FADE: u64 = 300 * MS;
 /// tokens a ms that a server reads, as the platforms at hand name them.
 pub const READ_PER_MS: u64 = 30;
-/// us. What bytes between zones are worth against time.
-pub const ZONE_COST: f64 = 3_000.0;
+/// us. What a prompt's bytes between zones are worth against its time to the first event.
+pub const ZONE_COST_MODEL: f64 = 20_000.0;
+/// us. The same of a lookup's bytes against its answer.
+pub const ZONE_COST_PLAIN: f64 = 8_000.0;
+/// us. What a new connection is worth against time.
+pub const DIAL_COST: f64 = 4_000.0;
+/// us. A front that has just begun lets requests wait this long for its first configuration and list.
+pub const FIRST_NEWS: u64 = 400 * MS;
 /// us. How often connections, seats and waiting lines are tidied.
 pub const TIDY_EVERY: u64 = SEC;
 /// us. From the word to stop until the door closes: the platform sends new callers elsewhere after two missed checks.
