Read the log segment by segment; pass by a store whose disk hangs; tell figures to operators

Cause: a start held the whole log in memory twice, and an opening at an owner whose disk hangs waited its whole time. Change: items go to the shelf as each segment is read; the log may hold one and a half times what lives and 16 MB; what is not safe within the time a disk has is answered as away.

--- a/yewcross-control/src/chain.rs
+++ b/yewcross-control/src/chain.rs
@@ -4,7 +4,7 @@
 //! only grows; reservations are added by one owner at a time, under an epoch that enough disks have promised.
 
 use crate::chain_log::{self, Item, Log};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
@@ -210,14 +210,13 @@
 impl Engine {
     /// Reads what the disk holds, and runs the upkeep. Errors are those of the disk.
     pub async fn start(w: &World, st: &Startup, members: &Arc<Members>, book: &Arc<Book>, vault: &Arc<Vault>) -> io::Result<Arc<Engine>> {
-        let f = chain_log::read(w).await?;
         let mut shelf = Shelf::default();
-        f.items.iter().for_each(|(i, s)| shelf.apply(i, *s));
+        let f = chain_log::read(w, |i, s| shelf.apply(i, s)).await?;
         let ends: Vec<(String, u64)> = shelf.turns.values().map(|k| (k.row.turn.prev.clone(), k.until)).collect();
         ends.iter().for_each(|(p, u)| shelf.lengthen(p, *u));
         f.hurt.iter().for_each(|s| w.log(&format!("damaged segment {s:x} of the log; asking the other disks")));
         let seg = f.sizes.keys().last().map_or(1, |s| s + 1);
-        let max = if st.bounds.memory_mb == 0 { CHAIN_HELD } else { (st.bounds.memory_mb as usize) << 19 };
+        let max = if st.bounds.memory_mb == 0 { CHAIN_HELD } else { (st.bounds.memory_mb as usize) * (3 << 17) };
         let e = Arc::new(Engine {
             w: w.clone(),
             line: Line::new(members, book, &st.name, st.bounds.lost),
@@ -267,7 +266,39 @@
         }
     }
 
-    /// The layout that every disk answers by, and whether it sits in it.
+    /// For an operator: what this store did and holds.
+    pub fn figures(&self) -> BTreeMap<&'static str, u64> {
+        let c = &self.counts;
+        let (turns, bytes, programs) = {
+            let g = self.st.lock().unwrap();
+            (g.turns.len() as u64, g.bytes as u64, g.ledgers.len() as u64)
+        };
+        let log = self.log.lock().unwrap().sizes.values().sum();
+        let n = |x: &AtomicU64| x.load(Relaxed);
+        [
+            ("turns", turns),
+            ("turn_bytes", bytes),
+            ("programs", programs),
+            ("log_bytes", log),
+            ("batches", n(&c.batches)),
+            ("items", n(&c.items)),
+            ("opens", n(&c.opens)),
+            ("taken", n(&c.takes)),
+            ("adds", n(&c.adds)),
+            ("writes", n(&c.writes)),
+            ("lookups", n(&c.lookups)),
+            ("refused", n(&c.refused)),
+            ("passed", n(&c.passed)),
+            ("busy", n(&c.busy)),
+            ("pushed", n(&c.pushed)),
+            ("compacted", n(&c.compacted)),
+            ("left", n(&self.left)),
+            ("doubt", self.doubt.load(Relaxed) as u64),
+        ]
+        .into()
+    }
+
+    /// The layout that every disk answers by.
     fn lay(&self) -> u64 {
         self.line.book.layout.load().0
     }
@@ -361,7 +392,7 @@
             let all = x.row("").entries;
             (self.keep(if again { vec![] } else { vec![Item::Ledger(l, at)] }), all)
         };
-        if rx.recv().await == Ok(true) { Told::Taken(all) } else { Told::Away }
+        if self.safe(rx).await { Told::Taken(all) } else { Told::Away }
     }
 
     async fn add(self: &Arc<Self>, lay: u64, l: LedgerRow) -> Told {
@@ -380,7 +411,7 @@
             x.merge(&l.entries, at, l.keep);
             self.keep(vec![Item::Ledger(l, at)])
         };
-        if rx.recv().await == Ok(true) { Told::Ok } else { Told::Away }
+        if self.safe(rx).await { Told::Ok } else { Told::Away }
     }
 
     /// What is told to a disk by one who does not know the program's owner goes on to that owner.
@@ -426,7 +457,7 @@
             });
             self.keep(items)
         };
-        if rx.recv().await == Ok(true) { Told::Ok } else { Told::Away }
+        if self.safe(rx).await { Told::Ok } else { Told::Away }
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -597,7 +628,7 @@
             self.counts.adds.fetch_add(1, Relaxed);
             let mut order = self.line.order(program, &seats, Some(&self.me));
             order.retain(|d| *d != self.me);
-            order.sort_by_key(|d| (!self.line.prompt(d), !by.contains(d)));
+            order.sort_by_cached_key(|d| (!self.line.prompt(d), !by.contains(d)));
             let ask = self.asker(seats.lay, What::Add { ledger: row }, until);
             let mut refused = Epoch::default();
             let enough = |s: &BTreeSet<String>| seats.wrote(|d| s.contains(d) || d == self.me);
@@ -613,7 +644,7 @@
                 })
                 .await;
             if g.enough {
-                return if rx.recv().await == Ok(true) { Told::Ok } else { Told::Away };
+                return if self.safe(rx).await { Told::Ok } else { Told::Away };
             }
             if g.newer > seats.lay {
                 self.line.catch_up(g.newer).await;
@@ -699,7 +730,7 @@
             return Taken::Refused;
         }
         let mine = match rx {
-            Some(rx) => rx.recv().await == Ok(true),
+            Some(rx) => self.safe(rx).await,
             None => true,
         };
         if !g.enough || !mine {
--- a/yewcross-control/src/chain_log.rs
+++ b/yewcross-control/src/chain_log.rs
@@ -38,6 +38,8 @@
     line: Vec<(Vec<Item>, async_channel::Sender<bool>)>,
     waiting: usize,
     busy: bool,
+    /// us when the batch under way was begun.
+    since: Option<u64>,
 }
 
 impl Log {
@@ -52,9 +54,9 @@
     format!("{DIR}/s-{seg:016x}")
 }
 
-/// What a folder of segments holds, in order, with the segment of each item.
+/// What is to be known of a folder of segments beside its items.
+#[derive(Default)]
 pub struct Found {
-    pub items: Vec<(Item, u64)>,
     pub sizes: BTreeMap<u64, u64>,
     /// Newly found torn ends.
     pub torn: Vec<(u64, u64)>,
@@ -74,11 +76,12 @@
     (v, at, more)
 }
 
-pub async fn read(w: &yewcross::world::World) -> io::Result<Found> {
+/// Hands over each item with its segment, one segment in memory at a time.
+pub async fn read(w: &yewcross::world::World, mut take: impl FnMut(&Item, u64)) -> io::Result<Found> {
     w.mkdir(DIR).await?;
     let mut segs: Vec<u64> = w.list(DIR).await?.iter().filter_map(|f| u64::from_str_radix(f.strip_prefix("s-")?, 16).ok()).collect();
     segs.sort();
-    let mut f = Found { items: vec![], sizes: BTreeMap::new(), torn: vec![], hurt: vec![] };
+    let mut f = Found::default();
     let (mut broken, mut known, mut last) = (vec![], vec![], None);
     for s in segs {
         let b = w.get(&path(s)).await?;
@@ -94,7 +97,7 @@
             match decode::<Vec<Item>>(x) {
                 Some(is) => is.into_iter().for_each(|i| match i {
                     Item::Torn(s, n) => known.push((s, n)),
-                    i => f.items.push((i, s)),
+                    i => take(&i, s),
                 }),
                 None => f.hurt.push(s),
             }
@@ -130,7 +133,13 @@
 
     /// Whether the disk has fallen too far behind to take more.
     pub fn clogged(&self) -> bool {
-        self.log.lock().unwrap().waiting > CHAIN_QUEUE
+        let g = self.log.lock().unwrap();
+        g.waiting > CHAIN_QUEUE || g.since.is_some_and(|t| self.w.now() > t + SYNC_WAIT)
+    }
+
+    /// Whether it is safe on the disk, as far as that is known within the time a disk has.
+    pub async fn safe(&self, rx: Receiver<bool>) -> bool {
+        self.w.within(SYNC_WAIT, rx.recv()).await == Some(Ok(true))
     }
 
     async fn write(self: Arc<Self>) {
@@ -154,8 +163,13 @@
             } else {
                 let b = seal(&encode(&items));
                 let n = b.len() as u64;
-                let new = !self.log.lock().unwrap().sizes.contains_key(&seg);
+                let new = {
+                    let mut g = self.log.lock().unwrap();
+                    g.since = Some(self.w.now());
+                    !g.sizes.contains_key(&seg)
+                };
                 let r = self.w.append(&path(seg), b).await;
+                self.log.lock().unwrap().since = None;
                 self.vault.syncs.fetch_add(1 + new as u64, Relaxed);
                 self.vault.bytes.fetch_add(n, Relaxed);
                 self.counts.batches.fetch_add(1, Relaxed);
@@ -188,7 +202,7 @@
             };
             let Some(s) = old.filter(|s| *s < cur) else { return };
             let items = self.st.lock().unwrap().in_segment(s);
-            if !items.is_empty() && total <= 2 * live + SEGMENT_SLACK {
+            if !items.is_empty() && total <= live + live / 2 + SEGMENT_SLACK {
                 return;
             }
             let mut part = vec![];
--- a/yewcross-control/src/operator.rs
+++ b/yewcross-control/src/operator.rs
@@ -178,6 +178,7 @@
             "odd_frames": c.peers.odd.load(SeqCst), "messages": t.sent.load(SeqCst), "bytes_within": t.bytes_within.load(SeqCst), "bytes_across": t.bytes_across.load(SeqCst),
             "kinds": *t.kinds.lock().unwrap(), "syncs": c.vault.syncs.load(SeqCst), "disk_bytes": c.vault.bytes.load(SeqCst), "takes": c.owner.takes.load(SeqCst),
             "tended": c.counts.tended.load(SeqCst), "puts": c.counts.puts.load(SeqCst), "list_polls": c.duties.polls.load(SeqCst),
+            "chains": c.chain.figures(),
         }),
     )
 }
--- a/yewcross-lab/examples/chain_load.rs
+++ b/yewcross-lab/examples/chain_load.rs
@@ -34,6 +34,9 @@
     }
 }
 
+/// Disk, documents, site.
+type Up = (String, Arc<Book>, String);
+
 fn addr(i: usize) -> SocketAddr {
     SocketAddr::new([127, 0, 0, 1].into(), 17_700 + i as u16)
 }
@@ -59,7 +62,7 @@
     let a: Vec<u64> = std::env::args().skip(1).filter_map(|x| x.parse().ok()).collect();
     let (rate, secs, bytes) = (a.first().copied().unwrap_or(100), a.get(1).copied().unwrap_or(10), a.get(2).copied().unwrap_or(5000));
     let root = std::env::temp_dir().join(format!("chain-load-{}", std::process::id()));
-    let nodes: Arc<Mutex<Vec<(String, Arc<Book>, String)>>> = Arc::default();
+    let nodes: Arc<Mutex<Vec<Up>>> = Arc::default();
     let client: Arc<Mutex<Option<Arc<Client>>>> = Arc::default();
     let mut worlds = vec![];
     for i in 0..5 {
--- a/yewcross-lab/tests/chain.rs
+++ b/yewcross-lab/tests/chain.rs
@@ -238,7 +238,10 @@
 
     fn calm(&self) {
         self.sim.heal();
-        self.stores.iter().for_each(|n| self.sim.thaw(self.sim.find(n)));
+        self.stores.iter().for_each(|n| {
+            self.sim.thaw(self.sim.find(n));
+            self.sim.disk(self.sim.find(n), |d| d.stalled = false);
+        });
         self.apart.lock().unwrap().clear();
     }
 
@@ -571,10 +574,12 @@
     Wipe,
     /// As many stores as may be lost are on one side with some fronts.
     Side,
+    /// Its disk hangs.
+    Stall,
     All,
 }
 
-const FAULTS: [Fault; 7] = [Fault::Kill, Fault::Power, Fault::Freeze, Fault::Cut, Fault::Wipe, Fault::Side, Fault::All];
+const FAULTS: [Fault; 8] = [Fault::Stall, Fault::Kill, Fault::Power, Fault::Freeze, Fault::Cut, Fault::Wipe, Fault::Side, Fault::All];
 
 impl Town {
     /// Loses as many stores as may be lost, each in its own way, and brings them back whole before it ends.
@@ -591,6 +596,7 @@
             for n in &hit {
                 match kind {
                     Fault::Side => self.side(n),
+                    Fault::Stall => self.sim.disk(self.sim.find(n), |d| d.stalled = true),
                     Fault::Kill => self.kill(n, false),
                     Fault::Power => self.kill(n, true),
                     Fault::Freeze => self.freeze(n),
--- a/yewcross/src/chain_client.rs
+++ b/yewcross/src/chain_client.rs
@@ -8,7 +8,7 @@
 use crate::startup::Startup;
 use crate::world::*;
 use lru::LruCache;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::num::NonZeroUsize;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -16,27 +16,27 @@
 pub struct Client(Arc<Inner>);
 
 #[derive(Default, Debug)]
-pub struct ClientCounts {
-    pub opens: AtomicU64,
+struct ClientCounts {
+    opens: AtomicU64,
     /// Opened with the whole chain on hand.
-    pub at_hand: AtomicU64,
-    pub spent: AtomicU64,
-    pub unknown: AtomicU64,
-    pub away: AtomicU64,
+    at_hand: AtomicU64,
+    spent: AtomicU64,
+    unknown: AtomicU64,
+    away: AtomicU64,
     /// Times that a program's next store was asked because the one before was gone.
-    pub moved: AtomicU64,
-    pub finishes: AtomicU64,
-    pub unkept: AtomicU64,
+    moved: AtomicU64,
+    finishes: AtomicU64,
+    unkept: AtomicU64,
     /// Settled without a turn, and how many were given up.
-    pub settles: AtomicU64,
-    pub unsettled: AtomicU64,
+    settles: AtomicU64,
+    unsettled: AtomicU64,
 }
 
 struct Inner {
     line: Arc<Line>,
     site: String,
     hand: Mutex<Hand>,
-    counts: Arc<ClientCounts>,
+    counts: ClientCounts,
 }
 
 struct Hand {
@@ -97,13 +97,29 @@
         Client(Arc::new(Inner { line, site: st.site.clone(), hand: Mutex::new(hand), counts: Default::default() }))
     }
 
-    pub fn counts(&self) -> Arc<ClientCounts> {
-        self.0.counts.clone()
-    }
-
-    /// Bytes of turns on hand.
-    pub fn bytes(&self) -> usize {
-        self.0.hand.lock().unwrap().bytes
+    /// For an operator: what this front asked of the stores, and what it has on hand.
+    pub fn figures(&self) -> BTreeMap<&'static str, u64> {
+        let c = &self.0.counts;
+        let n = |x: &AtomicU64| x.load(Relaxed);
+        let (turns, bytes) = {
+            let g = self.0.hand.lock().unwrap();
+            (g.turns.len() as u64, g.bytes as u64)
+        };
+        [
+            ("turns", turns),
+            ("turn_bytes", bytes),
+            ("opens", n(&c.opens)),
+            ("at_hand", n(&c.at_hand)),
+            ("spent", n(&c.spent)),
+            ("unknown", n(&c.unknown)),
+            ("away", n(&c.away)),
+            ("moved", n(&c.moved)),
+            ("finishes", n(&c.finishes)),
+            ("unkept", n(&c.unkept)),
+            ("settles", n(&c.settles)),
+            ("unsettled", n(&c.unsettled)),
+        ]
+        .into()
     }
 }
 
--- a/yewcross/src/chain_wire.rs
+++ b/yewcross/src/chain_wire.rs
@@ -217,7 +217,7 @@
 
     /// In the view and not suspected.
     pub fn well(&self, disk: &str) -> bool {
-        self.node(disk).is_some_and(|n| n.state == State::Alive)
+        self.members.view.load().values().any(|n| n.disk == disk && n.state == State::Alive)
     }
 
     /// Well, and not slow of late.
@@ -243,7 +243,7 @@
         let all = seats.all();
         let mut v: Vec<String> = ranked(key, all.iter().map(|d| d.as_str())).into_iter().map(|d| d.to_string()).collect();
         let at = beside.and_then(&site);
-        v.sort_by_key(|d| (!self.prompt(d), beside == Some(d), at.is_some() && site(d) == at));
+        v.sort_by_cached_key(|d| (!self.prompt(d), beside == Some(d), at.is_some() && site(d) == at));
         v
     }
 
@@ -251,7 +251,7 @@
     pub fn near(&self, key: &str, seats: &Seats, site: &str) -> Vec<String> {
         let l = self.book.layout.load();
         let mut v = self.order(key, seats, None);
-        v.sort_by_key(|d| (!self.prompt(d), l.1.sites.get(d).is_none_or(|s| s != site)));
+        v.sort_by_cached_key(|d| (!self.prompt(d), l.1.sites.get(d).is_none_or(|s| s != site)));
         v
     }
 
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -188,7 +188,7 @@
 pub const CHAIN_TIDY: u64 = 2 * SEC;
 /// bytes. A segment of a store's log; a new one costs one more sync.
 pub const SEGMENT: u64 = 8 << 20;
-/// bytes. What the log may hold beyond twice what lives.
+/// bytes. What the log may hold beyond one and a half times what lives: all of it passes through memory at a start.
 pub const SEGMENT_SLACK: u64 = 16 << 20;
 /// bytes. Largest blob of one push between stores, and of one piece of rewriting: it must not hold up a turn's sync.
 pub const CHAIN_PUSH: usize = 512 << 10;
