--- a/yewcross-control/src/chain_sweep.rs
+++ b/yewcross-control/src/chain_sweep.rs
@@ -10,9 +10,11 @@
 use yewcross::world::*;
 
 impl Engine {
-    /// Whether all that this disk held when it adopted the layout is where that layout needs it, and how much is not yet.
+    /// Whether all that this disk held when it adopted the layout is where that layout needs it, and how much is not yet. A disk
+    /// without a seat has nothing to bring.
     pub fn swept(&self, layout: u64) -> (bool, u64) {
-        (self.swept.load(SeqCst) >= layout, self.left.load(SeqCst))
+        let seated = self.line.seats().has(&self.me);
+        (!seated || self.swept.load(SeqCst) >= layout, self.left.load(SeqCst))
     }
 
     pub(crate) async fn watch(self: Arc<Self>) {
