--- a/yewcross-lab/tests/chain.rs
+++ b/yewcross-lab/tests/chain.rs
@@ -369,7 +369,7 @@
                 };
                 let t0 = w.now();
                 me.judge.lock().unwrap().asked.insert(id.clone(), p.program.clone());
-                let r = c.open(o.clone(), t0 + 2 * SEC).await;
+                let r = c.open(o.clone(), t0 + p.patience).await;
                 me.judge.lock().unwrap().asked.remove(&id);
                 match r {
                     Ok(x) => {
@@ -531,6 +531,8 @@
     /// us that a turn runs, and that its client rests.
     run: u64,
     pause: u64,
+    /// us that an opening may take.
+    patience: u64,
     /// Some turns are settled without being kept, some not even that.
     settles: bool,
     /// A refusal must be right.
@@ -548,6 +550,7 @@
             bytes: 500,
             run: 30 * MS,
             pause: 50 * MS,
+            patience: 2 * SEC,
             settles: false,
             strict: true,
         }
@@ -753,6 +756,33 @@
     assert_eq!(ask(What::Find { id: "z".into() }), Told::Newer(t.lay.lock().unwrap().0), "by a layout that is over");
 }
 
+#[test]
+fn an_owner_that_falls_silent_holds_a_turn_up_for_half_a_second() {
+    for (seed, f) in [(700, Fault::Freeze), (701, Fault::Power), (702, Fault::Cut), (703, Fault::Stall), (704, Fault::Kill)] {
+        let t = Town::new(seed, 4, 4, 1);
+        (0..20).for_each(|i| t.session(Plan { turns: 40, pause: 60 * MS, patience: SEC, ..Plan::of(&format!("p{i}")) }));
+        t.pass(1_000);
+        t.judge.lock().unwrap().waits.clear();
+        match f {
+            Fault::Freeze => t.freeze("store2"),
+            Fault::Power => t.kill("store2", true),
+            Fault::Cut => t.cut("store2"),
+            Fault::Stall => t.sim.disk(t.sim.find("store2"), |d| d.stalled = true),
+            _ => t.kill("store2", false),
+        }
+        t.pass(2_500);
+        let (n, away) = {
+            let j = t.judge.lock().unwrap();
+            (j.waits.iter().max().cloned().unwrap_or(0) / MS, j.away)
+        };
+        println!("{f:?}: longest opening {n} ms, {away} sent back");
+        t.calm();
+        t.finish(20_000);
+        t.verdict(&format!("{f:?}"));
+        assert!(away == 0 && n < 900, "{f:?}: {n} ms, {away} sent back");
+    }
+}
+
 /// An owner whose promise was given by disks that have left must not count on them, even if a disk that it never heard of
 /// hears its old question late.
 #[test]
--- a/yewcross/src/chain_client.rs
+++ b/yewcross/src/chain_client.rs
@@ -197,7 +197,7 @@
             let seats = self.line.seats();
             let mut order = self.line.near(Self::key(o), &seats, &self.site);
             let owner = told.take().or_else(|| self.owner(&o.program)).filter(|d| seats.has(d));
-            let first = owner.filter(|d| !tried.contains(d) && self.line.well(d));
+            let first = owner.filter(|d| !tried.contains(d) && self.line.fit(d));
             order.retain(|d| !tried.contains(d) && first.as_ref() != Some(d));
             let Some(to) = first.into_iter().chain(order).next() else {
                 tried.clear();
@@ -222,7 +222,7 @@
                 Some(Told::Spent) => return Err(Refusal::Spent),
                 Some(Told::Unknown) => return Err(Refusal::Unknown),
                 Some(Told::Newer(n)) => self.line.catch_up(n).await,
-                Some(Told::Owner(d)) if seats.has(&d) && self.line.well(&d) && !tried.contains(&d) => told = Some(d),
+                Some(Told::Owner(d)) if seats.has(&d) && self.line.fit(&d) && !tried.contains(&d) => told = Some(d),
                 // It holds back for one that we cannot reach.
                 Some(Told::Owner(_)) => take = true,
                 _ => {
@@ -236,18 +236,20 @@
         Err(Refusal::Away)
     }
 
-    /// Waits for one store as long as it is not suspected: one that is merely slow is not passed by.
+    /// Waits for one store as long as it is not suspected and says anything at all: one that is merely slow is not passed by.
     async fn patient(&self, to: &str, lay: u64, what: &What, until: u64) -> Option<Told> {
         let w = &self.line.w;
+        let sent = w.now();
         let ask = async { self.line.ask(to, lay, what, until.saturating_sub(w.now())).await.ok() };
         let watch = async {
-            loop {
+            for n in 1.. {
                 w.sleep(CHAIN_SPARE).await;
                 self.line.mark_slow(to);
-                if !self.line.well(to) {
-                    return None;
+                if !self.line.well(to) || (n >= CHAIN_MUTE && self.line.silent(to, sent)) {
+                    break;
                 }
             }
+            None
         };
         futures_lite::future::or(ask, watch).await
     }
--- a/yewcross/src/chain_wire.rs
+++ b/yewcross/src/chain_wire.rs
@@ -191,6 +191,9 @@
     pub lost: usize,
     /// Disks that let somebody wait, and until when they are asked last, us.
     slow: Mutex<BTreeMap<String, u64>>,
+    /// us of the last answer of each disk, and until when those count as gone that say nothing at all.
+    heard: Mutex<BTreeMap<String, u64>>,
+    mute: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Line {
@@ -220,9 +223,23 @@
         self.members.view.load().values().any(|n| n.disk == disk && n.state == State::Alive)
     }
 
-    /// Well, and not slow of late.
+    /// Well as far as membership knows, and not silent of late.
+    pub fn fit(&self, disk: &str) -> bool {
+        self.well(disk) && self.mute.lock().unwrap().get(disk).is_none_or(|t| *t < self.w.now())
+    }
+
+    /// A store that is merely slow answers something; one that has answered nothing since then is as good as gone.
+    pub fn silent(&self, disk: &str, since: u64) -> bool {
+        let silent = self.heard.lock().unwrap().get(disk).is_none_or(|t| *t < since);
+        if silent {
+            self.mute.lock().unwrap().insert(disk.into(), self.w.now() + CHAIN_SLOW);
+        }
+        silent
+    }
+
+    /// Fit, and not slow of late.
     pub fn prompt(&self, disk: &str) -> bool {
-        self.well(disk) && self.slow.lock().unwrap().get(disk).is_none_or(|t| *t < self.w.now())
+        self.fit(disk) && self.slow.lock().unwrap().get(disk).is_none_or(|t| *t < self.w.now())
     }
 
     /// It let somebody wait: asked last for a while, and membership looks at it now, not when its turn comes.
@@ -259,7 +276,11 @@
         let to = self.node(disk).ok_or(Lost::Unsent)?.peer;
         let a = encode(&ChainAsk { lay, disk: disk.into(), left: us, what: what.clone() });
         match self.members.peers.ask(to, &Ask::Chain, &a, us).await? {
-            (Tell::Chain, b) => decode(&b).ok_or(Lost::Unknown),
+            (Tell::Chain, b) => {
+                self.heard.lock().unwrap().insert(disk.into(), self.w.now());
+                self.mute.lock().unwrap().remove(disk);
+                decode(&b).ok_or(Lost::Unknown)
+            }
             _ => Err(Lost::Unknown),
         }
     }
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -202,6 +202,9 @@
 pub const LAST_LOOK: u64 = 50 * MS;
 /// us. A store asked to keep something that has not answered by then is joined by another: ten times a slow disk's sync.
 pub const CHAIN_SPARE: u64 = 250 * MS;
+/// count of CHAIN_SPARE. An owner that has said nothing to anyone here for so long is passed by, before membership is sure: a
+/// turn's opening has a second.
+pub const CHAIN_MUTE: usize = 2;
 /// us. A store that let somebody wait that long is asked last for so long: until membership has judged it.
 pub const CHAIN_SLOW: u64 = 2 * SEC;
 /// us. Asking again after every store said that it cannot now, doubled by chance.
