--- a/yewcross-control/src/chain.rs
+++ b/yewcross-control/src/chain.rs
@@ -179,6 +179,8 @@
     pub busy: AtomicU64,
     pub pushed: AtomicU64,
     pub compacted: AtomicU64,
+    /// Ends of the log found torn at the start.
+    pub torn: AtomicU64,
 }
 
 pub struct Engine {
@@ -233,6 +235,7 @@
             swept: AtomicU64::new(0),
             left: AtomicU64::new(0),
         });
+        e.counts.torn.store(f.torn.len() as u64, Relaxed);
         if !f.torn.is_empty() {
             // Before anything else is written behind it.
             let marks = f.torn.iter().map(|(s, n)| Item::Torn(*s, *n)).collect();
@@ -292,6 +295,7 @@
             ("busy", n(&c.busy)),
             ("pushed", n(&c.pushed)),
             ("compacted", n(&c.compacted)),
+            ("torn", n(&c.torn)),
             ("left", n(&self.left)),
             ("doubt", self.doubt.load(Relaxed) as u64),
         ]
--- a/yewcross-lab/tests/chain.rs
+++ b/yewcross-lab/tests/chain.rs
@@ -783,6 +783,71 @@
     }
 }
 
+#[test]
+fn a_torn_end_is_no_damage_however_often_the_power_goes() {
+    let mut torn = 0;
+    for seed in 800..803 {
+        let t = Town::new(seed, 4, 3, 1);
+        for round in 0..3 {
+            (0..30).for_each(|i| t.session(Plan { turns: 30, run: MS, pause: MS, budget: None, ..Plan::of(&format!("p{round}-{i}")) }));
+            t.sim.run(t.sim.now() + 20 * MS + t.sim.rand() % (40 * MS), || false);
+            t.stores.iter().for_each(|n| t.kill(n, true));
+            t.pass(200);
+            t.stores.iter().for_each(|n| t.boot(n));
+            t.pass(1_000);
+            for n in &t.stores {
+                let e = t.node(n).and_then(|x| x.engine).unwrap();
+                assert!(!e.doubt.load(SeqCst), "seed {seed}, round {round}: {n} takes a torn end for damage");
+                torn += e.figures()["torn"];
+            }
+        }
+        t.finish(60_000);
+        t.read_back();
+        t.verdict(&format!("seed {seed}, {torn} torn so far"));
+    }
+    assert!(torn > 2, "{torn} torn");
+}
+
+#[test]
+fn what_is_enough_to_read_meets_what_is_enough_to_write() {
+    arbtest::arbtest(|u| {
+        let lost = u.int_in_range(0..=3)?;
+        let mut l = Layout::default();
+        let all: Vec<String> = (0..12).map(|i| format!("d{i}")).collect();
+        for (i, d) in all.iter().enumerate() {
+            // Three at least stay.
+            let (now, old) = (i < 3 || u.ratio(1, 2)?, i < 3 || u.ratio(1, 2)?);
+            l.store.now.extend(now.then(|| d.clone()));
+            l.store.old.extend(old.then(|| d.clone()));
+        }
+        if u.ratio(1, 3)? {
+            l.store.old.clear();
+        }
+        let s = Seats::of(1, &l, lost);
+        let mut some = || -> arbtest::arbitrary::Result<BTreeSet<&String>> {
+            let mut v = BTreeSet::new();
+            for d in &all {
+                if u.ratio(2, 3)? {
+                    v.insert(d);
+                }
+            }
+            Ok(v)
+        };
+        let (a, b) = (some()?, some()?);
+        let has = |v: &BTreeSet<&String>, d: &str| v.iter().any(|x| *x == d);
+        for g in [&l.store.now, &l.store.old].into_iter().filter(|g| !g.is_empty()) {
+            let n = |v: &BTreeSet<&String>| g.iter().filter(|d| v.contains(d)).count();
+            if s.wrote(|d| has(&a, d)) {
+                assert!(n(&a) > lost.min((g.len() - 1) / 2), "it does not outlast the losses");
+                if s.read(|d| has(&b, d)) {
+                    assert!(g.iter().any(|d| a.contains(d) && b.contains(d)), "they do not meet");
+                }
+            }
+        }
+        Ok(())
+    });
+}
+
 /// An owner whose promise was given by disks that have left must not count on them, even if a disk that it never heard of
 /// hears its old question late.
 #[test]
@@ -936,9 +1001,16 @@
         t.kill("store2", true);
         let hit = t.sim.disk(m, |d| d.spoil("chain/", seed * 7919));
         assert!(hit.is_some(), "nothing to damage");
+        // Alone it cannot be mended, and answers for nothing that it does not hold.
+        let others: Vec<String> = t.stores.iter().filter(|n| *n != "store2").cloned().collect();
+        others.iter().for_each(|n| t.kill(n, true));
         t.boot("store2");
         t.pass(300);
-        // As long as it is not mended, one other may not be lost: that would be two.
+        let d = t.disk("store2");
+        assert_eq!(told(&t, "store2", &d, 1, What::Find { id: "never".into() }), Told::Away, "seed {seed}");
+        let ledger = LedgerRow { program: "p0".into(), epoch: Epoch { n: 99, by: 1 }, ..Default::default() };
+        assert_eq!(told(&t, "store2", &d, 1, What::Take { ledger }), Told::Away, "seed {seed}");
+        others.iter().for_each(|n| t.boot(n));
         t.pass(3_000);
         let e = t.node("store2").and_then(|x| x.engine).unwrap();
         assert!(!e.doubt.load(SeqCst), "seed {seed}: not mended");
