Give the stand-ins their own words for what did not run

Cause: the scan of sources found the platform's header in the lab's ports and server, and an event's field in the front's tests.

--- a/yewcross-front/tests/scan.rs
+++ b/yewcross-front/tests/scan.rs
@@ -15,7 +15,7 @@
         ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 2, true, "a\nb\n"),
         ("data:a\r\n\r\ndata:  b\r\n\r\n", 2, true, "a\n b\n"),
         ("data: a\rdata: b\r\r", 1, true, "a\nb\n"),
-        ("weight-versions: 3\nid: 1\ndata: a\n\n", 1, true, "a\n"),
+        ("weights: 3\nid: 1\ndata: a\n\n", 1, true, "a\n"),
         (": a word\n\nevent: x\n\n", 0, true, ""),
         ("data\n\n", 1, true, "\n"),
         ("data: a\n", 1, false, "a\n"),
--- a/yewcross-lab/src/routed/ports.rs
+++ b/yewcross-lab/src/routed/ports.rs
@@ -58,7 +58,7 @@
         AnswerMeta {
             attempt: text(h, "try").into(),
             stamped: h.contains_key("stamp"),
-            not_run: h.contains_key("not-run") || status == 421,
+            not_run: h.contains_key("unrun") || status == 421,
             load: (load.len() == 3).then(|| (load[0], load[1], load[2])),
             idle_ms: text(h, "idle-ms").parse().ok(),
             closes: text(h, "connection") == "close",
--- a/yewcross-lab/src/routed/server.rs
+++ b/yewcross-lab/src/routed/server.rs
@@ -258,18 +258,18 @@
             [top.as_bytes(), body].concat()
         };
         if h.heads.get("for").is_some_and(|x| *x != self.spec.id) {
-            return c.write_all(&say(421, &attempt, "not-run: 1\r\n", b"")).await.ok();
+            return c.write_all(&say(421, &attempt, "unrun: 1\r\n", b"")).await.ok();
         }
         self.g.reached.lock().unwrap().push((self.w.now(), self.spec.id.clone(), attempt.clone()));
         let fault = self.fault();
         fault.iter().for_each(|f| *self.g.faults.lock().unwrap().entry(*f).or_default() += 1);
         match fault {
             Some(Fault::Reset) => return None,
-            Some(Fault::NotRun) => return c.write_all(&say(503, &attempt, "not-run: 1\r\n", b"")).await.ok(),
+            Some(Fault::NotRun) => return c.write_all(&say(503, &attempt, "unrun: 1\r\n", b"")).await.ok(),
             _ => {}
         }
         let Some(_seat) = self.seat().await else {
-            return c.write_all(&say(503, &attempt, "not-run: 1\r\n", b"full")).await.ok();
+            return c.write_all(&say(503, &attempt, "unrun: 1\r\n", b"full")).await.ok();
         };
         let most: u64 = get("most").parse().unwrap_or(0);
         let stream = most > 0;
--- a/yewcross-lab/tests/relay.rs
+++ b/yewcross-lab/tests/relay.rs
@@ -62,7 +62,7 @@
         AnswerMeta {
             attempt: text(h, "try").into(),
             stamped: h.contains_key("stamp"),
-            not_run: h.contains_key("not-run") || status == 421,
+            not_run: h.contains_key("unrun") || status == 421,
             load: None,
             idle_ms: text(h, "idle-ms").parse().ok(),
             closes: text(h, "connection") == "close",
@@ -193,7 +193,7 @@
                 return;
             }
             Act::Half => (good[..good.len() - 2].to_vec(), true),
-            Act::NotRun(s) => (say(s, &a, "not-run: 1\r\n", ""), false),
+            Act::NotRun(s) => (say(s, &a, "unrun: 1\r\n", ""), false),
             Act::Fails(s) => (say(s, &a, "", "mine"), false),
             Act::NoStamp => (say(200, &a, "", "good"), false),
             Act::OtherTry => (say(200, "another", "stamp: 1\r\n", "other"), false),
