--- a/yewcross/src/chain_wire.rs
+++ b/yewcross/src/chain_wire.rs
@@ -206,6 +206,8 @@
             follow: Follow::new(members, book, name, false),
             lost,
             slow: Default::default(),
+            heard: Default::default(),
+            mute: Default::default(),
         })
     }
 
