--- a/yewcross-lab/tests/chain.rs
+++ b/yewcross-lab/tests/chain.rs
@@ -238,7 +238,10 @@
 
     fn calm(&self) {
         self.sim.heal();
-        self.stores.iter().for_each(|n| self.sim.thaw(self.sim.find(n)));
+        self.stores.iter().for_each(|n| {
+            self.sim.thaw(self.sim.find(n));
+            self.sim.disk(self.sim.find(n), |d| d.stalled = false);
+        });
         self.apart.lock().unwrap().clear();
     }
 
@@ -366,7 +369,7 @@
                 };
                 let t0 = w.now();
                 me.judge.lock().unwrap().asked.insert(id.clone(), p.program.clone());
-                let r = c.open(o.clone(), t0 + 2 * SEC).await;
+                let r = c.open(o.clone(), t0 + p.patience).await;
                 me.judge.lock().unwrap().asked.remove(&id);
                 match r {
                     Ok(x) => {
@@ -528,6 +531,8 @@
     /// us that a turn runs, and that its client rests.
     run: u64,
     pause: u64,
+    /// us that an opening may take.
+    patience: u64,
     /// Some turns are settled without being kept, some not even that.
     settles: bool,
     /// A refusal must be right.
@@ -545,6 +550,7 @@
             bytes: 500,
             run: 30 * MS,
             pause: 50 * MS,
+            patience: 2 * SEC,
             settles: false,
             strict: true,
         }
@@ -571,10 +577,12 @@
     Wipe,
     /// As many stores as may be lost are on one side with some fronts.
     Side,
+    /// Its disk hangs.
+    Stall,
     All,
 }
 
-const FAULTS: [Fault; 7] = [Fault::Kill, Fault::Power, Fault::Freeze, Fault::Cut, Fault::Wipe, Fault::Side, Fault::All];
+const FAULTS: [Fault; 8] = [Fault::Stall, Fault::Kill, Fault::Power, Fault::Freeze, Fault::Cut, Fault::Wipe, Fault::Side, Fault::All];
 
 impl Town {
     /// Loses as many stores as may be lost, each in its own way, and brings them back whole before it ends.
@@ -591,6 +599,7 @@
             for n in &hit {
                 match kind {
                     Fault::Side => self.side(n),
+                    Fault::Stall => self.sim.disk(self.sim.find(n), |d| d.stalled = true),
                     Fault::Kill => self.kill(n, false),
                     Fault::Power => self.kill(n, true),
                     Fault::Freeze => self.freeze(n),
@@ -747,6 +756,98 @@
     assert_eq!(ask(What::Find { id: "z".into() }), Told::Newer(t.lay.lock().unwrap().0), "by a layout that is over");
 }
 
+#[test]
+fn an_owner_that_falls_silent_holds_a_turn_up_for_half_a_second() {
+    for (seed, f) in [(700, Fault::Freeze), (701, Fault::Power), (702, Fault::Cut), (703, Fault::Stall), (704, Fault::Kill)] {
+        let t = Town::new(seed, 4, 4, 1);
+        (0..20).for_each(|i| t.session(Plan { turns: 40, pause: 60 * MS, patience: SEC, ..Plan::of(&format!("p{i}")) }));
+        t.pass(1_000);
+        t.judge.lock().unwrap().waits.clear();
+        match f {
+            Fault::Freeze => t.freeze("store2"),
+            Fault::Power => t.kill("store2", true),
+            Fault::Cut => t.cut("store2"),
+            Fault::Stall => t.sim.disk(t.sim.find("store2"), |d| d.stalled = true),
+            _ => t.kill("store2", false),
+        }
+        t.pass(2_500);
+        let (n, away) = {
+            let j = t.judge.lock().unwrap();
+            (j.waits.iter().max().cloned().unwrap_or(0) / MS, j.away)
+        };
+        println!("{f:?}: longest opening {n} ms, {away} sent back");
+        t.calm();
+        t.finish(20_000);
+        t.verdict(&format!("{f:?}"));
+        assert!(away == 0 && n < 900, "{f:?}: {n} ms, {away} sent back");
+    }
+}
+
+#[test]
+fn a_torn_end_is_no_damage_however_often_the_power_goes() {
+    let mut torn = 0;
+    for seed in 800..803 {
+        let t = Town::new(seed, 4, 3, 1);
+        for round in 0..3 {
+            (0..30).for_each(|i| t.session(Plan { turns: 30, run: MS, pause: MS, budget: None, ..Plan::of(&format!("p{round}-{i}")) }));
+            t.sim.run(t.sim.now() + 20 * MS + t.sim.rand() % (40 * MS), || false);
+            t.stores.iter().for_each(|n| t.kill(n, true));
+            t.pass(200);
+            t.stores.iter().for_each(|n| t.boot(n));
+            t.pass(1_000);
+            for n in &t.stores {
+                let e = t.node(n).and_then(|x| x.engine).unwrap();
+                assert!(!e.doubt.load(SeqCst), "seed {seed}, round {round}: {n} takes a torn end for damage");
+                torn += e.figures()["torn"];
+            }
+        }
+        t.finish(60_000);
+        t.read_back();
+        t.verdict(&format!("seed {seed}, {torn} torn so far"));
+    }
+    assert!(torn > 2, "{torn} torn");
+}
+
+#[test]
+fn what_is_enough_to_read_meets_what_is_enough_to_write() {
+    arbtest::arbtest(|u| {
+        let lost = u.int_in_range(0..=3)?;
+        let mut l = Layout::default();
+        let all: Vec<String> = (0..12).map(|i| format!("d{i}")).collect();
+        for (i, d) in all.iter().enumerate() {
+            // Three at least stay.
+            let (now, old) = (i < 3 || u.ratio(1, 2)?, i < 3 || u.ratio(1, 2)?);
+            l.store.now.extend(now.then(|| d.clone()));
+            l.store.old.extend(old.then(|| d.clone()));
+        }
+        if u.ratio(1, 3)? {
+            l.store.old.clear();
+        }
+        let s = Seats::of(1, &l, lost);
+        let mut some = || -> arbtest::arbitrary::Result<BTreeSet<&String>> {
+            let mut v = BTreeSet::new();
+            for d in &all {
+                if u.ratio(2, 3)? {
+                    v.insert(d);
+                }
+            }
+            Ok(v)
+        };
+        let (a, b) = (some()?, some()?);
+        let has = |v: &BTreeSet<&String>, d: &str| v.iter().any(|x| *x == d);
+        for g in [&l.store.now, &l.store.old].into_iter().filter(|g| !g.is_empty()) {
+            let n = |v: &BTreeSet<&String>| g.iter().filter(|d| v.contains(d)).count();
+            if s.wrote(|d| has(&a, d)) {
+                assert!(n(&a) > lost.min((g.len() - 1) / 2), "it does not outlast the losses");
+                if s.read(|d| has(&b, d)) {
+                    assert!(g.iter().any(|d| a.contains(d) && b.contains(d)), "they do not meet");
+                }
+            }
+        }
+        Ok(())
+    });
+}
+
 /// An owner whose promise was given by disks that have left must not count on them, even if a disk that it never heard of
 /// hears its old question late.
 #[test]
@@ -900,9 +1001,16 @@
         t.kill("store2", true);
         let hit = t.sim.disk(m, |d| d.spoil("chain/", seed * 7919));
         assert!(hit.is_some(), "nothing to damage");
+        // Alone it cannot be mended, and answers for nothing that it does not hold.
+        let others: Vec<String> = t.stores.iter().filter(|n| *n != "store2").cloned().collect();
+        others.iter().for_each(|n| t.kill(n, true));
         t.boot("store2");
         t.pass(300);
-        // As long as it is not mended, one other may not be lost: that would be two.
+        let d = t.disk("store2");
+        assert_eq!(told(&t, "store2", &d, 1, What::Find { id: "never".into() }), Told::Away, "seed {seed}");
+        let ledger = LedgerRow { program: "p0".into(), epoch: Epoch { n: 99, by: 1 }, ..Default::default() };
+        assert_eq!(told(&t, "store2", &d, 1, What::Take { ledger }), Told::Away, "seed {seed}");
+        others.iter().for_each(|n| t.boot(n));
         t.pass(3_000);
         let e = t.node("store2").and_then(|x| x.engine).unwrap();
         assert!(!e.doubt.load(SeqCst), "seed {seed}: not mended");
