Weigh what an unanswered opening left against the budget; keep ledgers at rest

Beside it, by reading: the log's upkeep took ledgers off their segment before it decided to rewrite it, so that one at rest was lost with the segment; and after a whole core's restart nobody was on duty for 8 s (DRAIN), as each core asked a majority whether the tier is founded though it held a decided configuration. Change: such an opening is given back and answered as not admitted; a segment is asked first; a decided configuration is proof of founding. Tests: what_an_unanswered_opening_left..., a_budget_long_at_rest....

--- a/yewcross-control/src/chain.rs
+++ b/yewcross-control/src/chain.rs
@@ -123,7 +123,12 @@
         (v, at)
     }
 
-    /// What the segment is needed for, to be written anew.
+    /// Whether anything needs the segment.
+    pub fn needs(&self, s: u64) -> bool {
+        self.turns.values().any(|k| k.seg <= s) || self.ledgers.values().any(|l| l.seg <= s)
+    }
+
+    /// What the segment is needed for, to be written anew at once: from here on its ledgers count as needing none.
     pub fn in_segment(&mut self, s: u64) -> Vec<Item> {
         let turns = self.turns.values().filter(|k| k.seg <= s).map(|k| Item::Turn(k.row.clone()));
         let mut v: Vec<Item> = turns.collect();
@@ -618,13 +623,22 @@
             let rx = {
                 let mut g = self.st.lock().unwrap();
                 let Some(l) = g.ledgers.get_mut(program).filter(|l| l.promised == epoch) else { continue };
-                match l.entries.get(turn) {
+                let left = l.entries.get(turn).copied();
+                match left {
                     Some(Entry::Done(_)) => return Told::Away,
-                    Some(_) => {}
+                    // Left by an opening that was not answered: it was never weighed against the budget.
+                    Some(_) if l.spent > budget => {}
                     None if l.spent + max > budget => return Told::Spent,
-                    None => {}
+                    _ => {
+                        l.merge(&entry, at, keep);
+                    }
+                }
+                if left.is_some() && l.spent > budget {
+                    drop(g);
+                    drop(h);
+                    self.undo(program, turn);
+                    return Told::Away;
                 }
-                l.merge(&entry, at, keep);
                 self.keep(vec![Item::Ledger(row.clone(), at)])
             };
             let by = h.by.clone();
--- a/yewcross-control/src/chain_log.rs
+++ b/yewcross-control/src/chain_log.rs
@@ -201,10 +201,13 @@
                 (g.sizes.keys().next().cloned(), g.seg, g.sizes.values().sum::<u64>())
             };
             let Some(s) = old.filter(|s| *s < cur) else { return };
-            let items = self.st.lock().unwrap().in_segment(s);
-            if !items.is_empty() && total <= live + live / 2 + SEGMENT_SLACK {
-                return;
-            }
+            let items = {
+                let mut g = self.st.lock().unwrap();
+                if total <= live + live / 2 + SEGMENT_SLACK && g.needs(s) {
+                    return;
+                }
+                g.in_segment(s)
+            };
             let mut part = vec![];
             let mut size = 0;
             let mut ok = true;
--- a/yewcross-control/src/layout.rs
+++ b/yewcross-control/src/layout.rs
@@ -366,7 +366,8 @@
 
 /// Whether the first layout and configuration are decided; decides them where they are not.
 async fn settle_first(c: &Arc<Control>, nth: usize) -> bool {
-    if matches!(c.owner.newest("config", PEER_WAIT).await, Ok((s, ..)) if s > 0) {
+    // What a node adopts was decided: it need not ask again, least of all while all of them start at once.
+    if c.book.config.load().0 > 0 || matches!(c.owner.newest("config", PEER_WAIT).await, Ok((s, ..)) if s > 0) {
         return true;
     }
     if !c.options.tends {
--- a/yewcross-lab/tests/chain.rs
+++ b/yewcross-lab/tests/chain.rs
@@ -1074,3 +1074,44 @@
     println!("{logs} bytes of log when all is over");
     assert!(logs < 4 * 2 * SEGMENT);
 }
+
+/// What a program's budget let through when all its turns are asked for at once while every store starts anew.
+fn rush(seed: u64) -> Arc<Town> {
+    let t = Town::new(seed, 9, 4, 2);
+    t.stores.iter().for_each(|n| t.kill(n, false));
+    t.pass(700);
+    let at_once = Plan { turns: 3, max: 135, budget: Some(270), run: 800 * MS, pause: 20 * MS, strict: false, ..Plan::of("rush") };
+    (0..30).for_each(|_| t.session(at_once.clone()));
+    t.stores.iter().for_each(|n| t.boot(n));
+    t.finish(60_000);
+    t
+}
+
+#[test]
+fn what_an_unanswered_opening_left_is_weighed_against_the_budget() {
+    seeds(600..612).for_each(|s| rush(s).verdict(&format!("seed {s}")));
+}
+
+#[test]
+fn a_budget_long_at_rest_outlives_the_segments_of_the_log() {
+    let t = Town::new(9, 4, 3, 1);
+    let one = Plan { turns: 5, max: 20, budget: Some(100), ..Plan::of("rest") };
+    t.session(one.clone());
+    t.finish(20_000);
+    for i in 0..50 {
+        let p = Plan { turns: 25, run: MS, pause: 20 * MS, bytes: 20_000, budget: None, ..Plan::of(&format!("p{i}")) };
+        t.session(p);
+    }
+    t.finish(60_000);
+    t.pass(30_000);
+    let held = |n: &str| t.node(n).and_then(|x| x.engine).is_some_and(|e| e.st.lock().unwrap().ledgers.get("rest").is_some());
+    let before: Vec<String> = t.stores.iter().filter(|n| held(n)).cloned().collect();
+    assert!(before.len() >= 2);
+    t.stores.iter().for_each(|n| t.kill(n, true));
+    t.pass(500);
+    t.stores.iter().for_each(|n| t.boot(n));
+    t.pass(3_000);
+    let after: Vec<String> = t.stores.iter().filter(|n| held(n)).cloned().collect();
+    assert_eq!(before, after);
+    t.verdict("rest");
+}
