--- a/yewcross-lab/tests/routed.rs
+++ b/yewcross-lab/tests/routed.rs
@@ -3,7 +3,7 @@
 use strum::IntoEnumIterator;
 use yewcross::consts::*;
 use yewcross_lab::routed::tier::{Act, Plan, run};
-use yewcross_lab::routed::verdict::judge;
+use yewcross_lab::routed::verdict::{Evidence, judge};
 
 /// Runs a plan; what went wrong, and how many of the callers' tries were answered well.
 fn play(seed: u64, acts: &[Act]) -> (Vec<String>, usize, usize) {
@@ -33,11 +33,6 @@
     (v, e.tries.len(), good)
 }
 
-fn holds(seed: u64, acts: &[Act]) {
-    let (v, ..) = play(seed, acts);
-    assert!(v.is_empty(), "seed {seed} {acts:?}: {v:#?}");
-}
-
 #[test]
 fn a_quiet_tier_serves_all() {
     let (v, tries, good) = play(1, &[]);
@@ -66,7 +61,84 @@
 
 #[test]
 fn each_trouble_alone() {
-    for (i, a) in Act::iter().enumerate() {
-        holds(100 + i as u64, &[a]);
-    }
+    let all: Vec<(u64, Act)> = Act::iter().enumerate().map(|(i, a)| (100 + i as u64, a)).collect();
+    let bad = yewcross_lab::proof::each(all, |(seed, a)| play(seed, &[a]).0.is_empty());
+    assert_eq!(bad, 0, "troubles that broke a rule");
+}
+
+/// A judge that cannot fail proves nothing: each kind of wrong, put into good evidence, is seen.
+#[test]
+fn every_check_sees_its_own_wrong() {
+    let sees = |word: &str, spoil: &dyn Fn(&mut Evidence)| {
+        let (_, mut e) = run(&Plan { seed: 5, shape: "small".into(), acts: vec![Act::LeaveServer] });
+        assert!(judge(&e).is_empty());
+        spoil(&mut e);
+        let v = judge(&e);
+        assert!(v.iter().any(|l| l.starts_with(word)), "{word} was not seen: {v:?}");
+    };
+    let turn = |e: &Evidence| e.tries.iter().position(|t| t.good() && t.route.retained && !t.prev.is_empty()).unwrap();
+    let row = |e: &Evidence| e.tries.iter().position(|t| t.good() && t.events() > 3).unwrap();
+    let once = |e: &Evidence| e.tries.iter().position(|t| t.good() && t.route.mode == yewcross::route::Mode::Effectful).unwrap();
+    let run_of = |e: &Evidence, a: &str| e.runs.iter().position(|r| r.attempt == a).unwrap();
+    sees("UNASKED", &|e| e.runs[7].attempt = "nobody".into());
+    sees("UNASKED", &|e| e.runs[7].target.push('x'));
+    sees("UNASKED", &|e| {
+        let i = turn(e);
+        let k = run_of(e, &e.tries[i].attempt.clone());
+        e.runs[k].body[0] ^= 1;
+    });
+    sees("ROUTE", &|e| {
+        let i = once(e);
+        let k = run_of(e, &e.tries[i].attempt.clone());
+        e.runs[k].service = "model".into();
+    });
+    sees("TWICE", &|e| {
+        let i = once(e);
+        let k = run_of(e, &e.tries[i].attempt.clone());
+        e.runs.push(e.runs[k].clone());
+    });
+    sees("REFUSED", &|e| {
+        let i = once(e);
+        e.tries[i].status = 503;
+    });
+    sees("MIXED", &|e| {
+        let i = once(e);
+        e.tries[i].heard.pop();
+    });
+    sees("MIXED", &|e| {
+        let i = once(e);
+        e.tries[i].heads.remove("stamp");
+    });
+    sees("ORDER", &|e| {
+        let i = row(e);
+        let s = String::from_utf8_lossy(&e.tries[i].heard).replace("id: 2\n", "id: 1\n");
+        e.tries[i].heard = s.into_bytes();
+    });
+    sees("BUDGET", &|e| {
+        let i = turn(e);
+        let p = e.tries[i].program.clone();
+        e.tries.iter_mut().filter(|t| t.program == p).for_each(|t| (t.budget, t.most) = (0, 0));
+    });
+    sees("LOST", &|e| {
+        let i = turn(e);
+        (e.tries[i].status, e.tries[i].heads) = (404, Default::default());
+    });
+    sees("DRAIN", &|e| {
+        let (at, server) = e.leaving[0].clone();
+        let a = e.tries.iter().find(|t| t.at > at + 4 * SEC).unwrap().attempt.clone();
+        e.reached.push((at + 4 * SEC, server, a));
+    });
+    sees("CONFIG", &|e| {
+        let v = e.versions[0].clone();
+        let to = v.to.keys().map(|k| (k.clone(), vec!["elsewhere".to_string()])).collect();
+        e.versions.push(yewcross_lab::routed::cfg::Version { number: v.number + 1, to, ..v });
+    });
+    sees("RECOVER", &|e| {
+        e.back = 1;
+        e.tries.iter_mut().filter(|t| t.at > 12 * SEC).for_each(|t| {
+            t.status = 503;
+            t.heads.clear();
+        });
+        e.runs.clear();
+    });
 }
