--- a/yewcross-lab/src/routed/server.rs
+++ b/yewcross-lab/src/routed/server.rs
@@ -278,7 +278,7 @@
             let n = g.len();
             let k = if stream { 1 + self.w.rand() % (most / super::PER_EVENT).max(1) } else { 0 };
             let events: Vec<String> = (0..k).map(|i| format!("{attempt}.{i}")).collect();
-            let own = self.w.rand() % 40 == 0;
+            let own = self.w.rand().is_multiple_of(40);
             let out = match (stream, own) {
                 (true, _) => events.iter().enumerate().map(|(i, d)| event(i, d)).collect::<String>().into_bytes(),
                 (_, true) => format!("none of that for {attempt}").into_bytes(),
