--- a/yewcross/src/chain_client.rs
+++ b/yewcross/src/chain_client.rs
@@ -8,7 +8,7 @@
 use crate::startup::Startup;
 use crate::world::*;
 use lru::LruCache;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::num::NonZeroUsize;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -16,27 +16,27 @@
 pub struct Client(Arc<Inner>);
 
 #[derive(Default, Debug)]
-pub struct ClientCounts {
-    pub opens: AtomicU64,
+struct ClientCounts {
+    opens: AtomicU64,
     /// Opened with the whole chain on hand.
-    pub at_hand: AtomicU64,
-    pub spent: AtomicU64,
-    pub unknown: AtomicU64,
-    pub away: AtomicU64,
+    at_hand: AtomicU64,
+    spent: AtomicU64,
+    unknown: AtomicU64,
+    away: AtomicU64,
     /// Times that a program's next store was asked because the one before was gone.
-    pub moved: AtomicU64,
-    pub finishes: AtomicU64,
-    pub unkept: AtomicU64,
+    moved: AtomicU64,
+    finishes: AtomicU64,
+    unkept: AtomicU64,
     /// Settled without a turn, and how many were given up.
-    pub settles: AtomicU64,
-    pub unsettled: AtomicU64,
+    settles: AtomicU64,
+    unsettled: AtomicU64,
 }
 
 struct Inner {
     line: Arc<Line>,
     site: String,
     hand: Mutex<Hand>,
-    counts: Arc<ClientCounts>,
+    counts: ClientCounts,
 }
 
 struct Hand {
@@ -97,13 +97,29 @@
         Client(Arc::new(Inner { line, site: st.site.clone(), hand: Mutex::new(hand), counts: Default::default() }))
     }
 
-    pub fn counts(&self) -> Arc<ClientCounts> {
-        self.0.counts.clone()
-    }
-
-    /// Bytes of turns on hand.
-    pub fn bytes(&self) -> usize {
-        self.0.hand.lock().unwrap().bytes
+    /// For an operator: what this front asked of the stores, and what it has on hand.
+    pub fn figures(&self) -> BTreeMap<&'static str, u64> {
+        let c = &self.0.counts;
+        let n = |x: &AtomicU64| x.load(Relaxed);
+        let (turns, bytes) = {
+            let g = self.0.hand.lock().unwrap();
+            (g.turns.len() as u64, g.bytes as u64)
+        };
+        [
+            ("turns", turns),
+            ("turn_bytes", bytes),
+            ("opens", n(&c.opens)),
+            ("at_hand", n(&c.at_hand)),
+            ("spent", n(&c.spent)),
+            ("unknown", n(&c.unknown)),
+            ("away", n(&c.away)),
+            ("moved", n(&c.moved)),
+            ("finishes", n(&c.finishes)),
+            ("unkept", n(&c.unkept)),
+            ("settles", n(&c.settles)),
+            ("unsettled", n(&c.unsettled)),
+        ]
+        .into()
     }
 }
 
@@ -181,7 +197,7 @@
             let seats = self.line.seats();
             let mut order = self.line.near(Self::key(o), &seats, &self.site);
             let owner = told.take().or_else(|| self.owner(&o.program)).filter(|d| seats.has(d));
-            let first = owner.filter(|d| !tried.contains(d) && self.line.well(d));
+            let first = owner.filter(|d| !tried.contains(d) && self.line.fit(d));
             order.retain(|d| !tried.contains(d) && first.as_ref() != Some(d));
             let Some(to) = first.into_iter().chain(order).next() else {
                 tried.clear();
@@ -206,7 +222,7 @@
                 Some(Told::Spent) => return Err(Refusal::Spent),
                 Some(Told::Unknown) => return Err(Refusal::Unknown),
                 Some(Told::Newer(n)) => self.line.catch_up(n).await,
-                Some(Told::Owner(d)) if seats.has(&d) && self.line.well(&d) && !tried.contains(&d) => told = Some(d),
+                Some(Told::Owner(d)) if seats.has(&d) && self.line.fit(&d) && !tried.contains(&d) => told = Some(d),
                 // It holds back for one that we cannot reach.
                 Some(Told::Owner(_)) => take = true,
                 _ => {
@@ -220,18 +236,20 @@
         Err(Refusal::Away)
     }
 
-    /// Waits for one store as long as it is not suspected: one that is merely slow is not passed by.
+    /// Waits for one store as long as it is not suspected and says anything at all: one that is merely slow is not passed by.
     async fn patient(&self, to: &str, lay: u64, what: &What, until: u64) -> Option<Told> {
         let w = &self.line.w;
+        let sent = w.now();
         let ask = async { self.line.ask(to, lay, what, until.saturating_sub(w.now())).await.ok() };
         let watch = async {
-            loop {
+            for n in 1.. {
                 w.sleep(CHAIN_SPARE).await;
                 self.line.mark_slow(to);
-                if !self.line.well(to) {
-                    return None;
+                if !self.line.well(to) || (n >= CHAIN_MUTE && self.line.silent(to, sent)) {
+                    break;
                 }
             }
+            None
         };
         futures_lite::future::or(ask, watch).await
     }
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -205,6 +205,9 @@
 pub const LAST_LOOK: u64 = 50 * MS;
 /// us. A store asked to keep something that has not answered by then is joined by another: ten times a slow disk's sync.
 pub const CHAIN_SPARE: u64 = 250 * MS;
+/// count of CHAIN_SPARE. An owner that has said nothing to anyone here for so long is passed by, before membership is sure: a
+/// turn's opening has a second.
+pub const CHAIN_MUTE: usize = 2;
 /// us. A store that let somebody wait that long is asked last for so long: until membership has judged it.
 pub const CHAIN_SLOW: u64 = 2 * SEC;
 /// us. Asking again after every store said that it cannot now, doubled by chance.
@@ -222,7 +225,7 @@
 pub const CHAIN_TIDY: u64 = 2 * SEC;
 /// bytes. A segment of a store's log; a new one costs one more sync.
 pub const SEGMENT: u64 = 8 << 20;
-/// bytes. What the log may hold beyond twice what lives.
+/// bytes. What the log may hold beyond one and a half times what lives: all of it passes through memory at a start.
 pub const SEGMENT_SLACK: u64 = 16 << 20;
 /// bytes. Largest blob of one push between stores, and of one piece of rewriting: it must not hold up a turn's sync.
 pub const CHAIN_PUSH: usize = 512 << 10;
@@ -258,8 +261,14 @@
 pub const TOLD_FADE: u64 = 300 * MS;
 /// tokens a ms that a server reads, as the platforms at hand name them.
 pub const READ_PER_MS: u64 = 30;
-/// us. What bytes between zones are worth against time.
-pub const ZONE_COST: f64 = 3_000.0;
+/// us. What a prompt's bytes between zones are worth against its time to the first event.
+pub const ZONE_COST_MODEL: f64 = 20_000.0;
+/// us. The same of a lookup's bytes against its answer.
+pub const ZONE_COST_PLAIN: f64 = 8_000.0;
+/// us. What a new connection is worth against time.
+pub const DIAL_COST: f64 = 4_000.0;
+/// us. A front that has just begun lets requests wait this long for its first configuration and list.
+pub const FIRST_NEWS: u64 = 400 * MS;
 /// us. How often connections, seats and waiting lines are tidied.
 pub const TIDY_EVERY: u64 = SEC;
 /// us. From the word to stop until the door closes: the platform sends new callers elsewhere after two missed checks.
