--- a/yewcross-plan/src/lib.rs
+++ b/yewcross-plan/src/lib.rs
@@ -1,5 +1,7 @@
 //! What a change would move. Every rule is the daemons' own: settings, copies, spill targets, home nodes.
 
+pub mod capacity;
+
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::collections::{BTreeMap, BTreeSet};
