Bring replicas in ahead of need; no import holds a moved turn's first event

Cause: a moved turn imported its replica in its own way, for as long as its horizon allowed, before the server was asked (2.8 s for 50,000 tokens); the users want no import to hold a first event. An import was also never left out while an earlier turn's prefix was still held at the target, and a front that had lost a session to another kept its old replica and wrote it over the newer one. Change: imports run beside the turns: right after a push where the target's cache turns over slowly or the home is nearly full, for all sessions of a home that begins to leave or falls silent, and while a turn waits for a full home. A moved turn whose replica is not in a cache goes cold at once, and is planned as cold. Held prefixes are derived from the turns and imports a front saw.

--- a/yewcross-front/src/judge.rs
+++ b/yewcross-front/src/judge.rs
@@ -19,6 +19,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Warmth {
     Held(u64),
+    /// A replica stands there, not yet in its cache: a turn that comes now is served cold.
     Import(Place),
     Cold,
 }
@@ -51,24 +52,33 @@
     tokens.saturating_mul(s.report.per_k) / 1000
 }
 
+/// Whether importing a replica is quicker than reading its tokens anew.
+pub fn pays(s: &Server, p: &Place) -> bool {
+    import_takes(p.tokens) < prefill(s, p.tokens)
+}
+
 /// What of the prompt the server would not have to read again, and how it would come by it.
 pub fn warmth(s: &Server, c: &Case) -> Warmth {
-    let held = c.kv.home.iter().chain(&c.kv.replica).filter(|p| s.holds(p) && c.kv.home.as_ref() == Some(p)).map(|p| p.tokens).max();
-    let stored = c.kv.replica.as_ref().filter(|p| p.server == s.at.server && p.inst == s.report.inst && p.weights == s.report.weights);
+    let placed = c.kv.home.iter().chain(c.kv.replica.iter().filter(|p| p.mark > 0));
+    let held = placed.filter(|p| s.holds(p)).map(|p| p.tokens).max();
+    let stored =
+        c.kv.replica
+            .as_ref()
+            .filter(|p| !p.digest.is_empty() && p.server == s.at.server && p.inst == s.report.inst && p.weights == s.report.weights);
     match (held, stored) {
         (Some(t), _) => Warmth::Held(t.min(c.tokens)),
-        (None, Some(p)) if import_takes(p.tokens) < prefill(s, p.tokens) => Warmth::Import(p.clone()),
+        (None, Some(p)) if pays(s, p) => Warmth::Import(p.clone()),
         _ => Warmth::Cold,
     }
 }
 
+/// No turn waits for an import, so a replica that is not yet in the cache saves nothing.
 pub fn takes(s: &Server, c: &Case, w: &Warmth) -> u64 {
-    let (saved, import) = match w {
-        Warmth::Held(t) => (*t, 0),
-        Warmth::Import(p) => (p.tokens, import_takes(p.tokens)),
-        Warmth::Cold => (0, 0),
+    let saved = match w {
+        Warmth::Held(t) => *t,
+        Warmth::Import(_) | Warmth::Cold => 0,
     };
-    import.saturating_add(prefill(s, c.tokens.saturating_sub(saved))).saturating_add(c.max_out * s.report.per_out)
+    prefill(s, c.tokens.saturating_sub(saved)).saturating_add(c.max_out * s.report.per_out)
 }
 
 fn load(s: &Server) -> u64 {
--- a/yewcross-front/src/kv.rs
+++ b/yewcross-front/src/kv.rs
@@ -1,15 +1,17 @@
 //! kv_share: one replica of a session's cache, at the server it would spill to.
 
-use crate::back::{self, Back, Sent, Verified};
+use crate::back;
 use crate::judge::{self, Weights};
 use crate::{Front, news};
+use lru::LruCache;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use std::sync::Arc;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::num::NonZeroUsize;
 use std::sync::atomic::Ordering::SeqCst;
+use std::sync::{Arc, Mutex};
 use yewcross::ask::*;
 use yewcross::consts::*;
-use yewcross::http;
 use yewcross::tree::Family;
 
 #[derive(Deserialize)]
@@ -32,25 +34,262 @@
     pub ok: bool,
     #[serde(default)]
     pub tokens: u64,
+    /// The server's count of tokens placed in its cache after the import; 0 where it does not tell.
+    #[serde(default)]
+    pub placed: u64,
 }
 
-/// Brings the replica into the picked server's cache; whatever goes wrong, the turn is served cold.
-pub async fn import(f: &Arc<Front>, b: &Back<Verified>, key: &str, p: &Place, us: u64) -> bool {
-    let body = serde_json::to_vec(&json!({"session": key, "digest": p.digest})).unwrap_or_default();
-    f.counts.imports.fetch_add(1, SeqCst);
-    let t0 = f.w.now();
-    let ok = match b.send(&f.w, "/kv/import", body, us).await {
-        Sent::Answered(mut r) => {
-            let v = f.w.within(us, http::body(&mut r, 64 << 10)).await.and_then(|v| v.ok());
-            v.and_then(|v| serde_json::from_slice::<Imported>(&v).ok()).is_some_and(|i| i.ok)
+/// A session whose last turn this front ran: it holds the session's transfer state until a turn begins elsewhere.
+#[derive(Clone, Debug)]
+pub struct Spare {
+    pub epoch: u64,
+    pub kv: Kv,
+    /// Prefixes that turns and imports seen here have placed, newest first, one a server.
+    pub placed: Vec<Place>,
+}
+
+/// A replica that is to be brought into its server's cache.
+#[derive(Clone, Debug)]
+pub struct Due {
+    pub key: String,
+    pub service: String,
+    pub replica: Place,
+    /// The record is told of it. A turn under way carries it into its own commit instead.
+    pub tell: bool,
+}
+
+/// Tokens that a server places in its cache: counted from `since` (us), and the last full window's.
+#[derive(Clone, Debug, Default)]
+struct Flow {
+    inst: u64,
+    since: u64,
+    from: u64,
+    last: Option<u64>,
+}
+
+/// Transfer state by session, and the imports under way by server.
+pub struct Spares {
+    shards: [Mutex<LruCache<String, Spare>>; KV_SHARDS],
+    fit: Mutex<BTreeSet<String>>,
+    /// How fast each server's cache turns over.
+    flow: Mutex<BTreeMap<String, Flow>>,
+    due: Mutex<BTreeMap<String, VecDeque<Due>>>,
+}
+
+impl Default for Spares {
+    fn default() -> Spares {
+        let each = NonZeroUsize::new(KV_RECORDS / KV_SHARDS).unwrap_or(NonZeroUsize::MIN);
+        Spares {
+            shards: std::array::from_fn(|_| Mutex::new(LruCache::new(each))),
+            fit: Default::default(),
+            flow: Default::default(),
+            due: Default::default(),
         }
-        _ => false,
+    }
+}
+
+impl Spares {
+    fn shard(&self, key: &str) -> &Mutex<LruCache<String, Spare>> {
+        &self.shards[yewcross::hash::weigh(key, "") as usize % KV_SHARDS]
+    }
+
+    pub fn get(&self, key: &str) -> Option<Spare> {
+        self.shard(key).lock().unwrap().peek(key).cloned()
+    }
+
+    /// A turn that ended here.
+    pub fn ran(&self, key: &str, epoch: u64, kv: &Kv) {
+        let mut g = self.shard(key).lock().unwrap();
+        let s = g.get_or_insert_mut(key.to_string(), || Spare { epoch, kv: kv.clone(), placed: vec![] });
+        (s.epoch, s.kv) = (epoch, kv.clone());
+        kv.home.iter().for_each(|h| place(&mut s.placed, h));
+    }
+
+    fn imported(&self, key: &str, p: &Place) {
+        self.shard(key).lock().unwrap().peek_mut(key).into_iter().for_each(|s| place(&mut s.placed, p));
+    }
+
+    pub fn forget(&self, key: &str) {
+        self.shard(key).lock().unwrap().pop(key);
+    }
+
+    fn flows(&self, t: u64, servers: &[news::Server]) {
+        let mut g = self.flow.lock().unwrap();
+        g.retain(|n, _| servers.iter().any(|s| s.at.server == *n));
+        servers.iter().filter(|s| s.report.cache > 0).for_each(|s| {
+            let (inst, placed) = (s.report.inst, s.report.placed);
+            let e = g.entry(s.at.server.clone()).or_default();
+            if e.inst != inst {
+                *e = Flow { inst, since: t, from: placed, last: None };
+            } else if t >= e.since + KV_FLOW_OVER {
+                *e = Flow { inst, since: t, from: placed, last: Some(placed.saturating_sub(e.from)) };
+            }
+        });
+    }
+
+    /// Whether what is placed there now is likely to stand for `KV_STANDS`.
+    fn roomy(&self, s: &news::Server, tokens: u64) -> bool {
+        let g = self.flow.lock().unwrap();
+        let Some(e) = g.get(&s.at.server).filter(|e| e.inst == s.report.inst) else { return false };
+        let fast = s.report.placed.saturating_sub(e.from).max(e.last.unwrap_or(0));
+        fast.saturating_mul(KV_STANDS / KV_FLOW_OVER).saturating_add(tokens) <= s.report.cache
+    }
+
+    /// Sessions whose home is one of these, the latest used of each shard first.
+    fn homed(&self, at: &BTreeSet<String>) -> Vec<(String, Spare)> {
+        let mine = |s: &Spare| s.kv.home.as_ref().is_some_and(|h| at.contains(&h.server));
+        let of = |m: &Mutex<LruCache<String, Spare>>| {
+            m.lock().unwrap().iter().filter(|x| mine(x.1)).map(|(k, s)| (k.clone(), s.clone())).collect::<Vec<_>>()
+        };
+        self.shards.iter().flat_map(of).collect()
+    }
+}
+
+fn place(v: &mut Vec<Place>, p: &Place) {
+    v.retain(|o| o.server != p.server);
+    v.insert(0, p.clone());
+    v.truncate(KV_PLACES);
+}
+
+/// The record's state and what this front saw itself: an import made ahead, or a prefix that a turn or an import placed
+/// at the replica's server and that covers most of it. Whether it is still held is for the judges. A place without a digest is
+/// a held prefix alone: nothing stands there that could be imported.
+pub fn known(f: &Front, key: &str, kv: &Kv) -> Kv {
+    let away = |p: &&Place| kv.home.as_ref().is_none_or(|h| h.server != p.server);
+    let pushed = f.replicas.lock().unwrap().get(key).filter(away).cloned();
+    let placed = f.spares.get(key).map(|s| s.placed).unwrap_or_default();
+    let Some(r) = pushed.or(kv.replica.clone()) else {
+        // Nothing stands anywhere; yet the home before may still hold most of it.
+        let most = |p: &&Place| kv.home.as_ref().is_some_and(|h| h.weights == p.weights && p.tokens * 100 >= h.tokens * KV_WARM);
+        let before = placed.iter().filter(away).find(most).map(|p| Place { digest: String::new(), ..p.clone() });
+        return Kv { replica: before, ..kv.clone() };
+    };
+    let covers = |p: &&Place| (&p.server, p.inst, &p.weights) == (&r.server, r.inst, &r.weights) && p.tokens * 100 >= r.tokens * KV_WARM;
+    let p = Some(r.clone()).filter(|r| r.mark > 0).or_else(|| placed.iter().find(covers).cloned());
+    Kv { replica: p.map(|p| Place { tokens: p.tokens, mark: p.mark, ..r.clone() }).or(Some(r)), ..kv.clone() }
+}
+
+/// A turn begins here under this epoch: what was known of the session is void if other turns began elsewhere since.
+pub fn begins(f: &Front, key: &str, epoch: u64) {
+    if f.spares.get(key).is_some_and(|s| s.epoch + 1 < epoch) {
+        f.spares.forget(key);
+        f.replicas.lock().unwrap().remove(key);
+    }
+}
+
+/// Has a replica brought into its server's cache ahead of need, one at a time at each server. Nobody waits for it.
+pub fn ahead(f: &Arc<Front>, x: Due, first: bool) {
+    let to = x.replica.server.clone();
+    let mut g = f.spares.due.lock().unwrap();
+    let idle = !g.contains_key(&to);
+    let line = g.entry(to.clone()).or_default();
+    if line.iter().any(|d| d.key == x.key) {
+        return;
+    }
+    if first {
+        line.push_front(x)
+    } else {
+        line.push_back(x)
+    }
+    if idle {
+        let me = f.clone();
+        f.w.go(async move {
+            let next = || {
+                let mut g = me.spares.due.lock().unwrap();
+                let x = g.get_mut(&to).and_then(|l| l.pop_front());
+                if x.is_none() {
+                    g.remove(&to);
+                }
+                x
+            };
+            while let Some(x) = next() {
+                bring(&me, x).await;
+            }
+        });
+    }
+}
+
+/// Whatever goes wrong, the session's next turn there is served cold.
+async fn bring(f: &Arc<Front>, x: Due) {
+    let Due { key, service, replica, tell } = x;
+    let newer = f.replicas.lock().unwrap().get(&key).is_some_and(|p| p.digest != replica.digest);
+    let servers = news::fit(f, &service);
+    let Some(s) = servers.iter().find(|s| s.at.server == replica.server && s.report.inst == replica.inst).filter(|_| !newer) else {
+        return;
     };
+    let kv = known(f, &key, &Kv { replica: Some(replica.clone()), ..Default::default() });
+    if let Some(p) = kv.replica.filter(|p| p.mark > 0 && s.holds(p)) {
+        f.counts.imports_skipped.fetch_add(1, SeqCst);
+        return stands(f, &key, p, tell).await;
+    }
+    if s.report.weights != replica.weights || !judge::pays(s, &replica) {
+        return;
+    }
+    let body = serde_json::to_vec(&json!({"session": key, "digest": replica.digest})).unwrap_or_default();
+    f.counts.imports.fetch_add(1, SeqCst);
+    let t0 = f.w.now();
+    let got = back::ask_once(&f.w, &f.pool, &service, &replica.server, s.at.addr, "/kv/import", body, KV_IMPORT_WAIT).await;
     f.counts.import_us.fetch_add(f.w.now() - t0, SeqCst);
-    if !ok {
+    let Some(i) = got.and_then(|b| serde_json::from_slice::<Imported>(&b).ok()).filter(|i| i.ok) else {
         f.counts.imports_failed.fetch_add(1, SeqCst);
+        return;
+    };
+    // The count from before the import errs to the safe side.
+    let p = Place { mark: if i.placed > 0 { i.placed } else { s.report.placed.max(1) }, ..replica };
+    f.spares.imported(&key, &p);
+    stands(f, &key, p, tell).await;
+}
+
+/// The replica is in its server's cache: kept in mind and, where others have to know, told to the record.
+async fn stands(f: &Arc<Front>, key: &str, p: Place, tell: bool) {
+    if f.replicas.lock().unwrap().get(key).is_some_and(|o| o.digest != p.digest) {
+        return;
+    }
+    remember(f, key, &p);
+    if let Some(s) = f.spares.get(key).filter(|s| tell && s.kv.replica.as_ref() != Some(&p)) {
+        note(f, key, s.epoch, Kv { replica: Some(p), ..s.kv }).await;
+    }
+}
+
+/// Writes transfer state into the record. Refused once a later turn has begun; then that turn's front holds it.
+async fn note(f: &Arc<Front>, key: &str, epoch: u64, kv: Kv) {
+    let told = f.store(key, &Ask::Note { key: key.into(), epoch, kv }, &[], 2).await;
+    if !matches!(told, Some((Tell::Ok, _))) {
+        f.counts.note_refused.fetch_add(1, SeqCst);
+    }
+}
+
+/// Sessions whose home has begun to leave or has fallen silent since the last look: their replicas are brought in.
+pub fn watch(f: &Arc<Front>) {
+    let conf = f.book.config.load_full();
+    let servers: Vec<news::Server> = conf.1.services.keys().flat_map(|s| news::fit(f, s)).collect();
+    f.spares.flows(f.w.now(), &servers);
+    let fit: BTreeSet<String> = servers.into_iter().map(|s| s.at.server).collect();
+    let was = std::mem::replace(&mut *f.spares.fit.lock().unwrap(), fit.clone());
+    let gone: BTreeSet<String> = was.difference(&fit).cloned().collect();
+    if gone.is_empty() {
+        return;
+    }
+    f.spares.homed(&gone).into_iter().for_each(|(key, s)| {
+        let replica = f.replicas.lock().unwrap().get(&key).cloned().or(s.kv.replica);
+        let fam = conf.1.families.get(&s.kv.program).filter(|p| p.eff.kv_share);
+        replica.zip(fam).into_iter().for_each(|(replica, p)| {
+            ahead(f, Due { key: key.clone(), service: p.eff.service.clone(), replica, tell: true }, false);
+        });
+    });
+}
+
+/// A replica has just arrived: it is brought in at once where the target's cache turns over slowly, and else where the home
+/// is nearly full, or no longer takes turns, and the target has places.
+fn after(f: &Arc<Front>, x: &Fresh, replica: Place) {
+    let servers = news::fit(f, &x.fam.service);
+    let at = |n: &str| servers.iter().find(|s| s.at.server == n);
+    let full = |s: &news::Server| s.occupied() as u64 * 100 >= s.report.slots as u64 * KV_NEAR_FULL;
+    let Some(to) = at(&replica.server) else { return };
+    let press = x.kv.home.as_ref().and_then(|h| at(&h.server)).is_none_or(full) && !full(to);
+    if press || f.spares.roomy(to, replica.tokens) {
+        ahead(f, Due { key: x.key.clone(), service: x.fam.service.clone(), replica, tell: press }, false);
     }
-    ok
 }
 
 /// How a finished turn began: counted for all turns and for those that changed server.
@@ -82,6 +321,9 @@
 
 /// One push a session at a time; a turn that ends meanwhile waits, and only the newest of those is pushed.
 pub async fn share(f: Arc<Front>, x: Fresh) {
+    if x.fam.kv_share && x.kv.home.as_ref().is_some_and(|h| h.tokens >= x.fam.kv_min_tokens) {
+        f.spares.ran(&x.key, x.epoch, &x.kv);
+    }
     {
         let mut g = f.pushing.lock().unwrap();
         if let Some(next) = g.get_mut(&x.key) {
@@ -99,12 +341,9 @@
         if let Some(p) = push(&f, &x).await {
             remember(&f, &key, &p);
             if f.pushing.lock().unwrap().get(&key).is_some_and(|n| n.is_none()) {
-                let kv = Kv { replica: Some(p), ..x.kv };
-                let told = f.store(&key, &Ask::Note { key: key.clone(), epoch: x.epoch, kv }, &[], 2).await;
-                if !matches!(told, Some((Tell::Ok, _))) {
-                    f.counts.note_refused.fetch_add(1, SeqCst);
-                }
+                note(&f, &key, x.epoch, Kv { replica: Some(p.clone()), ..x.kv.clone() }).await;
             }
+            after(&f, &x, p);
         }
         let mut g = f.pushing.lock().unwrap();
         now = g.get_mut(&key).and_then(|n| n.take());
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -56,6 +56,8 @@
     moved_short,
     imports,
     imports_failed,
+    imports_skipped,
+    unready,
     import_us,
     pushes,
     push_failed,
@@ -90,6 +92,7 @@
     pub pushing: Mutex<BTreeMap<String, Option<kv::Fresh>>>,
     /// Replicas this front has pushed.
     pub replicas: Mutex<BTreeMap<String, Place>>,
+    pub spares: kv::Spares,
     pub counts: Counts,
 }
 
@@ -190,6 +193,7 @@
             hand: Default::default(),
             pushing: Default::default(),
             replicas: Default::default(),
+            spares: Default::default(),
             counts: Default::default(),
             st,
         });
--- a/yewcross-front/src/news.rs
+++ b/yewcross-front/src/news.rs
@@ -74,6 +74,7 @@
                 f.w.clone().go(async move { poll(f, svc, mine).await });
             }
         }
+        crate::kv::watch(&f);
         f.tidy();
         f.w.sleep(REPORT_EVERY.saturating_sub(f.w.now() - t0)).await;
     }
@@ -139,6 +140,7 @@
 /// Takes news in; a home node passes on to its own site what came from another.
 pub fn hear(f: &Arc<Front>, svc: &str, reports: Vec<Report>, same: Vec<String>, relay: bool) {
     let t = f.w.now();
+    let mut left = false;
     {
         let mut g = f.heard.lock().unwrap();
         same.iter().for_each(|n| {
@@ -151,6 +153,7 @@
                 let was = g.get(&r.server).map(|h| h.report.leaving);
                 if r.leaving && was != Some(true) {
                     f.w.log(&format!("server {} is leaving", r.server));
+                    left = true;
                 }
                 g.insert(r.server.clone(), Heard { report: r.clone(), at: t.saturating_sub(r.age) });
                 f.sent.lock().unwrap().remove(&r.server);
@@ -158,6 +161,9 @@
         });
     }
     f.lines.wake(svc);
+    if left {
+        crate::kv::watch(f);
+    }
     if relay {
         f.members.alive(Role::Front).into_iter().filter(|n| n.site == f.st.site && n.name != f.st.name).for_each(|n| {
             let (p, a) =
--- a/yewcross-front/src/turn.rs
+++ b/yewcross-front/src/turn.rs
@@ -2,6 +2,7 @@
 
 use crate::back::{Back, Lines, Sent, Stamp, Verified};
 use crate::judge::{self, Case, Pick, Warmth, Weights};
+use crate::kv::Due;
 use crate::line::Pass;
 use crate::{Front, kv, news};
 use http_types::Response;
@@ -243,6 +244,7 @@
         Some(g) => g,
         None => return,
     };
+    kv::begins(&f, &g.r.key, g.epoch);
     let mut not: Vec<String> = vec![];
     let ran = loop {
         let Some((p, b)) = place(&f, &mut g, &mut not, &mut pass).await else {
@@ -374,10 +376,12 @@
     }
 }
 
-/// The judges' pick, with a verified connection to it and, where it pays, the replica imported.
+/// The judges' pick, with a verified connection to it. No import is waited for: while the session's home is full, its
+/// replica is brought in beside the wait, and a turn that must move before that is served cold.
 async fn place(f: &Arc<Front>, g: &mut Begun, not: &mut Vec<String>, pass: &mut Option<Pass<'_>>) -> Option<(Pick, Back<Verified>)> {
     let w = Weights::from(&g.r.fam);
     let began = f.w.now();
+    let mut asked = false;
     loop {
         let left = g.r.horizon.checked_sub(f.w.now() + HORIZON_SPARE)?;
         if !f.follow.serving() {
@@ -387,14 +391,25 @@
         if servers.iter().all(|s| not.contains(&s.at.server)) {
             return None;
         }
+        let kv = kv::known(f, &g.r.key, &g.kv);
         let case =
-            Case { key: &g.r.key, site: &f.st.site, tokens: tokens(g.hist.len() + g.ask.len()), max_out: g.r.max_out, kv: &g.kv, left };
+            Case { key: &g.r.key, site: &f.st.site, tokens: tokens(g.hist.len() + g.ask.len()), max_out: g.r.max_out, kv: &kv, left };
+        let mut beside = || {
+            let due = |r: Place| Due { key: g.r.key.clone(), service: g.r.fam.service.clone(), replica: r, tell: false };
+            let room = |r: &&Place| !r.digest.is_empty() && servers.iter().any(|s| s.at.server == r.server && s.free() > 0);
+            if let Some(r) = kv.replica.as_ref().filter(room)
+                && !std::mem::replace(&mut asked, true)
+            {
+                kv::ahead(f, due(r.clone()), true);
+            }
+        };
         let Some(p) = judge::pick(&servers, &case, &w, not) else {
             let could = servers.iter().filter(|s| !not.contains(&s.at.server));
             let hopeless = could.map(|s| judge::takes(s, &case, &judge::warmth(s, &case))).all(|t| t > left);
             if hopeless || f.w.now() > g.r.patience {
                 return None;
             }
+            beside();
             f.w.sleep(20 * MS).await;
             continue;
         };
@@ -405,6 +420,7 @@
             let more = p.takes.saturating_sub(judge::takes(s, &case, &m));
             if f.w.now() < (began + more.min(left.saturating_sub(p.takes))).min(g.r.patience) {
                 *pass = None;
+                beside();
                 f.w.sleep(20 * MS).await;
                 continue;
             }
@@ -421,11 +437,8 @@
                 continue;
             }
         };
-        if let Warmth::Import(r) = &p.warmth
-            && !kv::import(f, &b, &g.r.key, r, left).await
-        {
-            g.kv.replica = None;
-            continue;
+        if matches!(p.warmth, Warmth::Import(_)) {
+            f.counts.unready.fetch_add(1, SeqCst);
         }
         return Some((p, b));
     }
@@ -612,6 +625,7 @@
     match f.store(&key, &Ask::End { key: key.clone() }, &[], 3).await {
         Some((Tell::Ended { kv }, _)) => {
             let pushed = f.replicas.lock().unwrap().remove(&key);
+            f.spares.forget(&key);
             f.hand.lock().unwrap().remove(&key);
             for at in kv.replica.into_iter().chain(pushed).chain(kv.home) {
                 kv::drop_at(&f, &p.eff.service, &key, &at.server).await;
--- a/yewcross-lab/src/standin.rs
+++ b/yewcross-lab/src/standin.rs
@@ -41,6 +41,8 @@
     pub mistake: u32,
     pub repeat: u32,
     pub fail_import: u32,
+    /// Imports take so many times as long; 0 is as ever.
+    pub slow_import: u32,
     /// Everything takes so many times as long; 0 is as ever.
     pub slow: u32,
     pub leaving: Option<bool>,
@@ -142,6 +144,12 @@
         self.s.lock().unwrap().leaving = on;
     }
 
+    /// Tokens of the session's replica stored here, and of its prefix in the cache.
+    pub fn holds(&self, session: &str) -> (Option<u64>, Option<u64>) {
+        let g = self.s.lock().unwrap();
+        (g.replicas.get(session).map(|e| e.tokens), g.cache.get(session).map(|e| e.tokens))
+    }
+
     fn times(&self) -> u64 {
         self.s.lock().unwrap().faults.slow.max(1) as u64
     }
@@ -478,7 +486,8 @@
     s.knock(&format!("import of {session}"));
     let e = s.s.lock().unwrap().replicas.get(&session).cloned();
     let Some(e) = e.filter(|e| e.digest == text(&v, "digest")) else { return reply(200, &json!({"ok": false})) };
-    s.w.sleep(e.tokens * KV_IMPORT_PER_K / 1000).await;
+    let times = s.s.lock().unwrap().faults.slow_import.max(1) as u64;
+    s.w.sleep(e.tokens * KV_IMPORT_PER_K / 1000 * times).await;
     if s.take(|f| &mut f.fail_import) {
         return reply(200, &json!({"ok": false}));
     }
@@ -488,5 +497,5 @@
     let t = s.w.now();
     g.cache.insert(session, Entry { used: t, ..e });
     Standin::evict(&mut g, s.spec.cache);
-    reply(200, &json!({"ok": true, "tokens": n}))
+    reply(200, &json!({"ok": true, "tokens": n, "placed": g.placed}))
 }
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -153,5 +153,16 @@
 pub const KV_PUSH_WAIT: u64 = 20 * SEC;
 /// count. Pushes a front has under way towards one server.
 pub const KV_PUSH_LINES: usize = 2;
-/// count. Session transfer records a front keeps.
+/// count. Session transfer records a front keeps, the shards they stand in, and the placed prefixes kept of each: the
+/// home, the replica, and the home before.
 pub const KV_RECORDS: usize = 8192;
+pub const KV_SHARDS: usize = 8;
+pub const KV_PLACES: usize = 3;
+/// us. Longest wait for an import; no turn waits for one. 200,000 tokens take 11.2 s.
+pub const KV_IMPORT_WAIT: u64 = 15 * SEC;
+/// percent of a home's slots taken from which on its sessions' replicas are brought in ahead of need.
+pub const KV_NEAR_FULL: u64 = 75;
+/// us. Window over which a cache's turnover is taken, and how long a prefix brought in without need should stand: longer
+/// than callers think between turns.
+pub const KV_FLOW_OVER: u64 = 10 * SEC;
+pub const KV_STANDS: u64 = 60 * SEC;
