--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -1,9 +1,14 @@
+pub mod api;
+pub mod chain;
+pub mod chain_log;
+pub mod chain_sweep;
 pub mod config;
 pub mod duty;
 pub mod layout;
 pub mod operator;
 pub mod store;
 
+use event_listener::Event;
 use snafu::Snafu;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
@@ -31,6 +36,7 @@
     pub replica: Arc<Replica>,
     pub owner: Arc<Owner>,
     pub store: Arc<store::Store>,
+    pub chain: Arc<chain::Engine>,
     pub follow: Arc<Follow>,
     pub duties: duty::Duties,
     pub gate: Arc<Gate>,
@@ -41,10 +47,15 @@
     pub swept: AtomicU64,
     pub sweep_left: AtomicU64,
     pub sweep_now: AtomicBool,
+    pub sweep_call: Event,
+    finding: futures_util::lock::Mutex<()>,
+    /// The first layout and the empty configuration are decided.
+    pub founded: AtomicBool,
     pub started: u64,
     /// Where the platform's list is asked; a reload may change it.
     pub platform: Mutex<Option<std::net::SocketAddr>>,
     pub counts: Counts,
+    pub options: api::Options,
 }
 
 #[derive(Default)]
@@ -84,12 +95,18 @@
 
 impl Control {
     pub async fn start(w: &World, st: Startup) -> Result<Arc<Control>, StartFault> {
+        Control::start_with(w, st, api::Options::default()).await
+    }
+
+    /// Starts a node that another interface may stand before.
+    pub async fn start_with(w: &World, st: Startup, options: api::Options) -> Result<Arc<Control>, StartFault> {
         let disk = |source| StartFault::Disk { source };
         let vault = Vault::open(w).await.map_err(disk)?;
         let replica = Replica::open(&vault).await.map_err(disk)?;
         let peers = Peers::new(w, &st.name, &st.site, st.wire);
         let members = Members::new(w, &st, &peers, &vault.id);
-        let book = Book::new(w);
+        members.stays.store(options.stays, SeqCst);
+        let book = Book::of(w, options.dialect.clone());
         for d in DOCS {
             if let Some((_, b)) = vault.load("local", d).await.map_err(disk)?
                 && let Ok((seq, epoch, raw)) = serde_json::from_slice::<(u64, Epoch, String)>(&b)
@@ -124,7 +141,11 @@
         };
         let store = Arc::new(store::Store { owner: owner.clone(), members: members.clone(), w: w.clone(), route: Arc::new(route) });
         *own.lock().unwrap() = Some(Arc::downgrade(&store));
-        let follow = Follow::new(&members, &book, &st.name, false);
+        let follow = match options.rollout {
+            api::Rollout::Proved => Follow::new(&members, &book, &st.name, false),
+            api::Rollout::Majority => Follow::unleased(&members, &book, &st.name, false, st.bounds.apply * MS),
+        };
+        let chain = chain::Engine::start(w, &st, &members, &book, &vault).await.map_err(disk)?;
         let c = Arc::new(Control {
             w: w.clone(),
             peers,
@@ -134,6 +155,7 @@
             replica,
             owner,
             store,
+            chain,
             follow,
             duties: Default::default(),
             gate: Default::default(),
@@ -142,21 +164,30 @@
             swept: AtomicU64::new(0),
             sweep_left: AtomicU64::new(0),
             sweep_now: AtomicBool::new(false),
+            sweep_call: Event::new(),
+            finding: Default::default(),
+            founded: AtomicBool::new(false),
             started: w.now(),
             platform: Mutex::new(st.platform),
             counts: Default::default(),
+            options,
             st,
         });
         let bind = |at: std::net::SocketAddr| move |source| StartFault::Bind { at: at.to_string(), source };
         let door = w.bind(c.st.peer).await.map_err(bind(c.st.peer))?;
-        let http = w.bind(c.st.http).await.map_err(bind(c.st.http))?;
+        if c.options.bind_http {
+            let http = w.bind(c.st.http).await.map_err(bind(c.st.http))?;
+            let me = c.clone();
+            let h: yewcross::http::Handler = Arc::new(move |j| Box::pin(operator::answer(me.clone(), j)));
+            w.go(yewcross::http::serve(w.clone(), http, h, c.gate.clone()));
+        }
         w.go(c.peers.clone().serve(door, Arc::new(Ear(c.clone()))));
-        let me = c.clone();
-        let h: yewcross::http::Handler = Arc::new(move |j| Box::pin(operator::answer(me.clone(), j)));
-        w.go(yewcross::http::serve(w.clone(), http, h, c.gate.clone()));
         w.go(c.members.clone().run());
         w.go(c.follow.clone().run());
         w.go(keep_pages(c.clone()));
+        if c.options.tends {
+            w.go(keep_peers(c.clone()));
+        }
         w.go(layout::sweep(c.clone()));
         w.go(tidy(c.clone()));
         if c.st.role == Role::Core {
@@ -167,29 +198,44 @@
 
     pub async fn hear(self: &Arc<Self>, a: Ask, blob: Vec<u8>, from: &str) -> (Tell, Vec<u8>) {
         match a {
-            Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } => (self.members.hear(a).await, vec![]),
+            Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => (self.members.hear(a).await, vec![]),
             Ask::Reg(r) => {
                 let (t, b) = self.replica.hear(r, blob).await;
                 (Tell::Reg(t), b)
             }
             Ask::Newer { have, front } => (config::newer(self, have, front, from).await, vec![]),
+            Ask::Page { name, more_than } => {
+                let p = self.book.page(&name);
+                if p.seq > more_than {
+                    return (Tell::Doc { seq: p.seq, epoch: p.epoch }, p.raw.to_vec());
+                }
+                config::doc(self, &name).await
+            }
             Ask::Doc { name, .. } => config::doc(self, &name).await,
             Ask::Adopt { name, seq, epoch } => {
                 self.book.adopt(&name, seq, epoch, blob);
                 (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
             }
+            Ask::Patch { name, seq, epoch, base } => {
+                self.book.patch(&name, base, seq, epoch, &blob);
+                (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
+            }
             Ask::Grants { name, seq } => (config::grants(self, &name, seq).await, vec![]),
             Ask::Proved { seq } => (config::proved(self, seq).await, vec![]),
             Ask::Found => (layout::found_here(self, blob).await, vec![]),
             Ask::Duty { name, holder } => (duty::grant(self, &name, &holder), vec![]),
             Ask::SweepNow => {
                 self.sweep_now.store(true, SeqCst);
+                self.sweep_call.notify(usize::MAX);
                 (Tell::Ok, vec![])
             }
-            Ask::SweepDone { layout } => (
-                Tell::Swept { done: self.swept.load(SeqCst) >= layout && self.layout_kept() >= layout, left: self.sweep_left.load(SeqCst) },
-                vec![],
-            ),
+            Ask::SweepDone { layout } => {
+                let (beside, left) = self.chain.swept(layout);
+                let kept = self.layout_kept();
+                let done = self.swept.load(SeqCst) >= layout && kept >= layout && beside;
+                (Tell::Swept { done, left: self.sweep_left.load(SeqCst) + left, kept }, vec![])
+            }
+            Ask::Chain => (Tell::Chain, self.chain.hear(blob).await),
             a => self.store.hear(a, blob).await,
         }
     }
@@ -197,11 +243,9 @@
     /// A planned stop: operators' requests under way are answered, then the others are told.
     pub async fn stop(&self) {
         self.members.leave().await;
-        self.gate.closing.store(true, SeqCst);
+        self.gate.closing.set();
         self.w.sleep(200 * MS).await;
-        while self.gate.busy.load(SeqCst) > 0 {
-            self.w.sleep(20 * MS).await;
-        }
+        self.gate.idle().await;
     }
 
     pub fn layout_kept(&self) -> u64 {
@@ -237,7 +281,9 @@
         kept.insert(d, c.book.page(d).seq);
     }
     loop {
-        for d in DOCS {
+        let moved = c.book.moved.listen();
+        // Where cores are asked for all else, only the layout must be known again before anybody answers.
+        for d in DOCS.into_iter().filter(|d| !c.options.tends || *d == "layout") {
             let p = c.book.page(d);
             if p.seq > kept[d] {
                 let b = serde_json::to_vec(&(p.seq, p.epoch, String::from_utf8_lossy(&p.raw))).unwrap_or_default();
@@ -249,7 +295,29 @@
                 }
             }
         }
-        c.w.sleep(50 * MS).await;
+        c.w.within(if c.vault.failed.load(SeqCst) { 50 * MS } else { 10 * SEC }, moved).await;
+    }
+}
+
+/// Addresses of machines with disks are kept, so that a restart finds them where its seeds are down.
+async fn keep_peers(c: Arc<Control>) {
+    let was = c.vault.load("local", "peers").await.ok().flatten();
+    let (mut ver, mut kept) =
+        was.and_then(|(v, b)| Some((v, serde_json::from_slice::<Vec<std::net::SocketAddr>>(&b).ok()?))).unwrap_or_default();
+    *c.members.known.lock().unwrap() = kept.clone();
+    loop {
+        let moved = c.members.moved.listen();
+        let mut now: Vec<_> = c.members.view.load().values().filter(|n| !n.disk.is_empty()).map(|n| n.peer).collect();
+        now.sort();
+        if now != kept
+            && now.len() > 1
+            && c.vault.keep("local", "peers", ver + 1, &serde_json::to_vec(&now).unwrap_or_default()).await.is_ok()
+        {
+            ver += 1;
+            kept = now;
+        }
+        c.w.sleep(PEERS_KEPT).await;
+        moved.await;
     }
 }
 
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -1,25 +1,32 @@
 pub mod back;
+pub mod balance;
 pub mod judge;
 pub mod kv;
 pub mod line;
 pub mod lookup;
 pub mod news;
+pub mod pool;
+pub mod relay;
+pub mod scan;
 pub mod turn;
 
 use http_types::{Method, Response};
 use serde_json::json;
 use snafu::Snafu;
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::{Arc, Mutex, OnceLock};
 use yewcross::ask::*;
 use yewcross::book::{Book, owners};
+use yewcross::chain::Chains;
 use yewcross::code::Code;
 use yewcross::consts::*;
 use yewcross::follow::Follow;
 use yewcross::http::{Gate, Job, refuse, reply};
 use yewcross::member::Members;
-use yewcross::startup::Startup;
+use yewcross::port::{BackEnd, Caller, Dialect};
+use yewcross::startup::{Role, Startup};
+use yewcross::web;
 use yewcross::wire::*;
 use yewcross::world::*;
 
@@ -94,6 +101,17 @@
     pub replicas: Mutex<BTreeMap<String, Place>>,
     pub spares: kv::Spares,
     pub counts: Counts,
+    /// Where routed requests are served instead of the product's own paths.
+    pub relay: OnceLock<Arc<relay::Relay>>,
+    web: Arc<web::Gate>,
+    leaving: AtomicBool,
+}
+
+/// Another platform's ports. Chains of turns are refused where no stores are given.
+pub struct FrontOptions {
+    pub caller: Arc<dyn Caller>,
+    pub back: Arc<dyn BackEnd>,
+    pub chains: Option<Arc<dyn Chains>>,
 }
 
 #[derive(Debug, Snafu)]
@@ -171,12 +189,102 @@
 }
 
 impl Front {
+    /// A front with the product's own doors.
     pub async fn start(w: &World, st: Startup) -> Result<Arc<Front>, BindFault> {
+        let f = Front::open(w, st);
+        let http = f.listen().await?;
+        let me = f.clone();
+        let h: yewcross::http::Handler = Arc::new(move |j| Box::pin(answer(me.clone(), j)));
+        w.go(yewcross::http::serve(w.clone(), http, h, f.gate.clone()));
+        f.run();
+        w.go(news::run(f.clone()));
+        Ok(f)
+    }
+
+    /// A front that serves routed requests through another platform's ports.
+    pub async fn start_with(w: &World, st: Startup, o: FrontOptions) -> Result<Arc<Front>, BindFault> {
+        let f = Front::open(w, st);
+        f.serve_routes(o).await?;
+        Ok(f)
+    }
+
+    /// The same in two steps, for ports that need the front's peers, members and book first.
+    pub async fn serve_routes(self: &Arc<Self>, o: FrontOptions) -> Result<(), BindFault> {
+        let (f, w) = (self, &self.w);
+        let http = f.listen().await?;
+        let m = f.members.clone();
+        let relay = Arc::new(relay::Relay {
+            w: w.clone(),
+            book: f.book.clone(),
+            site: f.st.site.clone(),
+            caller: o.caller,
+            back: o.back,
+            chains: o.chains,
+            fronts: Default::default(),
+            pool: Default::default(),
+            balance: Default::default(),
+            counts: Default::default(),
+        });
+        let _ = f.relay.set(relay.clone());
+        let r = relay.clone();
+        let h: web::Handler = Arc::new(move |q, _| Box::pin(r.clone().serve(q)));
+        let b = f.book.clone();
+        w.go(web::serve(w.clone(), http, h, Arc::new(move || b.config.load().1.routing.limits.clone()), f.web.clone()));
+        f.run();
+        let w = w.clone();
+        self.w.go(async move {
+            loop {
+                w.sleep(TIDY_EVERY).await;
+                relay.tidy(m.view.load().values().filter(|n| n.role == Role::Front).count());
+            }
+        });
+        Ok(())
+    }
+
+    /// Whether new callers may be sent here.
+    pub fn ready(&self) -> bool {
+        !self.leaving.load(SeqCst) && self.book.config.load().0 > 0
+    }
+
+    fn run(self: &Arc<Self>) {
+        self.w.go(self.members.clone().run());
+        self.w.go(self.follow.clone().run());
+    }
+
+    async fn listen(self: &Arc<Self>) -> Result<Box<dyn Door>, BindFault> {
+        let bind = |at: std::net::SocketAddr| move |source| BindFault { at: at.to_string(), source };
+        let door = self.w.bind(self.st.peer).await.map_err(bind(self.st.peer))?;
+        let http = self.w.bind(self.st.http).await.map_err(bind(self.st.http))?;
+        self.w.go(self.peers.clone().serve(door, Arc::new(Ear(self.clone()))));
+        Ok(http)
+    }
+
+    /// A front that nobody can reach yet.
+    pub fn open(w: &World, st: Startup) -> Arc<Front> {
+        Front::open_by(w, st, None)
+    }
+
+    /// The same, where configurations are written in another dialect and fronts serve without leases, by what they hold.
+    pub fn open_unleased(w: &World, st: Startup, dialect: Arc<dyn Dialect>) -> Arc<Front> {
+        Front::open_by(w, st, Some(dialect))
+    }
+
+    fn open_by(w: &World, st: Startup, dialect: Option<Arc<dyn Dialect>>) -> Arc<Front> {
         let peers = Peers::new(w, &st.name, &st.site, st.wire);
         let members = Members::new(w, &st, &peers, "");
-        let book = Book::new(w);
-        let follow = Follow::new(&members, &book, &st.name, true);
-        let f = Arc::new(Front {
+        let (book, follow) = match dialect {
+            None => {
+                let book = Book::new(w);
+                let follow = Follow::new(&members, &book, &st.name, true);
+                (book, follow)
+            }
+            Some(d) => {
+                let book = Book::of(w, d);
+                let follow = Follow::unleased(&members, &book, &st.name, true, st.bounds.apply * MS);
+                (book, follow)
+            }
+        };
+        Arc::new(Front {
             w: w.clone(),
             peers,
             members,
@@ -195,25 +303,23 @@
             replicas: Default::default(),
             spares: Default::default(),
             counts: Default::default(),
+            relay: Default::default(),
+            web: Default::default(),
+            leaving: Default::default(),
             st,
-        });
-        let bind = |at: std::net::SocketAddr| move |source| BindFault { at: at.to_string(), source };
-        let door = w.bind(f.st.peer).await.map_err(bind(f.st.peer))?;
-        let http = w.bind(f.st.http).await.map_err(bind(f.st.http))?;
-        w.go(f.peers.clone().serve(door, Arc::new(Ear(f.clone()))));
-        let me = f.clone();
-        let h: yewcross::http::Handler = Arc::new(move |j| Box::pin(answer(me.clone(), j)));
-        w.go(yewcross::http::serve(w.clone(), http, h, f.gate.clone()));
-        w.go(f.members.clone().run());
-        w.go(f.follow.clone().run());
-        w.go(news::run(f.clone()));
-        Ok(f)
+        })
     }
 
     async fn hear(self: &Arc<Self>, a: Ask, blob: Vec<u8>) -> Tell {
         match a {
-            Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } => self.members.hear(a).await,
+            Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => self.members.hear(a).await,
             Ask::Newer { .. } => self.follow.newer(),
+            Ask::Patch { name, seq, epoch, base } => {
+                if self.book.patch(&name, base, seq, epoch, &blob) && name != "list" {
+                    self.follow.reset();
+                }
+                Tell::Adopted { seq: self.book.page(&name).seq }
+            }
             Ask::Adopt { name, seq, epoch } => {
                 if self.book.adopt(&name, seq, epoch, blob) && name != "list" {
                     self.follow.reset();
@@ -271,11 +377,23 @@
 
     /// A planned stop: what was read whole is answered, the accept backlog included.
     pub async fn stop(&self) {
-        self.gate.closing.store(true, SeqCst);
-        self.w.sleep(200 * MS).await;
-        while self.gate.open.load(SeqCst) > 0 {
-            self.w.sleep(20 * MS).await;
+        self.leaving.store(true, SeqCst);
+        if self.relay.get().is_some() {
+            return self.stop_routes().await;
         }
+        self.gate.closing.set();
+        self.w.sleep(200 * MS).await;
+        self.gate.emptied().await;
+        self.members.leave().await;
+    }
+
+    /// Callers are sent elsewhere first; then the door closes, and what is under way comes to its end.
+    async fn stop_routes(&self) {
+        let end = self.w.now() + (self.st.bounds.grace * MS).saturating_sub(STOP_SPARE);
+        self.web.last();
+        self.w.sleep(STOP_NOTICE.min(self.st.bounds.grace * MS / 3)).await;
+        self.web.close();
+        self.w.within(end.saturating_sub(self.w.now()), self.web.emptied()).await;
         self.members.leave().await;
     }
 
--- a/yewcross-lab/src/proof.rs
+++ b/yewcross-lab/src/proof.rs
@@ -125,6 +125,7 @@
             return;
         }
         if let Some(st) = self.startup(name) {
+            self.sim.charge(m, self.sh.charges.of(st.role));
             w.clone().go(async move {
                 let p = match st.role {
                     Role::Front => Front::start(&w, st).await.ok().map(Proc::Front),
@@ -1139,7 +1140,7 @@
                     text: v["config"].to_string(),
                     put: v["put"].as_str().unwrap_or("").into(),
                     note: String::new(),
-                    past: vec![],
+                    ..Default::default()
                 };
                 let top = v["version"].as_u64().unwrap_or(0);
                 *g2.lock().unwrap() = Some((top, d));
--- a/yewcross-plan/src/capacity.rs
+++ b/yewcross-plan/src/capacity.rs
@@ -312,8 +312,8 @@
 }
 
 fn recent_changes(i: &Inputs, m: &Messages) -> Cost {
-    // Both ways at most a dozen of the latest. A digest is made once a change.
-    membership(i, m, 24.0 * m.node, i.moves_s())
+    // Both ways at most so many of the latest. A digest is made once a change.
+    membership(i, m, 2.0 * NEWS_MOST as f64 * m.node, i.moves_s())
 }
 
 fn config_text(i: &Inputs, m: &Messages) -> f64 {
@@ -602,13 +602,13 @@
 }
 
 pub const MECHANISMS: &[Mechanism] = &[
-    Mechanism { name: "membership: probes, whole tables on a change", stand: Stand::Today, held: Held::Control, cost: whole_tables },
-    Mechanism { name: "membership: probes, the latest changes", stand: Stand::Next, held: Held::Control, cost: recent_changes },
+    Mechanism { name: "membership: probes, whole tables on a change", stand: Stand::Weighed, held: Held::Control, cost: whole_tables },
+    Mechanism { name: "membership: probes, the latest changes", stand: Stand::Kept, held: Held::Control, cost: recent_changes },
     Mechanism { name: "configuration: whole text from one core", stand: Stand::Today, held: Held::Control, cost: whole_text },
     Mechanism { name: "configuration: whole text by zone delegates", stand: Stand::Weighed, held: Held::Control, cost: text_by_delegates },
     Mechanism { name: "configuration: differences by zone delegates", stand: Stand::Next, held: Held::Control, cost: differences },
     Mechanism { name: "in force: leases of fronts (at a core)", stand: Stand::Today, held: Held::Control, cost: leases },
-    Mechanism { name: "in force: one core asked in turn (at a core)", stand: Stand::Next, held: Held::Control, cost: asked_in_turn },
+    Mechanism { name: "in force: one core asked in turn (at a core)", stand: Stand::Kept, held: Held::Control, cost: asked_in_turn },
     Mechanism { name: "server list: whole, during a replacement", stand: Stand::Today, held: Held::Control, cost: list_whole },
     Mechanism { name: "server list: differences by zone delegates", stand: Stand::Next, held: Held::Control, cost: list_differences },
     Mechanism { name: "load news: all to all (home of a zone)", stand: Stand::Today, held: Held::Control, cost: news_home },
@@ -625,7 +625,7 @@
     Mechanism { name: "ledgers: an entry a turn", stand: Stand::Kept, held: Held::Store, cost: ledger_whole },
     Mechanism { name: "ledgers: settled entries folded", stand: Stand::Weighed, held: Held::Store, cost: ledger_folded },
     Mechanism { name: "histories on hand: by count", stand: Stand::Today, held: Held::Front, cost: hand_by_count },
-    Mechanism { name: "histories on hand: by bytes", stand: Stand::Next, held: Held::Front, cost: hand_by_bytes },
+    Mechanism { name: "histories on hand: by bytes", stand: Stand::Kept, held: Held::Front, cost: hand_by_bytes },
     Mechanism { name: "kv_share: every long turn pushed", stand: Stand::Weighed, held: Held::Server, cost: push_each },
     Mechanism { name: "kv_share: paced to half a link", stand: Stand::Kept, held: Held::Server, cost: push_paced },
 ];
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -13,6 +13,13 @@
 pub enum Ask {
     Probe {
         dig: u64,
+        /// What the asker heard of lately.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        nodes: Vec<Node>,
+    },
+    /// News of a few nodes, told at once.
+    Heard {
+        nodes: Vec<Node>,
     },
     Second {
         to: SocketAddr,
@@ -30,11 +37,23 @@
         name: String,
         hops: u8,
     },
+    /// A document newer than the version named, as the asked node holds it or can find it; answered as `Tell::Doc`.
+    Page {
+        name: String,
+        more_than: u64,
+    },
     Adopt {
         name: String,
         seq: u64,
         epoch: Epoch,
     },
+    /// The same as a change to the version named, for whoever holds that one.
+    Patch {
+        name: String,
+        seq: u64,
+        epoch: Epoch,
+        base: u64,
+    },
     Grants {
         name: String,
         seq: u64,
@@ -106,6 +125,8 @@
     },
     /// A disk found damaged files: whoever holds the same keys should mend it now.
     SweepNow,
+    /// Turns and ledgers; the question is the blob, see `chain_wire`.
+    Chain,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -163,7 +184,12 @@
     Swept {
         done: bool,
         left: u64,
+        /// Newest layout that the disk keeps; it refuses older ones.
+        #[serde(default)]
+        kept: u64,
     },
+    /// The answer is the blob.
+    Chain,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -297,6 +323,9 @@
     pub sites: BTreeMap<String, String>,
     /// Layout number from which the running change counts its sweeps.
     pub turn: u64,
+    /// Machines that were retired; they get no seat again by themselves.
+    #[serde(default)]
+    pub retired: std::collections::BTreeSet<String>,
 }
 
 /// What the configuration register holds.
@@ -305,8 +334,12 @@
     pub text: String,
     pub put: String,
     pub note: String,
-    /// Newest first: version, put id and text of what was in force before.
+    /// Newest first: version, put id and text of what was in force before. Where the operator numbers the versions, the
+    /// operator's number, the text's mark and nothing.
     pub past: Vec<(u64, String, String)>,
+    /// The operator's own number; 0 where the tier numbers the versions.
+    #[serde(default)]
+    pub number: u64,
 }
 
 /// A key on a disk, as a checkpoint tells it.
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -15,6 +15,16 @@
 pub const PROBE_EVERY: u64 = 400 * MS;
 /// beats. How often one address that is missed, a seed's or a removed node's, is asked again.
 pub const REJOIN_BEATS: u64 = 3;
+/// count. Addresses that a node which knows nobody asks at once.
+pub const SEEDS_AT_ONCE: usize = 6;
+/// us. Addresses of known nodes are written to disk no more often.
+pub const PEERS_KEPT: u64 = 3 * SEC;
+/// us. A node that knows nobody asks its seeds this often.
+pub const SEED_EVERY: u64 = 150 * MS;
+/// us. Changes this young are told along with a probe.
+pub const NEWS_YOUNG: u64 = 8 * SEC;
+/// count. And so many at most: more than that, and whole tables are swapped.
+pub const NEWS_MOST: usize = 12;
 /// us. Sites sit about 1 ms apart; a scheduling hiccup must not look like a breakdown.
 pub const PROBE_WAIT: u64 = 250 * MS;
 /// count. Third parties asked when a direct probe is lost.
@@ -33,8 +43,23 @@
 
 /// us. Cap on one exchange between our processes on the serving path.
 pub const PEER_WAIT: u64 = 700 * MS;
+/// us. A connection on which nothing came for this long after a question is left for a new one.
+pub const LINK_DOUBT: u64 = 200 * MS;
 /// us. Opening a connection inside the tier.
 pub const DIAL_WAIT: u64 = 300 * MS;
+/// us. A link of our own whose bytes are not acknowledged is given up: sooner than the usual 3 s in which a machine
+/// counts as in touch again.
+pub const LINK_SILENT: u64 = 2 * SEC;
+/// us. Any other connection: it may outlive a short cut, but not the time in which another server would answer.
+pub const SILENT: u64 = 5 * SEC;
+/// us. A connection we opened is asked for life after this long without a byte, and again as often.
+pub const SILENT_ASK: u64 = SEC;
+/// count. New connections that may wait to be accepted: a burst of all callers of a front while a turn is computed.
+pub const BACKLOG: i32 = 1024;
+/// count. Threads that may wait for the disk at once.
+pub const DISK_HANDS: usize = 4;
+/// bytes. Read from a link at once: several frames of usual size.
+pub const LINK_READ: usize = 16 << 10;
 /// bytes. Largest frame accepted from a peer.
 pub const FRAME_MAX: usize = 64 << 20;
 
@@ -57,6 +82,17 @@
 pub const PUT_WAIT: u64 = 4 * SEC;
 /// count. Versions of the configuration kept for going back, and for the lists of fronts not yet proved.
 pub const PAST_KEPT: usize = 16;
+/// count. Marks of operators' earlier texts kept, so that a text sent again after it was superseded is still known.
+pub const ORDERS_KEPT: usize = 64;
+/// us. A seat whose machine is missing this long is given to a disk that has none.
+pub const SEAT_MISSING: u64 = 1_500 * MS;
+/// us. A seat whose machine is missing this long, and that no disk takes, is given up while enough remain: the next loss
+/// would else be one too many.
+pub const SEAT_LOST: u64 = 8 * SEC;
+/// us. Founding waits this long for more store machines than the fewest that may be.
+pub const FOUND_WAIT: u64 = 500 * MS;
+/// us. How often a change of disks under way is looked at.
+pub const MOVE_LOOK: u64 = 120 * MS;
 /// us. Length of a duty lease as the granter counts it.
 pub const DUTY_LEASE: u64 = 3 * SEC;
 /// us. The holder counts itself out this much earlier.
@@ -74,6 +110,14 @@
 pub const REPORT_LOST: u64 = 1_500 * MS;
 /// us. Poll of the platform list, unless the platform asks for more patience.
 pub const LIST_EVERY: u64 = 500 * MS;
+/// us. Poll of a platform's list in its own words: each page is a call that has its price.
+pub const PAGES_EVERY: u64 = SEC;
+/// us. The longest that a refused poll of it backs off to.
+pub const PAGES_BACK_OFF: u64 = 8 * SEC;
+/// us. Waiting for one page.
+pub const PAGE_WAIT: u64 = 1_500 * MS;
+/// count. Pages of the platform's list read in one poll; a list without end is no list.
+pub const LIST_PAGES: usize = 256;
 /// us. Waiting for a back end's identity or report.
 pub const BACK_WAIT: u64 = 400 * MS;
 /// us. Longest silence inside a stream before the shot is given up.
@@ -166,3 +210,74 @@
 /// than callers think between turns.
 pub const KV_FLOW_OVER: u64 = 10 * SEC;
 pub const KV_STANDS: u64 = 60 * SEC;
+
+/// us. How long a door that closes, and an idle connection behind it, still look for what was sent before: about one
+/// way through a region.
+pub const LAST_LOOK: u64 = 50 * MS;
+/// us. A store asked to keep something that has not answered by then is joined by another: ten times a slow disk's sync.
+pub const CHAIN_SPARE: u64 = 250 * MS;
+/// us. A store that let somebody wait that long is asked last for so long: until membership has judged it.
+pub const CHAIN_SLOW: u64 = 2 * SEC;
+/// us. Asking again after every store said that it cannot now, doubled by chance.
+pub const CHAIN_AGAIN: u64 = 20 * MS;
+/// us. How long what a turn used is told again by itself; after that it counts at its most.
+pub const CHAIN_SETTLE: u64 = 60 * SEC;
+/// us. Before a program is refused, its owner asks the other disks what ended, unless it did so just now.
+pub const CHAIN_FRESH: u64 = 300 * MS;
+/// ms. A program's ledger is kept this long after its last change at least.
+pub const LEDGER_KEPT: u64 = 300_000;
+/// ms. Turns and ledgers are kept this much past their time, for clocks that differ; the shorter where memory is short.
+pub const CHAIN_MARGIN: u64 = 60_000;
+pub const CHAIN_MARGIN_SHORT: u64 = 5_000;
+/// us. How often what is over is looked for.
+pub const CHAIN_TIDY: u64 = 2 * SEC;
+/// bytes. A segment of a store's log; a new one costs one more sync.
+pub const SEGMENT: u64 = 8 << 20;
+/// bytes. What the log may hold beyond twice what lives.
+pub const SEGMENT_SLACK: u64 = 16 << 20;
+/// bytes. Largest blob of one push between stores, and of one piece of rewriting: it must not hold up a turn's sync.
+pub const CHAIN_PUSH: usize = 512 << 10;
+/// count. Ids asked about in one question.
+pub const CHAIN_IDS: usize = 4096;
+/// bytes. What may wait for the disk before a store says that it cannot.
+pub const CHAIN_QUEUE: usize = 16 << 20;
+/// count. Questions a store has under way before it says that it cannot.
+pub const CHAIN_BUSY: usize = 1024;
+/// bytes. Turns a front keeps on hand, and a store in memory, where the startup file sets no bound.
+pub const CHAIN_HAND: usize = 48 << 20;
+pub const CHAIN_HELD: usize = 256 << 20;
+/// count. Programs whose owner a front remembers.
+pub const CHAIN_OWNERS: usize = 16_384;
+
+/// us. Idle time of a server's connection where the server names none.
+pub const LINK_IDLE: u64 = 5 * SEC;
+/// us. An idle connection is given up this long before the server would close it.
+pub const LINK_SPARE: u64 = SEC;
+/// us. A connection used this recently is not about to be closed; requests that must not run twice prefer those.
+pub const LINK_RECENT: u64 = 3 * SEC;
+/// bytes. Buffer of a server connection, each way.
+pub const LINK_BUF: usize = 64 << 10;
+/// bytes. An answer up to this size is read whole before it is passed on, so that a broken one can be told as such.
+pub const ANSWER_WHOLE: u64 = 256 << 10;
+/// percent of a route's aim that a request may wait for a place; above a quarter it is priced as held.
+pub const PLACE_PATIENCE: u64 = 20;
+/// count. Requests beyond a server's slots that its own queue is trusted with.
+pub const SEAT_QUEUE: f64 = 2.0;
+/// us. A server that failed is left alone this long, doubled with each failure in a row up to sixteen times.
+pub const SEAT_BACKOFF: u64 = 250 * MS;
+/// us. What a server told of its load fades towards its mean at this pace.
+pub const TOLD_FADE: u64 = 300 * MS;
+/// tokens a ms that a server reads, as the platforms at hand name them.
+pub const READ_PER_MS: u64 = 30;
+/// us. What bytes between zones are worth against time.
+pub const ZONE_COST: f64 = 3_000.0;
+/// us. How often connections, seats and waiting lines are tidied.
+pub const TIDY_EVERY: u64 = SEC;
+/// us. From the word to stop until the door closes: the platform sends new callers elsewhere after two missed checks.
+pub const STOP_NOTICE: u64 = 2_500 * MS;
+/// us. Kept back from the grace of a stop, so that the process ends by itself.
+pub const STOP_SPARE: u64 = 500 * MS;
+/// us. How long a turn waits for the stores to open it before it is sent back; a store that moved is found in less.
+pub const STORE_PATIENCE: u64 = SEC;
+/// count. Idle connections to one server that all fronts together keep.
+pub const LINKS_KEPT: usize = 64;
--- a/yewcross/src/vault.rs
+++ b/yewcross/src/vault.rs
@@ -6,6 +6,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 
+/// The first sealed body of several, and where the next begins.
+pub fn unseal_first(v: &[u8]) -> Option<(&[u8], usize)> {
+    let n = usize::try_from(u64::from_le_bytes(v.get(4..12)?.try_into().ok()?)).ok()?;
+    let d = v.get(..n.checked_add(12)?)?;
+    let c = v.get(n + 12..n + 16)?;
+    (d[..4] == DISK_FORMAT.to_le_bytes() && c == crc32fast::hash(d).to_le_bytes()).then_some((&d[12..], n + 16))
+}
+
 pub struct Vault {
     pub w: World,
     pub id: String,
@@ -70,10 +78,7 @@
     async fn keep_inner(&self, dir: &str, name: &str, ver: u64, body: &[u8]) -> io::Result<()> {
         let aside = format!("{dir}/.{name}-{}", self.aside.fetch_add(1, SeqCst));
         let at = format!("{dir}/{name}-{ver:016x}");
-        self.w.put(&aside, seal(body)).await?;
-        self.w.sync(&aside).await?;
-        self.w.rename(&aside, &at).await?;
-        self.w.sync(dir).await?;
+        self.w.keep(&aside, &at, dir, seal(body)).await?;
         self.syncs.fetch_add(2, SeqCst);
         self.bytes.fetch_add(body.len() as u64, SeqCst);
         if ver > 1 {
