--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -63,6 +63,8 @@
     moved_short,
     imports,
     imports_failed,
+    imports_skipped,
+    unready,
     import_us,
     pushes,
     push_failed,
@@ -97,6 +99,7 @@
     pub pushing: Mutex<BTreeMap<String, Option<kv::Fresh>>>,
     /// Replicas this front has pushed.
     pub replicas: Mutex<BTreeMap<String, Place>>,
+    pub spares: kv::Spares,
     pub counts: Counts,
     /// Where routed requests are served instead of the product's own paths.
     pub relay: OnceLock<Arc<relay::Relay>>,
@@ -298,6 +301,7 @@
             hand: Default::default(),
             pushing: Default::default(),
             replicas: Default::default(),
+            spares: Default::default(),
             counts: Default::default(),
             relay: Default::default(),
             web: Default::default(),
