--- a/yewcross-lab/tests/chain.rs
+++ b/yewcross-lab/tests/chain.rs
@@ -1104,7 +1104,7 @@
     }
     t.finish(60_000);
     t.pass(30_000);
-    let held = |n: &str| t.node(n).and_then(|x| x.engine).is_some_and(|e| e.st.lock().unwrap().ledgers.get("rest").is_some());
+    let held = |n: &str| t.node(n).and_then(|x| x.engine).is_some_and(|e| e.st.lock().unwrap().ledgers.contains_key("rest"));
     let before: Vec<String> = t.stores.iter().filter(|n| held(n)).cloned().collect();
     assert!(before.len() >= 2);
     t.stores.iter().for_each(|n| t.kill(n, true));
