--- a/yewcross-lab/tests/proof.rs
+++ b/yewcross-lab/tests/proof.rs
@@ -278,7 +278,7 @@
     let named = ticked(&text);
     let parts: Vec<String> =
         std::fs::read_dir(format!("{root}/docs/parts")).unwrap().map(|f| f.unwrap().path().display().to_string()).collect();
-    assert_eq!(parts.len(), 7);
+    assert_eq!(parts.len(), 9);
     let told: Vec<String> = parts.iter().flat_map(|p| ticked(&std::fs::read_to_string(p).unwrap())).collect();
     let lost: Vec<&String> = named.iter().chain(&told).filter(|p| missing(p)).collect();
     assert!(lost.is_empty(), "not there: {lost:?}");
