Wait for the change of disks itself in the refill test; hold what a power loss must leave

Cause: the test waited for the old group to be seen, but the change may begin and end within its own pause, and then it never ended. Change: it waits for the layout's number; load, floor and bound as before. A new test cuts the power in the moment of each answer.

--- a/yewcross-lab/tests/chain.rs
+++ b/yewcross-lab/tests/chain.rs
@@ -848,6 +848,46 @@
     });
 }
 
+#[test]
+fn what_is_answered_outlasts_a_loss_of_power_in_that_moment() {
+    for seed in 900..908 {
+        let t = Town::new(seed, 4, 2, 1);
+        let d = t.disk("store1");
+        let epoch = Epoch { n: 5, by: 7 };
+        let ledger = |e: &[(&str, Entry)]| LedgerRow {
+            program: "p".into(),
+            epoch,
+            entries: e.iter().map(|(k, e)| (k.to_string(), *e)).collect(),
+            keep: 100_000,
+        };
+        let turn = Turn { id: "x".into(), input: Bytes::from(vec![1; 9_000]), retain_ms: 600_000, ..Default::default() };
+        let row = Row { turn: Arc::new(turn), program: "p".into(), end: 1_790_000_000_000 };
+        let all = [
+            What::Take { ledger: ledger(&[("a", Entry::Open(3))]) },
+            What::Add { ledger: ledger(&[("b", Entry::Open(4))]) },
+            What::Write { rows: vec![row.clone()], ledger: Some(ledger(&[("a", Entry::Done(1))])) },
+        ];
+        for what in all {
+            let x = t.node("store1").expect("a store that runs");
+            let done = Arc::new(AtomicUsize::new(0));
+            let (n, a) = (done.clone(), encode(&ChainAsk { lay: 1, disk: d.clone(), left: SEC, what }));
+            x.w.go(async move {
+                let b = x.engine.unwrap().hear(a).await;
+                assert!(matches!(decode(&b), Some(Told::Ok | Told::Taken(_))));
+                n.store(1, SeqCst);
+            });
+            t.sim.run(t.sim.now() + SEC, || done.load(SeqCst) > 0);
+            t.kill("store1", true);
+            t.boot("store1");
+            t.pass(300);
+        }
+        assert_eq!(told(&t, "store1", &d, 1, What::Find { id: "x".into() }), Told::Rows(vec![row]), "seed {seed}");
+        let Told::Taken(mut v) = told(&t, "store1", &d, 1, What::Take { ledger: ledger(&[]) }) else { panic!("seed {seed}: no promise") };
+        v.sort_by(|a, b| a.0.cmp(&b.0));
+        assert_eq!(v, [("a".to_string(), Entry::Done(1)), ("b".to_string(), Entry::Open(4))], "seed {seed}");
+    }
+}
+
 /// An owner whose promise was given by disks that have left must not count on them, even if a disk that it never heard of
 /// hears its old question late.
 #[test]
@@ -974,10 +1014,10 @@
     assert!(n > 800, "{n}");
     t.wipe("store2");
     t.pass(100);
-    t.boot("store2");
-    t.pass(200);
+    let was = t.lay.lock().unwrap().0;
     let t0 = t.sim.now();
-    while t.lay.lock().unwrap().1.store.old.is_empty() {
+    t.boot("store2");
+    while t.lay.lock().unwrap().0 == was {
         t.pass(20);
     }
     let t1 = t.sim.now();
