--- a/yewcross-lab/src/lib.rs
+++ b/yewcross-lab/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod shape;
 pub mod sim;
 pub mod standin;
+pub mod tier;
--- /dev/null
+++ b/yewcross-lab/src/tier.rs
@@ -0,0 +1,307 @@
+//! A tier in the simulator whose control plane keeps itself, for the tests of orders, seats and duties.
+
+use crate::sim::Sim;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use yewcross::ask::*;
+use yewcross::book::Book;
+use yewcross::code::Code;
+use yewcross::consts::*;
+use yewcross::follow::Follow;
+use yewcross::member::Members;
+use yewcross::port::Dialect;
+use yewcross::startup::{Bounds, Role, Startup};
+use yewcross::tree::{Bad, Tree};
+use yewcross::wire::*;
+use yewcross::world::*;
+use yewcross_control::Control;
+use yewcross_control::api::*;
+
+/// `number mark`; the tree is empty.
+pub struct Numbered;
+
+impl Dialect for Numbered {
+    fn read(&self, text: &[u8]) -> Result<Tree, Vec<Bad>> {
+        match self.number(text) {
+            Some(_) => Tree::read(b"{}"),
+            None => Err(vec![Bad { path: "number".into(), why: "none".into() }]),
+        }
+    }
+    fn number(&self, text: &[u8]) -> Option<u64> {
+        std::str::from_utf8(text).ok()?.split(' ').next()?.parse().ok()
+    }
+}
+
+/// A front as far as it concerns the control plane. It notes every configuration that it holds.
+pub struct Bare {
+    pub members: Arc<Members>,
+    pub book: Arc<Book>,
+    pub seen: Mutex<Vec<(u64, u64, String)>>,
+}
+
+impl Listener for Bare {
+    fn hear(self: Arc<Self>, p: Parcel) -> Fut<'static, (Vec<u8>, Vec<u8>)> {
+        Box::pin(async move {
+            let t = match p.read::<Ask>() {
+                Some(a @ (Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. })) => self.members.hear(a).await,
+                Some(Ask::Adopt { name, seq, epoch }) => {
+                    self.book.adopt(&name, seq, epoch, p.blob);
+                    Tell::Adopted { seq: self.book.page(&name).seq }
+                }
+                Some(Ask::Patch { name, seq, epoch, base }) => {
+                    self.book.patch(&name, base, seq, epoch, &p.blob);
+                    Tell::Adopted { seq: self.book.page(&name).seq }
+                }
+                _ => Tell::No(Code::BadField),
+            };
+            (serde_json::to_vec(&t).unwrap(), vec![])
+        })
+    }
+}
+
+impl Bare {
+    pub fn text(&self) -> String {
+        serde_json::from_slice::<ConfigDoc>(&self.book.page("config").raw).map(|d| d.text).unwrap_or_default()
+    }
+}
+
+pub struct Tier {
+    pub sim: Sim,
+    pub op: World,
+    pub cores: usize,
+    pub specs: Mutex<BTreeMap<String, Startup>>,
+    pub control: Mutex<BTreeMap<String, Arc<Control>>>,
+    pub fronts: Mutex<BTreeMap<String, Arc<Bare>>>,
+}
+
+pub fn addr(n: usize) -> SocketAddr {
+    SocketAddr::new(IpAddr::from([10, 1, 0, n as u8 + 1]), 7000)
+}
+
+pub const ROLES: [(Role, &str); 3] = [(Role::Core, "core"), (Role::Store, "store"), (Role::Front, "front")];
+
+impl Tier {
+    pub fn new(seed: u64, counts: [usize; 3], lost: usize) -> Arc<Tier> {
+        let sim = Sim::new(seed, 900);
+        let m = sim.machine("operator", "z1", IpAddr::from([10, 9, 0, 1]));
+        let op = sim.boot(m);
+        let t = Arc::new(Tier {
+            sim,
+            op,
+            cores: counts[0],
+            specs: Default::default(),
+            control: Default::default(),
+            fronts: Default::default(),
+        });
+        let mut n = 0;
+        for ((role, tag), k) in ROLES.into_iter().zip(counts) {
+            for i in 0..k {
+                t.add(&format!("{tag}{}", i + 1), role, i % 4, n, lost);
+                n += 1;
+            }
+        }
+        t
+    }
+
+    pub fn add(&self, name: &str, role: Role, site: usize, n: usize, lost: usize) {
+        let site = format!("z{}", site + 1);
+        self.sim.machine(name, &site, addr(n).ip());
+        let st = Startup {
+            name: name.into(),
+            role,
+            site,
+            peer: addr(n),
+            http: SocketAddr::new(addr(n).ip(), 7001),
+            seeds: (0..self.cores.min(3)).map(addr).collect(),
+            data: "d".into(),
+            platform: None,
+            threads: 1,
+            wire: WIRE_VERSION,
+            found: true,
+            bounds: Bounds { lost, beat: 1200, ..Default::default() },
+        };
+        self.specs.lock().unwrap().insert(name.into(), st);
+    }
+
+    pub fn names(&self, r: Role) -> Vec<String> {
+        self.specs.lock().unwrap().values().filter(|s| s.role == r).map(|s| s.name.clone()).collect()
+    }
+
+    pub fn boot(self: &Arc<Self>, name: &str, first: bool) {
+        let m = self.sim.find(name);
+        self.sim.power_on(m);
+        let w = self.sim.boot(m);
+        let mut st = self.specs.lock().unwrap()[name].clone();
+        st.found = first;
+        if !first {
+            // The operator's list of now, which may name the machine itself or ones that are down.
+            let g = self.specs.lock().unwrap();
+            let mut v: Vec<SocketAddr> = g.values().filter(|s| s.role == Role::Core).map(|s| s.peer).collect();
+            v.rotate_left(self.sim.rand() as usize % self.cores.max(1));
+            v.truncate(3);
+            st.seeds = v;
+        }
+        let (me, n) = (self.clone(), name.to_string());
+        w.clone().go(async move {
+            if st.role == Role::Front {
+                let peers = Peers::new(&w, &st.name, &st.site, st.wire);
+                let members = Members::new(&w, &st, &peers, "");
+                let book = Book::of(&w, Arc::new(Numbered));
+                let follow = Follow::unleased(&members, &book, &st.name, true, st.bounds.apply * MS);
+                let b = Arc::new(Bare { members: members.clone(), book, seen: Default::default() });
+                let door = w.bind(st.peer).await.unwrap();
+                w.go(peers.serve(door, b.clone()));
+                w.go(members.run());
+                w.go(follow.run());
+                me.fronts.lock().unwrap().insert(n, b.clone());
+                loop {
+                    let l = b.book.moved.listen();
+                    let (p, t) = (b.book.page("config").seq, b.text());
+                    let new = b.seen.lock().unwrap().last().is_none_or(|x| x.1 != p);
+                    if new && !t.is_empty() {
+                        b.seen.lock().unwrap().push((w.now(), p, t));
+                    }
+                    l.await;
+                }
+            }
+            let o = Options {
+                dialect: Arc::new(Numbered),
+                rollout: Rollout::Majority,
+                bind_http: false,
+                tends: true,
+                stays: true,
+                ..Default::default()
+            };
+            match Control::start_with(&w, st, o).await {
+                Ok(c) => {
+                    me.control.lock().unwrap().insert(n, c);
+                }
+                Err(e) => panic!("{n} does not start: {e}"),
+            }
+        });
+    }
+
+    pub fn boot_all(self: &Arc<Self>) {
+        let v: Vec<String> = self.specs.lock().unwrap().keys().cloned().collect();
+        v.iter().for_each(|n| self.boot(n, true));
+    }
+
+    pub fn kill(&self, name: &str, power: bool) {
+        self.sim.kill(self.sim.find(name), power);
+        self.control.lock().unwrap().remove(name);
+        self.fronts.lock().unwrap().remove(name);
+    }
+
+    pub fn at(&self, name: &str) -> Option<Arc<Control>> {
+        self.control.lock().unwrap().get(name).cloned()
+    }
+
+    pub fn front(&self, name: &str) -> Option<Arc<Bare>> {
+        self.fronts.lock().unwrap().get(name).cloned()
+    }
+
+    /// An order run on the node itself; none where the node dies, or is silent for a second.
+    pub async fn on<T: Send + 'static>(&self, name: &str, f: impl FnOnce(Arc<Control>) -> Fut<'static, T>) -> Option<T> {
+        let c = self.at(name)?;
+        let (tx, rx) = async_channel::bounded(1);
+        let go = f(c.clone());
+        c.w.go(async move {
+            let _ = tx.try_send(go.await);
+        });
+        self.op.within(SEC, rx.recv()).await?.ok()
+    }
+
+    pub async fn put(&self, name: &str, base: u64, text: &str) -> Option<PutAnswer> {
+        let text = text.as_bytes().to_vec();
+        self.on(name, move |c| Box::pin(async move { c.put(base, text).await })).await
+    }
+
+    pub async fn read(&self, name: &str) -> Option<ReadAnswer> {
+        self.on(name, |c| Box::pin(async move { c.read_config().await })).await
+    }
+
+    /// Names behind the seats, and whether no change is under way, as a majority of the core disks has it.
+    pub async fn seats(&self) -> Option<(BTreeSet<String>, BTreeSet<String>, bool)> {
+        for n in self.names(Role::Core) {
+            let got = self.on(&n, |c| Box::pin(async move { c.owner.newest("layout", SEC).await.ok() })).await.flatten();
+            if let Some((_, _, raw)) = got.filter(|g| g.0 > 0) {
+                let l: Layout = serde_json::from_slice(&raw).unwrap();
+                let f = |g: &Group| g.now.iter().map(|d| l.names[d].clone()).collect::<BTreeSet<_>>();
+                return Some((f(&l.core), f(&l.store), l.core.old.is_empty() && l.store.old.is_empty()));
+            }
+        }
+        None
+    }
+
+    /// Waits until these and no others have seats, on the disks that they have now, and no change is under way.
+    pub async fn seated(&self, core: &[String], store: &[String], us: u64) -> Option<u64> {
+        let t0 = self.op.now();
+        while self.op.now() < t0 + us {
+            if let Some((c, s, still)) = self.seats().await {
+                let set = |v: &[String]| v.iter().cloned().collect::<BTreeSet<String>>();
+                let own = core.iter().chain(store).all(|n| {
+                    self.at(n).is_some_and(|x| {
+                        let l = x.book.layout.load();
+                        l.1.core.now.contains(&x.vault.id) || l.1.store.now.contains(&x.vault.id)
+                    })
+                });
+                if still && own && c == set(core) && s == set(store) {
+                    return Some(self.op.now() - t0);
+                }
+            }
+            self.op.sleep(20 * MS).await;
+        }
+        None
+    }
+
+    /// Puts until it is acknowledged, as an operator does.
+    pub async fn put_surely(&self, base: u64, text: &str) -> u64 {
+        let t0 = self.op.now();
+        let v = self.names(Role::Core);
+        for i in 0..200 {
+            if let Some(PutAnswer::InForce(_)) = self.put(&v[i % v.len()], base, text).await {
+                return self.op.now() - t0;
+            }
+            self.op.sleep(50 * MS).await;
+        }
+        panic!("{text} is not acknowledged")
+    }
+
+    /// us until every front that runs holds the text.
+    pub async fn adopted(&self, text: &str, us: u64) -> Option<u64> {
+        let t0 = self.op.now();
+        while self.op.now() < t0 + us {
+            if self.fronts.lock().unwrap().values().all(|f| f.text() == text) {
+                return Some(self.op.now() - t0);
+            }
+            self.op.sleep(5 * MS).await;
+        }
+        None
+    }
+}
+
+pub fn play<T: Send + 'static>(t: &Arc<Tier>, f: impl FnOnce(Arc<Tier>) -> Fut<'static, T>) -> T {
+    let out: Arc<Mutex<Option<T>>> = Default::default();
+    let (o, go) = (out.clone(), f(t.clone()));
+    t.op.go(async move {
+        let x = go.await;
+        *o.lock().unwrap() = Some(x);
+    });
+    t.sim.run(300 * SEC, || out.lock().unwrap().is_some());
+    let x = out.lock().unwrap().take();
+    x.unwrap_or_else(|| {
+        t.sim.log().iter().rev().take(60).rev().for_each(|l| eprintln!("{} {} {}", l.0 / MS, l.1, l.2));
+        panic!("the script did not end")
+    })
+}
+
+pub fn tell(t: &Tier) -> String {
+    t.sim.log().iter().map(|l| format!("{} {} {}\n", l.0 / MS, l.1, l.2)).collect()
+}
+
+pub async fn up(t: &Arc<Tier>) -> u64 {
+    t.boot_all();
+    let (c, s) = (t.names(Role::Core), t.names(Role::Store));
+    t.seated(&c, &s, 10 * SEC).await.unwrap_or_else(|| panic!("not founded\n{}", tell(t)))
+}
