Give up a refused promise at once, not only when every copy has answered

A take that a majority of copies refuses was known to have failed only when the silent ones timed out (0.7 s each time). An owner new to a key is always refused once, since it doesn't know the epoch in force: beside one frozen or cut-off core a takeover of the duties then took over 2 s (the test of a thawed holder, below, found nobody on duty 2 s after a freeze). Promises and confirmations leave nothing behind, so they end as soon as no majority can come any more. Accepts wait as before.

--- a/yewcross/src/reg.rs
+++ b/yewcross/src/reg.rs
@@ -440,10 +440,13 @@
         blob: &Arc<Vec<u8>>,
         delta: Option<Arc<Vec<u8>>>,
     ) -> Result<Vec<(String, RegTell, Vec<u8>)>, Poll> {
+        // What is refused here leaves nothing behind, so the copies that say nothing need not be waited for.
+        let leaves_nothing = matches!(a, RegAsk::Promise { .. } | RegAsk::Confirm { .. });
         let rx = self.ballot(c, a, blob, delta).await;
-        let (mut yes, mut p) = (vec![], Poll::default());
+        let (mut yes, mut no, mut p) = (vec![], vec![], Poll::default());
         for _ in 0..c.all().len() {
             let Ok((d, t, v)) = rx.recv().await else { break };
+            let disk = d.clone();
             match t {
                 RegTell::Promised { .. } | RegTell::Accepted | RegTell::Looked { .. } => yes.push((d, t, v)),
                 RegTell::Refused { promised } => {
@@ -457,6 +460,12 @@
             if c.quorum(|d| yes.iter().any(|y| y.0 == d)) {
                 return Ok(yes);
             }
+            if yes.last().is_none_or(|y| y.0 != disk) {
+                no.push(disk);
+            }
+            if leaves_nothing && !c.quorum(|d| !no.iter().any(|n| n == d)) {
+                break;
+            }
         }
         p.yes = yes.len();
         Err(p)
