--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -1,123 +1,296 @@
-//! What one node does for all, under a lease that a majority of the core granted.
+//! What one core process does for all under the duty lease: it polls the platform's list and keeps the seats.
+//!
+//! This module is the granter's side of the lease, contact with a majority of core seats, and what the duties run. The
+//! holder's side is `lease_holder`; the rules of both are `lease`.
 
-use crate::{Control, config, layout};
+use crate::contact::Contact;
+use crate::lease::*;
+use crate::{Control, layout, lease_holder, platform_list};
+use event_listener::Event;
+use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use yewcross::ask::*;
+use yewcross::book::{Book, DOCS};
 use yewcross::consts::*;
-use yewcross::http;
-use yewcross::member::State;
-use yewcross::port::Catalogue;
-use yewcross::reg::*;
-use yewcross::web;
+use yewcross::lease::*;
+use yewcross::vault::Vault;
 use yewcross::world::*;
 
 pub const DUTIES: [&str; 2] = ["list", "layout"];
 
-#[derive(Default)]
+pub const LEASE_TIMES: LeaseTimes = LeaseTimes { length: LEASE_LENGTH, margin: LEASE_MARGIN };
+
+/// Name of the file that keeps the highest term granted.
+const TERM_FILE: &str = "lease";
+
+/// The highest term on this disk, and the version of the file that says so.
+struct KeptTerm {
+    version: u64,
+    term: u64,
+}
+
 pub struct Duties {
-    /// As granter: who holds what until when, on our clock.
-    given: Mutex<BTreeMap<String, (String, u64)>>,
-    /// As holder: until when, on our clock.
-    held: [AtomicU64; 2],
+    pub candidate: Candidate,
+    granter: Mutex<Granter>,
+    pub holder: Mutex<Holder>,
+    contact: Mutex<Contact>,
+    had_contact: AtomicBool,
+    kept: futures_util::lock::Mutex<KeptTerm>,
+    /// The term whose holder has fenced off all earlier ones.
+    pub fenced: AtomicU64,
+    /// This process is about to stop and wants the lease no more.
+    pub resigned: AtomicBool,
+    /// The lease was taken, lost or released.
+    pub changed: Event,
+    /// Times that this process took the lease, and lost or gave up one that it held.
+    pub taken: AtomicU64,
+    pub lost: AtomicU64,
+    /// Times that contact with a majority was lost.
+    contact_lost: AtomicU64,
     /// Since when the machine of a seat is missing, us, as the keeper of the seats saw it.
     pub missing: Mutex<BTreeMap<String, u64>>,
     /// Since when the tier is founded, us.
     pub since: AtomicU64,
     pub polls: AtomicU64,
     /// Polls refused in a row.
-    refused: AtomicU64,
-    etag: Mutex<String>,
+    pub refused: AtomicU64,
+    pub etag: Mutex<String>,
 }
 
 impl Duties {
-    pub fn given(&self) -> BTreeMap<String, (String, u64)> {
-        self.given.lock().unwrap().clone()
+    /// Reads the highest term that this disk has granted.
+    pub async fn open(w: &World, vault: &Vault, book: &Book, process: u64) -> io::Result<Duties> {
+        let kept = vault.load("local", TERM_FILE).await?;
+        let term = kept.as_ref().and_then(|(_, b)| Some(u64::from_le_bytes(b.as_slice().try_into().ok()?))).unwrap_or(0);
+        let version = kept.map_or(0, |x| x.0);
+        let fresh = book.layout.load().0 == 0;
+        Ok(Duties {
+            candidate: Candidate { disk: vault.id.clone(), process },
+            granter: Mutex::new(Granter::new(LEASE_TIMES, w.now(), term, fresh)),
+            holder: Mutex::new(Holder::new(LEASE_TIMES)),
+            contact: Default::default(),
+            had_contact: AtomicBool::new(false),
+            kept: futures_util::lock::Mutex::new(KeptTerm { version, term }),
+            fenced: AtomicU64::new(0),
+            resigned: AtomicBool::new(false),
+            changed: Event::new(),
+            taken: AtomicU64::new(0),
+            lost: AtomicU64::new(0),
+            contact_lost: AtomicU64::new(0),
+            missing: Default::default(),
+            since: AtomicU64::new(0),
+            polls: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+            etag: Default::default(),
+        })
+    }
+}
+
+/// Runs `f` on this seat's granter, which first hears of the core seats as they are known now.
+pub fn with_granter<T>(c: &Control, f: impl FnOnce(&mut Granter, u64) -> T) -> T {
+    let l = c.book.layout.load();
+    let mut granter = c.duties.granter.lock().unwrap();
+    let now = c.w.now();
+    granter.see_seats(now, seats_digest(&l.1), l.1.term, l.0 == 1);
+    f(&mut granter, now)
+}
+
+/// Answers for this disk, which alone gives its grants.
+pub async fn answer(c: &Control, ask: &LeaseAsk) -> LeaseTell {
+    let verdict = if ask.granter == c.vault.id { decide(c, ask).await } else { Verdict::Refused(Refusal::OtherDisk) };
+    if verdict == Verdict::Released {
+        c.duties.changed.notify(usize::MAX);
     }
+    let term = with_granter(c, |granter, _| granter.term());
+    LeaseTell { granter: c.vault.id.clone(), term, verdict, versions: versions(c).await }
 }
 
-/// Nothing is granted in the first lease length after a start: an earlier life may have granted it.
-pub fn grant(c: &Control, name: &str, holder: &str) -> Tell {
-    let t = c.w.now();
-    if t < c.started + DUTY_LEASE || !c.book.layout.load().1.core.now.contains(&c.vault.id) {
-        return Tell::Duty { granted: false };
+async fn decide(c: &Control, ask: &LeaseAsk) -> Verdict {
+    if c.vault.failed.load(SeqCst) {
+        return Verdict::Refused(Refusal::DiskFailed);
     }
-    let mut g = c.duties.given.lock().unwrap();
-    let free = g.get(name).is_none_or(|(h, u)| h == holder || t > *u);
-    if free {
-        g.insert(name.into(), (holder.into(), t + DUTY_LEASE));
+    if !has_seat(&c.book.layout.load().1, &c.vault.id) {
+        return Verdict::Refused(Refusal::OtherSeats);
     }
-    Tell::Duty { granted: free }
+    let (verdict, term) = with_granter(c, |granter, now| {
+        let verdict = granter.answer(now, &ask.candidate, ask.seats, ask.call);
+        (verdict, granter.term())
+    });
+    if verdict == Verdict::Granted && !keep_term(c, term).await {
+        return Verdict::Refused(Refusal::DiskFailed);
+    }
+    verdict
 }
 
-async fn renew(c: &Arc<Control>, i: usize) {
-    let l = c.book.layout.load_full();
-    if l.0 == 0 || !l.1.core.now.contains(&c.vault.id) {
-        return;
+/// Returns once the term is on disk.
+async fn keep_term(c: &Control, term: u64) -> bool {
+    let mut kept = c.duties.kept.lock().await;
+    if kept.term >= term {
+        return true;
     }
-    let holder = format!("{}#{:x}", c.st.name, c.owner.me);
-    let sent = c.w.now();
-    let fs: Vec<Fut<'static, _>> =
-        l.1.core
-            .now
-            .iter()
-            .filter_map(|d| c.members.by_disk(d).map(|n| (d.clone(), n)))
-            .map(|(d, n)| {
-                let (me, h) = (c.clone(), holder.clone());
-                let f: Fut<'static, _> = Box::pin(async move {
-                    let a = Ask::Duty { name: DUTIES[i].into(), holder: h.clone() };
-                    let r = if d == me.vault.id {
-                        grant(&me, DUTIES[i], &h)
-                    } else {
-                        me.peers.ask(n.peer, &a, &[], DUTY_RENEW / 2).await.map(|x| x.0).unwrap_or(Tell::Ok)
-                    };
-                    matches!(r, Tell::Duty { granted: true })
-                });
-                f
-            })
-            .collect();
-    let (k, rx) = (fs.len(), c.w.fan(fs));
-    let mut yes = 0;
-    for _ in 0..k {
-        yes += (rx.recv().await == Ok(true)) as usize;
+    let version = kept.version + 1;
+    if c.vault.keep("local", TERM_FILE, version, &term.to_le_bytes()).await.is_err() {
+        return false;
+    }
+    *kept = KeptTerm { version, term };
+    true
+}
+
+pub fn has_seat(l: &Layout, disk: &str) -> bool {
+    l.core.now.iter().chain(&l.core.old).any(|d| d == disk)
+}
+
+async fn versions(c: &Control) -> Vec<(String, u64)> {
+    let mut v = vec![];
+    for document in DOCS {
+        let on_disk = c.replica.peek(document).await.map_or(0, |slot| slot.seq);
+        v.push((document.to_string(), on_disk.max(c.book.page(document).seq)));
     }
-    if yes >= majority(l.1.core.now.len()) {
-        let was = c.duties.held[i].swap(sent + DUTY_LEASE - DUTY_MARGIN, SeqCst);
-        if was < sent {
-            c.w.log(&format!("duty {} taken", DUTIES[i]));
+    v
+}
+
+/// Puts one question to one seat. Its answer counts as contact.
+pub async fn ask_seat(c: &Arc<Control>, disk: &str, call: LeaseCall) -> Option<LeaseTell> {
+    let seats = seats_digest(&c.book.layout.load().1);
+    let ask = LeaseAsk { granter: disk.into(), candidate: c.duties.candidate.clone(), seats, call };
+    let sent = c.w.now();
+    let tell = if disk == c.vault.id {
+        answer(c, &ask).await
+    } else {
+        let peer = c.members.by_disk(disk)?.peer;
+        match c.peers.ask(peer, &Ask::Lease(ask), &[], LEASE_WAIT).await {
+            Ok((Tell::Lease(tell), _)) => tell,
+            _ => return None,
         }
+    };
+    let speaks_for_disk = tell.granter == disk && !matches!(tell.verdict, Verdict::Refused(Refusal::OtherDisk | Refusal::DiskFailed));
+    if !speaks_for_disk {
+        return None;
     }
+    c.duties.contact.lock().unwrap().heard(disk, sent, &tell.versions);
+    Some(tell)
+}
+
+/// Puts one question to several seats at once.
+pub fn ask_seats(c: &Arc<Control>, disks: Vec<String>, call: LeaseCall) -> async_channel::Receiver<Option<LeaseTell>> {
+    let questions = disks
+        .into_iter()
+        .map(|disk| {
+            let me = c.clone();
+            let question: Fut<'static, _> = Box::pin(async move { ask_seat(&me, &disk, call).await });
+            question
+        })
+        .collect();
+    c.w.fan(questions)
+}
+
+/// All core seats, new and old.
+pub fn all_seats(g: &Group) -> Vec<String> {
+    let mut v = g.now.clone();
+    v.extend(g.old.iter().filter(|d| !g.now.contains(d)).cloned());
+    v
+}
+
+/// us. A core that has not heard a majority of core seats for this long gives no news and takes no orders: half of the time
+/// in which a configuration is to be in force everywhere, so that whoever follows still has the other half.
+pub fn contact_bound(apply_ms: u64) -> u64 {
+    (apply_ms * MS / 2).max(200 * MS)
 }
 
 impl Control {
-    /// Asked right before every act, so that a node that woke from a freeze does not act on an old lease.
-    pub fn on_duty(&self, i: usize) -> bool {
-        if self.options.tends {
-            return self.first_in_line();
+    /// The term of the lease that this process holds at this moment and under which it may act. Asked right before every
+    /// act, so that a process that woke from a freeze does not act on an old lease.
+    pub fn duty_term(&self) -> Option<u64> {
+        let ready = self.founded.load(SeqCst) && !self.members.replaced.is_set() && !self.vault.failed.load(SeqCst);
+        let held = self.duties.holder.lock().unwrap().held(self.w.now());
+        held.filter(|term| ready && self.duties.fenced.load(SeqCst) == *term)
+    }
+
+    /// Both duties lie with the holder of the one lease.
+    pub fn on_duty(&self, _duty: usize) -> bool {
+        self.duty_term().is_some()
+    }
+
+    /// Whether what was planned under `term` may still be written over a document that was written under `written`.
+    pub fn may_write(&self, term: u64, written: u64) -> bool {
+        written <= term && self.duty_term() == Some(term)
+    }
+
+    /// Whether a majority of the core seats answered this process lately; of both sets while core seats change. Whatever
+    /// was decided before the bound is then known here at least by number.
+    pub fn has_quorum_contact(&self) -> bool {
+        let since = self.duties.contact.lock().unwrap().since(&self.book.layout.load().1.core);
+        since > 0 && self.w.now() < since + contact_bound(self.st.bounds.apply)
+    }
+
+    /// The newest version of a document that any core seat was heard to hold.
+    pub fn version_heard(&self, document: &str) -> u64 {
+        self.duties.contact.lock().unwrap().version(document)
+    }
+}
+
+/// Asks a majority of the core seats, in turns, often enough for the bound.
+async fn keep_contact(c: Arc<Control>) {
+    let every = contact_bound(c.st.bounds.apply) / 3;
+    let mut turn = c.w.rand() as usize % 64;
+    loop {
+        let layout = c.book.layout.load_full();
+        let others: Vec<String> = all_seats(&layout.1.core).into_iter().filter(|d| *d != c.vault.id).collect();
+        c.duties.contact.lock().unwrap().retain(&layout.1.core);
+        let asked = seats_in_turn(&layout.1.core, others, &c.vault.id, turn, c.has_quorum_contact());
+        turn += 1;
+        if has_seat(&layout.1, &c.vault.id) {
+            ask_seat(&c, &c.vault.id, LeaseCall::Look).await;
+        }
+        // The holder's renewals are its heartbeat.
+        if !is_holder(&c) {
+            ask_seats(&c, asked, LeaseCall::Look);
         }
-        self.w.now() < self.duties.held[i].load(SeqCst)
+        let rest = if c.has_quorum_contact() { every } else { every / 2 };
+        let moved = c.book.moved.listen();
+        match layout.0 {
+            0 => futures_lite::future::or(moved, c.w.sleep(every)).await,
+            _ => c.w.sleep(rest).await,
+        }
+        note_contact(&c);
+    }
+}
+
+fn is_holder(c: &Control) -> bool {
+    c.duties.holder.lock().unwrap().held(c.w.now()).is_some()
+}
+
+/// As many as a majority needs, in turns; all while contact is lost, or while core seats change.
+fn seats_in_turn(g: &Group, mut others: Vec<String>, own: &str, turn: usize, contact: bool) -> Vec<String> {
+    if others.is_empty() || !contact || !g.old.is_empty() {
+        return others;
     }
+    let needed = yewcross::reg::majority(g.now.len()) - g.now.iter().any(|d| d == own) as usize;
+    let n = others.len();
+    others.rotate_left(turn % n);
+    others.truncate(needed);
+    others
+}
 
-    /// A tier that keeps itself needs no lease: whatever a duty decides is bound to the version it was made from, so two
-    /// who think it theirs cost time only. It falls to the first core seat that answers, on the side that has most.
-    fn first_in_line(&self) -> bool {
-        let l = self.book.layout.load();
-        let view = self.members.view.load();
-        let up = |d: &str| view.values().any(|n| n.disk == d && n.state == State::Alive);
-        let seats = l.1.core.now.iter().map(|s| s.as_str());
-        let n = seats.clone().filter(|d| up(d)).count();
-        let first = yewcross::hash::ranked("duty", seats).into_iter().find(|d| up(d));
-        self.founded.load(SeqCst) && n >= majority(l.1.core.now.len()) && first == Some(self.vault.id.as_str())
+fn note_contact(c: &Control) {
+    let now = c.has_quorum_contact();
+    if c.duties.had_contact.swap(now, SeqCst) == now {
+        return;
+    }
+    if !now {
+        c.duties.contact_lost.fetch_add(1, SeqCst);
     }
+    c.w.log(if now { "contact with a majority of core seats" } else { "no contact with a majority of core seats" });
 }
 
 /// Keeps the seats: wakes when a machine comes, goes or returns, and when a change is under way.
 async fn keep_seats(c: Arc<Control>) {
     let mut was = false;
     loop {
-        let (l, m) = (c.book.moved.listen(), c.members.moved.listen());
+        let (adopted, members, lease) = (c.book.moved.listen(), c.members.moved.listen(), c.duties.changed.listen());
         let now = c.on_duty(1);
         if was != now {
             was = now;
@@ -125,52 +298,25 @@
         }
         let rest = if now { layout::tend_seats(&c).await } else { SEC };
         if rest > 0 {
-            c.w.within(rest, futures_lite::future::or(l, m)).await;
+            let any = futures_lite::future::or(lease, futures_lite::future::or(adopted, members));
+            c.w.within(rest, any).await;
         }
     }
 }
 
-pub async fn run(c: Arc<Control>) {
-    if c.options.tends {
-        c.w.go(layout::found_self(c.clone()));
-        c.w.go(keep_seats(c.clone()));
-        loop {
-            let (l, m) = (c.book.moved.listen(), c.members.moved.listen());
-            if c.on_duty(0) {
-                let rest = poll_list(&c).await;
-                c.w.sleep(rest).await;
-            } else {
-                futures_lite::future::or(l, m).await;
-            }
+async fn keep_list(c: Arc<Control>) {
+    loop {
+        let lease = c.duties.changed.listen();
+        if c.on_duty(0) {
+            let rest = platform_list::poll(&c).await;
+            c.w.sleep(rest).await;
+        } else {
+            c.w.within(SEC, lease).await;
         }
     }
-    c.founded.store(true, SeqCst);
-    for (i, duty) in DUTIES.into_iter().enumerate() {
-        let me = c.clone();
-        c.w.go(async move {
-            me.w.sleep(me.w.rand() % DUTY_RENEW).await;
-            loop {
-                if me.members.replaced.is_set() {
-                    return;
-                }
-                // Others' turns come first to whoever ranks first, so that one of them gets a majority.
-                let all = me.members.alive(yewcross::startup::Role::Core);
-                let rank = yewcross::hash::ranked(duty, all.iter().map(|n| n.name.as_str())).iter().position(|n| *n == me.st.name);
-                let held = me.on_duty(i);
-                if held || rank == Some(0) || me.w.rand().is_multiple_of(4) {
-                    renew(&me, i).await;
-                }
-                me.w.sleep(DUTY_RENEW + me.w.rand() % (100 * MS)).await;
-            }
-        });
-    }
-    let me = c.clone();
-    c.w.go(async move {
-        loop {
-            let rest = if me.on_duty(0) { poll_list(&me).await } else { LIST_EVERY };
-            me.w.sleep(rest).await;
-        }
-    });
+}
+
+async fn tend_layout(c: Arc<Control>) {
     loop {
         if c.on_duty(1) {
             layout::tend_layout(&c).await;
@@ -179,94 +325,35 @@
     }
 }
 
-/// Asks the platform, in its own time, and decides a list that differs. Returns how long to wait.
-async fn poll_list(c: &Arc<Control>) -> u64 {
-    let Some(to) = *c.platform.lock().unwrap() else { return SEC };
-    if let Some(k) = c.options.catalogue.clone() {
-        return poll_catalogue(c, to, &*k).await;
-    }
-    c.duties.polls.fetch_add(1, SeqCst);
-    let tag = c.duties.etag.lock().unwrap().clone();
-    let heads: Vec<(&str, String)> = if tag.is_empty() { vec![] } else { vec![("if-none-match", tag)] };
-    let Ok((status, r, b)) = http::fetch(&c.w, to, http_types::Method::Get, "/servers", &heads, vec![], BACK_WAIT).await else {
-        return LIST_EVERY;
-    };
-    let patience = r.header("retry-after").and_then(|v| v.as_str().parse::<u64>().ok()).map(|s| s.saturating_mul(SEC).min(LIST_PATIENCE));
-    if status != 200 {
-        return patience.unwrap_or(LIST_EVERY);
-    }
-    let Ok(list) = serde_json::from_slice::<List>(&b) else { return LIST_EVERY };
-    if !c.on_duty(0) {
-        return LIST_EVERY;
-    }
-    let got = c
-        .owner
-        .change("list", PEER_WAIT, |seq, v| {
-            let old: List = serde_json::from_slice(v).unwrap_or_default();
-            if old.rev >= list.rev && seq > 0 { Step::Keep(()) } else { Step::Write(serde_json::to_vec(&list).unwrap_or_default(), ()) }
-        })
-        .await;
-    if got.is_ok()
-        && let Ok((seq, epoch, raw)) = c.owner.read("list", PEER_WAIT).await
-    {
-        if seq > c.book.page("list").seq {
-            config::carry(c, "list", seq, epoch, &raw).await;
-        }
-        *c.duties.etag.lock().unwrap() = r.header("etag").map(|v| v.as_str().to_string()).unwrap_or_default();
+pub async fn run(c: Arc<Control>) {
+    c.w.go(keep_contact(c.clone()));
+    c.w.go(lease_holder::run(c.clone()));
+    c.w.go(keep_list(c.clone()));
+    if c.options.tends {
+        c.w.go(layout::found_self(c.clone()));
+        c.w.go(keep_seats(c.clone()));
+    } else {
+        c.founded.store(true, SeqCst);
+        c.w.go(tend_layout(c.clone()));
     }
-    patience.unwrap_or(LIST_EVERY)
 }
 
-/// The same in a catalogue's own words, page by page; the tier numbers the lists. A list read after version `at` was known
-/// replaces that one only: one that waited somewhere replaces nothing.
-async fn poll_catalogue(c: &Arc<Control>, to: SocketAddr, k: &dyn Catalogue) -> u64 {
-    let at = c.book.page("list").seq;
-    let (mut servers, mut page) = (vec![], None);
-    for _ in 0..LIST_PAGES {
-        c.duties.polls.fetch_add(1, SeqCst);
-        let mut q = hyper::Request::new(Default::default());
-        let Ok(uri) = k.target(page.as_deref()).parse() else { return PAGES_EVERY };
-        *q.uri_mut() = uri;
-        let Ok(r) = web::fetch(&c.w, to, q, FRAME_MAX, PAGE_WAIT).await else { return PAGES_EVERY };
-        if r.status() != 200 {
-            let told = r.headers().get("retry-after").and_then(|v| v.to_str().ok()?.parse::<f64>().ok()).map(|s| (s.max(0.0) * 1e6) as u64);
-            let n = c.duties.refused.fetch_add(1, SeqCst).min(3);
-            return told.unwrap_or(PAGES_EVERY << n).min(PAGES_BACK_OFF);
-        }
-        let Ok((mut v, next)) = k.read(r.body()) else { return PAGES_EVERY };
-        servers.append(&mut v);
-        page = next;
-        if page.is_none() {
-            break;
-        }
-    }
-    c.duties.refused.store(0, SeqCst);
-    servers.sort_by(|a, b| a.server.cmp(&b.server));
-    servers.dedup_by(|a, b| a.server == b.server);
-    if page.is_some() || !c.on_duty(0) || (at > 0 && c.book.list.load().1.servers == servers) {
-        return PAGES_EVERY;
-    }
-    let got = c
-        .owner
-        .change("list", PEER_WAIT, |seq, v| {
-            let old: List = serde_json::from_slice(v).unwrap_or_default();
-            if seq > at || old.servers == servers {
-                return Step::Keep((seq, v.to_vec()));
-            }
-            let raw = lines(&List { rev: old.rev + 1, servers: servers.clone() });
-            Step::Write(raw.clone(), (seq + 1, raw))
-        })
-        .await;
-    if let Ok((seq, raw)) = got
-        && seq > c.book.page("list").seq
-    {
-        config::push(c, "list", seq, raw);
-    }
-    PAGES_EVERY
+/// The machine and process that hold the lease, as far as this seat knows.
+pub fn holder_name(c: &Control) -> Option<String> {
+    let holder = with_granter(c, |granter, now| granter.holder(now).cloned())?;
+    let l = c.book.layout.load();
+    let name = l.1.names.get(&holder.disk).cloned().unwrap_or(holder.disk.clone());
+    Some(format!("{name}#{:x}", holder.process))
+}
+
+/// The lease and contact as an operator sees them.
+pub fn status(c: &Control) -> Value {
+    let (term, free_in) = with_granter(c, |granter, now| (granter.term(), granter.free_at().saturating_sub(now) / MS));
+    json!({"holder": holder_name(c), "term": term, "free_in_ms": free_in, "held_here": c.duty_term(),
+        "contact": c.has_quorum_contact()})
 }
 
-/// A server a line, so that a change travels as the lines that changed.
-fn lines(l: &List) -> Vec<u8> {
-    let v: Vec<String> = l.servers.iter().map(|s| serde_json::to_string(s).unwrap_or_default()).collect();
-    format!("{{\"rev\":{},\"servers\":[\n{}\n]}}", l.rev, v.join(",\n")).into_bytes()
+pub fn counters(c: &Control) -> Value {
+    let d = &c.duties;
+    json!({"taken": d.taken.load(SeqCst), "lost": d.lost.load(SeqCst), "contact_lost": d.contact_lost.load(SeqCst)})
 }
--- a/yewcross-control/src/layout.rs
+++ b/yewcross-control/src/layout.rs
@@ -148,6 +148,9 @@
 }
 
 async fn spread(c: &Arc<Control>) {
+    if !c.has_quorum_contact() {
+        return;
+    }
     if let Ok((seq, epoch, v)) = c.owner.read("layout", PEER_WAIT).await {
         if c.options.tends {
             return config::push(c, "layout", seq, v.to_vec());
@@ -190,7 +193,7 @@
             let lost = l.1.names.iter().find(|x| *x.1 == n.name && seats.contains(x.0) && *x.0 != n.disk)?.0.clone();
             (n.role != Role::Front && !n.disk.is_empty() && !l.1.names.contains_key(&n.disk)).then(|| (lost, n.disk.clone()))
         });
-        if let Some((a, b)) = back.filter(|_| c.on_duty(1)) {
+        if let Some((a, b)) = back.filter(|_| c.duty_term().is_some()) {
             c.w.log(&format!("disk {a} came back empty as {b}"));
             let _ = begin(c, Move::Replace(a, b)).await;
         }
@@ -198,16 +201,18 @@
     }
     let (at, v) = progress(c).await;
     let done = v.iter().filter(|x| x.1).count();
-    if at != l.0 || done + c.st.bounds.lost < v.len() || !c.on_duty(1) {
+    if at != l.0 || done + c.st.bounds.lost < v.len() {
         return;
     }
+    let Some(term) = c.duty_term() else { return };
     let got = c
         .owner
         .change("layout", PUT_WAIT, |seq, v| {
             let Ok(mut l) = serde_json::from_slice::<Layout>(v) else { return Step::Keep(()) };
-            if seq != at {
+            if seq != at || !c.may_write(term, l.term) {
                 return Step::Keep(());
             }
+            l.term = term;
             settle(&mut l);
             Step::Write(serde_json::to_vec(&l).unwrap_or_default(), ())
         })
@@ -253,6 +258,10 @@
                 c.replica.forget(&k).await;
                 continue;
             }
+            if DOCS.contains(&k.as_str()) && !c.has_quorum_contact() {
+                whole = false;
+                continue;
+            }
             if c.options.tends && DOCS.contains(&k.as_str()) && c.owner.uniform(&k).await {
                 continue;
             }
@@ -321,7 +330,7 @@
             if let Some(raw) = nth.filter(|_| founds).and_then(|_| first(&c, &seeds)) {
                 propose_first(&c, &seeds, raw).await;
             }
-        } else if seat.is_none() || settle_first(&c, seat.unwrap_or(0)).await {
+        } else if seat.is_none() || (c.has_quorum_contact() && settle_first(&c, seat.unwrap_or(0)).await) {
             c.duties.since.store(c.w.now(), SeqCst);
             c.founded.store(true, SeqCst);
             c.book.moved.notify(usize::MAX);
@@ -544,11 +553,11 @@
             return 50 * MS;
         }
     }
-    if !c.on_duty(1) {
-        return rest;
-    }
+    let Some(term) = c.duty_term() else { return rest };
+    let n = Layout { term, ..n };
     let raw = serde_json::to_vec(&n).unwrap_or_default();
-    let got = c.owner.change("layout", SEC, |s, _| if s == l.0 { Step::Write(raw.clone(), true) } else { Step::Keep(false) }).await;
+    let may = |s: u64| s == l.0 && c.may_write(term, l.1.term);
+    let got = c.owner.change("layout", SEC, |s, _| if may(s) { Step::Write(raw.clone(), true) } else { Step::Keep(false) }).await;
     if got == Ok(true) {
         c.w.log(&format!("seats change: core {:?} store {:?}", named(&n, &n.core), named(&n, &n.store)));
     }
@@ -601,7 +610,7 @@
         return false;
     }
     for d in DOCS {
-        if c.owner.change(d, SEC, |_, _| Step::Keep(())).await.is_err() {
+        if c.duty_term().is_none() || c.owner.change(d, SEC, |_, _| Step::Keep(())).await.is_err() {
             return false;
         }
     }
@@ -631,13 +640,13 @@
 
 /// Ends the change that layout number `at` began.
 async fn drop_old(c: &Arc<Control>, at: u64) -> bool {
-    if !c.on_duty(1) {
-        return false;
-    }
+    let Some(term) = c.duty_term() else { return false };
     let got = c
         .owner
         .change("layout", SEC, |seq, v| {
-            let Some(mut l) = serde_json::from_slice::<Layout>(v).ok().filter(|_| seq == at) else { return Step::Keep(seq) };
+            let now = serde_json::from_slice::<Layout>(v).ok().filter(|l| seq == at && c.may_write(term, l.term));
+            let Some(mut l) = now else { return Step::Keep(seq) };
+            l.term = term;
             settle(&mut l);
             Step::Write(serde_json::to_vec(&l).unwrap_or_default(), seq + 1)
         })
--- /dev/null
+++ b/yewcross-control/src/lease.rs
@@ -0,0 +1,227 @@
+//! The duty lease as pure state machines: the granter of each core seat, and the process that holds or wants the lease.
+//!
+//! At most one process holds the lease at any time. A granter promises one candidate at a time, for one lease length on its
+//! own clock from the moment of its answer; the holder counts from before it asked, and a margin less. Two majorities of one
+//! set of seats share a granter. Nothing here reads a clock, a disk or the network, so that a model checker can run it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use yewcross::ask::{Group, Layout};
+use yewcross::lease::*;
+use yewcross::reg::majority;
+
+/// Rounds that a holder may ask for beyond the last one it saw confirmed.
+pub const UNCONFIRMED_ROUNDS: u64 = 2;
+
+/// Lengths in us, on any clock that runs at the usual pace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct LeaseTimes {
+    /// How long a grant binds its granter.
+    pub length: u64,
+    /// How much earlier the holder counts itself out, for clocks that run at different paces.
+    pub margin: u64,
+}
+
+/// Digest of the core seats, new and old. Grants count only among nodes that know the same.
+pub fn seats_digest(l: &Layout) -> u64 {
+    if l.core.now.is_empty() {
+        return 0;
+    }
+    yewcross::hash::weigh(&l.core.now.join(" "), &l.core.old.join(" "))
+}
+
+/// Whether the disks are a majority of the seats, and of the old ones while a change is under way.
+pub fn quorum(seats: &Group, has: impl Fn(&str) -> bool) -> bool {
+    let most = |disks: &[String]| disks.iter().filter(|d| has(d)).count() >= majority(disks.len());
+    !seats.now.is_empty() && most(&seats.now) && (seats.old.is_empty() || most(&seats.old))
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Grant {
+    holder: Candidate,
+    term: u64,
+    /// Highest round granted.
+    round: u64,
+    until: u64,
+}
+
+/// What one core seat has promised.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Granter {
+    times: LeaseTimes,
+    term: u64,
+    grant: Option<Grant>,
+    /// Nothing is granted to a candidate that holds no grant here before this: an earlier life of this process, or the
+    /// seats before the last change, may have granted what is not known here.
+    quiet_until: u64,
+    seats: u64,
+    /// No life of this disk can have granted anything.
+    fresh: bool,
+}
+
+impl Granter {
+    /// `term` is the highest that the disk remembers. `fresh` says that the disk has known no layout and no term yet.
+    pub fn new(times: LeaseTimes, now: u64, term: u64, fresh: bool) -> Granter {
+        Granter { times, term, grant: None, quiet_until: now + times.length, seats: 0, fresh: fresh && term == 0 }
+    }
+
+    /// Tells the core seats as known now, the term that the layout was written under, and whether that is the very first
+    /// layout. Before the first one nobody can have held the lease.
+    pub fn see_seats(&mut self, now: u64, seats: u64, term: u64, first_layout: bool) {
+        self.term = self.term.max(term);
+        if seats == self.seats {
+            return;
+        }
+        let founding = self.fresh && first_layout && self.seats == 0;
+        self.quiet_until = if founding { 0 } else { self.quiet_until.max(now + self.times.length) };
+        self.seats = seats;
+        self.fresh = false;
+    }
+
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// When the lease will be free here, if nobody renews it.
+    pub fn free_at(&self) -> u64 {
+        self.quiet_until.max(self.grant.as_ref().map_or(0, |g| g.until))
+    }
+
+    /// Who holds the lease as far as this seat knows.
+    pub fn holder(&self, now: u64) -> Option<&Candidate> {
+        self.grant.as_ref().filter(|g| now < g.until).map(|g| &g.holder)
+    }
+
+    /// A grant under a new term must be on disk before the answer leaves.
+    pub fn answer(&mut self, now: u64, asker: &Candidate, seats: u64, call: LeaseCall) -> Verdict {
+        if seats != self.seats || seats == 0 {
+            return Verdict::Refused(Refusal::OtherSeats);
+        }
+        match call {
+            LeaseCall::Look if now < self.free_at() => Verdict::Held,
+            LeaseCall::Look => Verdict::Free,
+            LeaseCall::Request { term } => self.request(now, asker, term),
+            LeaseCall::Renew { term, round, confirmed } => self.renew(now, asker, term, round, confirmed),
+            LeaseCall::Release { term } => self.release(asker, term),
+        }
+    }
+
+    fn is_granted_to(&self, asker: &Candidate, term: u64) -> bool {
+        self.grant.as_ref().is_some_and(|g| g.holder == *asker && g.term == term)
+    }
+
+    fn request(&mut self, now: u64, asker: &Candidate, term: u64) -> Verdict {
+        if self.is_granted_to(asker, term) {
+            return Verdict::Granted;
+        }
+        self.grant_anew(now, asker, term, 0)
+    }
+
+    fn grant_anew(&mut self, now: u64, asker: &Candidate, term: u64, round: u64) -> Verdict {
+        if term <= self.term {
+            return Verdict::Refused(Refusal::OldTerm);
+        }
+        if now < self.free_at() {
+            return Verdict::Refused(Refusal::NotFree);
+        }
+        self.term = term;
+        self.grant = Some(Grant { holder: asker.clone(), term, round, until: now + self.times.length });
+        Verdict::Granted
+    }
+
+    /// A holder whose answers are lost on their way must not keep the lease from the others: it is extended only for one
+    /// that lately saw a majority's answers.
+    fn renew(&mut self, now: u64, asker: &Candidate, term: u64, round: u64, confirmed: u64) -> Verdict {
+        if round > confirmed + UNCONFIRMED_ROUNDS {
+            return Verdict::Refused(Refusal::Unconfirmed);
+        }
+        if !self.is_granted_to(asker, term) {
+            return self.grant_anew(now, asker, term, round);
+        }
+        let until = now + self.times.length;
+        if let Some(g) = self.grant.as_mut().filter(|g| round > g.round) {
+            g.round = round;
+            g.until = until;
+        }
+        Verdict::Granted
+    }
+
+    fn release(&mut self, asker: &Candidate, term: u64) -> Verdict {
+        if self.is_granted_to(asker, term) {
+            self.grant = None;
+        }
+        // A request that is still on its way comes too late.
+        self.term = self.term.max(term);
+        Verdict::Released
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Round {
+    sent: u64,
+    seats: Group,
+    granted: BTreeSet<String>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Tenure {
+    term: u64,
+    /// The last round begun; 0 is the request itself.
+    round: u64,
+    confirmed: Option<u64>,
+    until: u64,
+    rounds: BTreeMap<u64, Round>,
+}
+
+/// A process that holds the lease, asks for it, or neither.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Holder {
+    times: LeaseTimes,
+    tenure: Option<Tenure>,
+}
+
+impl Holder {
+    pub fn new(times: LeaseTimes) -> Holder {
+        Holder { times, tenure: None }
+    }
+
+    /// Begins a request for a term, at the moment before it is sent.
+    pub fn request(&mut self, now: u64, term: u64, seats: &Group) -> LeaseCall {
+        let first = Round { sent: now, seats: seats.clone(), granted: BTreeSet::new() };
+        self.tenure = Some(Tenure { term, round: 0, confirmed: None, until: 0, rounds: [(0, first)].into() });
+        LeaseCall::Request { term }
+    }
+
+    /// Begins the next round, at the moment before it is sent. `None` if the lease is not held any more.
+    pub fn renew(&mut self, now: u64, seats: &Group) -> Option<LeaseCall> {
+        let t = self.tenure.as_mut().filter(|t| now < t.until)?;
+        let confirmed = t.confirmed?;
+        t.round += 1;
+        t.rounds.retain(|r, _| *r > confirmed);
+        t.rounds.insert(t.round, Round { sent: now, seats: seats.clone(), granted: BTreeSet::new() });
+        Some(LeaseCall::Renew { term: t.term, round: t.round, confirmed })
+    }
+
+    /// A granter granted what was asked under this term in this round. True if that made the majority of the round.
+    pub fn granted(&mut self, term: u64, round: u64, granter: &str) -> bool {
+        let times = self.times;
+        let Some(t) = self.tenure.as_mut().filter(|t| t.term == term) else { return false };
+        let Some(r) = t.rounds.get_mut(&round) else { return false };
+        r.granted.insert(granter.into());
+        if !quorum(&r.seats, |d| r.granted.contains(d)) || t.confirmed.is_some_and(|c| c >= round) {
+            return false;
+        }
+        t.until = t.until.max((r.sent + times.length).saturating_sub(times.margin));
+        t.confirmed = Some(round);
+        true
+    }
+
+    /// The term held at this moment.
+    pub fn held(&self, now: u64) -> Option<u64> {
+        self.tenure.as_ref().filter(|t| now < t.until).map(|t| t.term)
+    }
+
+    /// Gives up what is held or asked for; the term of it, for the granters to be told.
+    pub fn give_up(&mut self) -> Option<u64> {
+        self.tenure.take().map(|t| t.term)
+    }
+}
--- /dev/null
+++ b/yewcross-control/src/lease_holder.rs
@@ -0,0 +1,172 @@
+//! Taking, renewing and giving up the duty lease.
+
+use crate::Control;
+use crate::duty::*;
+use crate::lease::*;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use yewcross::ask::*;
+use yewcross::consts::*;
+use yewcross::lease::*;
+use yewcross::member::State;
+use yewcross::reg::Step;
+
+/// Documents that only the holder of the lease writes by itself.
+const FENCED: [&str; 2] = ["layout", "list"];
+
+/// Wants the lease for as long as this process has a core seat.
+pub async fn run(c: Arc<Control>) {
+    while !c.members.replaced.is_set() {
+        if !may_hold(&c) {
+            let (adopted, lease) = (c.book.moved.listen(), c.duties.changed.listen());
+            c.w.within(SEC, futures_lite::future::or(adopted, lease)).await;
+            continue;
+        }
+        wait_until_free(&c).await;
+        if !may_hold(&c) || !is_free_here(&c) {
+            continue;
+        }
+        match campaign(&c).await {
+            Some(term) => hold(&c, term).await,
+            None => c.w.sleep(LEASE_RETRY + c.w.rand() % LEASE_RETRY).await,
+        }
+    }
+}
+
+fn may_hold(c: &Control) -> bool {
+    let seated = c.book.layout.load().1.core.now.contains(&c.vault.id);
+    seated && !c.vault.failed.load(SeqCst) && !c.members.replaced.is_set() && !c.duties.resigned.load(SeqCst)
+}
+
+fn is_free_here(c: &Control) -> bool {
+    with_granter(c, |granter, now| granter.free_at() <= now)
+}
+
+/// Returns some time after the lease ran out here, each candidate after its own, or early when something changed.
+async fn wait_until_free(c: &Arc<Control>) {
+    let changed = c.duties.changed.listen();
+    let left = with_granter(c, |granter, now| granter.free_at().saturating_sub(now));
+    if left > 0 {
+        c.w.within(left, changed).await;
+    }
+    c.w.sleep(rank(c) * LEASE_STAGGER + c.w.rand() % (LEASE_STAGGER / 2)).await;
+}
+
+/// This process among the core seats that seem alive, in an order that all know.
+fn rank(c: &Control) -> u64 {
+    let layout = c.book.layout.load();
+    let alive = |d: &str| c.members.by_disk(d).is_some_and(|n| n.state == State::Alive);
+    let candidates = layout.1.core.now.iter().map(|d| d.as_str()).filter(|d| *d == c.vault.id || alive(d));
+    let ranked = yewcross::hash::ranked("duty", candidates);
+    ranked.iter().position(|d| *d == c.vault.id).unwrap_or(0) as u64
+}
+
+/// First looks whether a majority calls the lease free, and only then asks for it: a process whose answers are lost on their
+/// way never locks the granters. The term, if it was got.
+async fn campaign(c: &Arc<Control>) -> Option<u64> {
+    let seats = c.book.layout.load().1.core.clone();
+    let highest = look(c, &seats).await?;
+    let term = highest.max(c.book.layout.load().1.term) + 1;
+    let call = c.duties.holder.lock().unwrap().request(c.w.now(), term, &seats);
+    let disks = all_seats(&seats);
+    let (asked, answers) = (disks.len(), ask_seats(c, disks, call));
+    for _ in 0..asked {
+        let Ok(answer) = answers.recv().await else { break };
+        if answer.is_some_and(|tell| count(c, term, 0, &tell)) {
+            return Some(term);
+        }
+    }
+    give_up(c, &seats);
+    None
+}
+
+/// The highest term known to a majority that calls the lease free.
+async fn look(c: &Arc<Control>, seats: &Group) -> Option<u64> {
+    let disks = all_seats(seats);
+    let (asked, answers) = (disks.len(), ask_seats(c, disks, LeaseCall::Look));
+    let (mut free, mut highest) = (vec![], 0);
+    for _ in 0..asked {
+        let Some(tell) = answers.recv().await.ok()? else { continue };
+        highest = highest.max(tell.term);
+        if tell.verdict == Verdict::Free {
+            free.push(tell.granter);
+        }
+        if quorum(seats, |d| free.iter().any(|f| f == d)) {
+            return Some(highest);
+        }
+    }
+    None
+}
+
+/// Counts a grant. True once the lease is held by it.
+fn count(c: &Control, term: u64, round: u64, tell: &LeaseTell) -> bool {
+    tell.verdict == Verdict::Granted && c.duties.holder.lock().unwrap().granted(term, round, &tell.granter)
+}
+
+/// Renews until the lease is lost or given up.
+async fn hold(c: &Arc<Control>, term: u64) {
+    c.duties.taken.fetch_add(1, SeqCst);
+    c.w.log(&format!("lease taken, term {term}"));
+    c.w.go(fence(c.clone(), term));
+    while may_hold(c) && renew(c, term) {
+        c.w.sleep(LEASE_RENEW).await;
+    }
+    c.duties.lost.fetch_add(1, SeqCst);
+    c.w.log(&format!("lease lost, term {term}"));
+    give_up(c, &c.book.layout.load().1.core.clone());
+    c.duties.changed.notify(usize::MAX);
+}
+
+/// Begins a round. False once the lease is not held any more.
+fn renew(c: &Arc<Control>, term: u64) -> bool {
+    let seats = c.book.layout.load().1.core.clone();
+    let Some(call) = c.duties.holder.lock().unwrap().renew(c.w.now(), &seats) else { return false };
+    let LeaseCall::Renew { round, .. } = call else { return false };
+    for disk in all_seats(&seats) {
+        let me = c.clone();
+        c.w.go(async move {
+            if let Some(tell) = ask_seat(&me, &disk, call).await {
+                count(&me, term, round, &tell);
+            }
+        });
+    }
+    true
+}
+
+/// Takes the documents under new epochs, so that nothing that an earlier holder still has under way can be accepted any
+/// more. Only then does this holder act.
+async fn fence(c: Arc<Control>, term: u64) {
+    let holds = |c: &Control| c.duties.holder.lock().unwrap().held(c.w.now()) == Some(term);
+    while holds(&c) {
+        let mut done = true;
+        for document in FENCED {
+            done &= c.owner.change(document, SEC, |_, _| Step::Keep(())).await.is_ok();
+        }
+        if done {
+            c.duties.fenced.store(term, SeqCst);
+            c.duties.changed.notify(usize::MAX);
+            return;
+        }
+        c.w.sleep(20 * MS).await;
+    }
+}
+
+/// Stops holding or asking, and tells the granters, so that nobody waits for the lease to run out.
+fn give_up(c: &Arc<Control>, seats: &Group) {
+    let Some(term) = c.duties.holder.lock().unwrap().give_up() else { return };
+    ask_seats(c, all_seats(seats), LeaseCall::Release { term });
+}
+
+/// A planned stop: the lease is free at once.
+pub async fn resign(c: &Arc<Control>) {
+    c.duties.resigned.store(true, SeqCst);
+    let Some(term) = c.duties.holder.lock().unwrap().give_up() else { return };
+    let seats = all_seats(&c.book.layout.load().1.core);
+    let (asked, answers) = (seats.len(), ask_seats(c, seats, LeaseCall::Release { term }));
+    let told = async {
+        for _ in 0..asked {
+            let _ = answers.recv().await;
+        }
+    };
+    c.w.within(LEASE_WAIT / 2, told).await;
+}
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -3,9 +3,13 @@
 pub mod chain_log;
 pub mod chain_sweep;
 pub mod config;
+pub mod contact;
 pub mod duty;
 pub mod layout;
+pub mod lease;
+pub mod lease_holder;
 pub mod operator;
+pub mod platform_list;
 pub mod store;
 
 use event_listener::Event;
@@ -145,6 +149,7 @@
             api::Rollout::Proved => Follow::new(&members, &book, &st.name, false),
             api::Rollout::Majority => Follow::unleased(&members, &book, &st.name, false, st.bounds.apply * MS),
         };
+        let duties = duty::Duties::open(w, &vault, &book, owner.me).await.map_err(disk)?;
         let chain = chain::Engine::start(w, &st, &members, &book, &vault).await.map_err(disk)?;
         let c = Arc::new(Control {
             w: w.clone(),
@@ -157,7 +162,7 @@
             store,
             chain,
             follow,
-            duties: Default::default(),
+            duties,
             gate: Default::default(),
             grants: Default::default(),
             proved: AtomicU64::new(proved),
@@ -223,7 +228,7 @@
             Ask::Grants { name, seq } => (config::grants(self, &name, seq).await, vec![]),
             Ask::Proved { seq } => (config::proved(self, seq).await, vec![]),
             Ask::Found => (layout::found_here(self, blob).await, vec![]),
-            Ask::Duty { name, holder } => (duty::grant(self, &name, &holder), vec![]),
+            Ask::Lease(ask) => (Tell::Lease(duty::answer(self, &ask).await), vec![]),
             Ask::SweepNow => {
                 self.sweep_now.store(true, SeqCst);
                 self.sweep_call.notify(usize::MAX);
@@ -241,7 +246,8 @@
     }
 
     /// A planned stop: operators' requests under way are answered, then the others are told.
-    pub async fn stop(&self) {
+    pub async fn stop(self: &Arc<Self>) {
+        lease_holder::resign(self).await;
         self.members.leave().await;
         self.gate.closing.set();
         self.w.sleep(200 * MS).await;
--- a/yewcross-control/src/operator.rs
+++ b/yewcross-control/src/operator.rs
@@ -137,16 +137,14 @@
 }
 
 async fn status(c: &Arc<Control>) -> Response {
-    let duties: Vec<Value> = duty::DUTIES
-        .iter()
-        .enumerate()
-        .map(|(i, d)| json!({"duty": d, "held_here": c.on_duty(i), "given": c.duties.given().get(*d).map(|x| x.0.clone())}))
-        .collect();
+    let holder = duty::holder_name(c);
+    let duties: Vec<Value> =
+        duty::DUTIES.iter().enumerate().map(|(i, d)| json!({"duty": d, "held_here": c.on_duty(i), "given": holder})).collect();
     let versions: serde_json::Map<String, Value> = c.book.have().into_iter().map(|(k, v)| (k, v.into())).collect();
     reply(
         200,
         &json!({"name": c.st.name, "role": c.st.role, "disk": c.vault.id, "disk_failed": c.vault.failed.load(SeqCst),
-            "nodes": c.members.all(), "versions": versions, "duties": duties,
+            "nodes": c.members.all(), "versions": versions, "duties": duties, "lease": duty::status(c),
             "swept": c.swept.load(SeqCst), "sweep_left": c.sweep_left.load(SeqCst)}),
     )
 }
@@ -166,7 +164,7 @@
         200,
         &json!({"disk": c.vault.id, "name": c.st.name, "damaged": hurt, "held": held, "nodes": c.members.view.load().values().collect::<Vec<_>>(),
             "versions": c.book.have(), "config": page("config"), "layout": page("layout"), "list": page("list"),
-            "duties": duty::DUTIES.iter().map(|d| (d.to_string(), c.duties.given().get(*d).map(|x| x.0.clone()))).collect::<Vec<_>>()}),
+            "duties": duty::DUTIES.iter().map(|d| (d.to_string(), duty::holder_name(c))).collect::<Vec<_>>()}),
     )
 }
 
@@ -177,7 +175,7 @@
         &json!({
             "odd_frames": c.peers.odd.load(SeqCst), "messages": t.sent.load(SeqCst), "bytes_within": t.bytes_within.load(SeqCst), "bytes_across": t.bytes_across.load(SeqCst),
             "kinds": *t.kinds.lock().unwrap(), "syncs": c.vault.syncs.load(SeqCst), "disk_bytes": c.vault.bytes.load(SeqCst), "takes": c.owner.takes.load(SeqCst),
-            "tended": c.counts.tended.load(SeqCst), "puts": c.counts.puts.load(SeqCst), "list_polls": c.duties.polls.load(SeqCst),
+            "tended": c.counts.tended.load(SeqCst), "puts": c.counts.puts.load(SeqCst), "list_polls": c.duties.polls.load(SeqCst), "lease": duty::counters(c),
             "chains": c.chain.figures(),
         }),
     )
--- a/yewcross-lab/examples/relay_load.rs
+++ b/yewcross-lab/examples/relay_load.rs
@@ -139,7 +139,7 @@
             Epoch::default(),
             serde_json::to_vec(&json!({"text": t.to_string(), "put": "", "note": "", "past": []})).unwrap(),
         );
-        book.adopt("list", 1, Epoch::default(), serde_json::to_vec(&List { rev: 1, servers }).unwrap());
+        book.adopt("list", 1, Epoch::default(), serde_json::to_vec(&List { rev: 1, term: 0, servers }).unwrap());
         let relay = Arc::new(Relay {
             w: front.clone(),
             book,
--- a/yewcross-lab/src/platform.rs
+++ b/yewcross-lab/src/platform.rs
@@ -23,7 +23,7 @@
         let door = w.bind(at).await?;
         let p = Arc::new(Platform {
             w: w.clone(),
-            list: Mutex::new(List { rev: 1, servers }),
+            list: Mutex::new(List { rev: 1, term: 0, servers }),
             last: Mutex::new(0),
             pause: 300 * MS,
             refused: Default::default(),
--- a/yewcross-lab/src/routed/server.rs
+++ b/yewcross-lab/src/routed/server.rs
@@ -445,7 +445,7 @@
     // The product's own list, whole and numbered.
     if !over && j.path == "/servers" {
         let rev = r.past.lock().unwrap().iter().filter(|x| x.0 + r.lag <= r.w.now()).count() as u64;
-        return http::reply(200, &yewcross::ask::List { rev: rev.max(1), servers: r.shown() });
+        return http::reply(200, &yewcross::ask::List { rev: rev.max(1), term: 0, servers: r.shown() });
     }
     if over || j.path != "/roster" {
         r.refused.fetch_add(1, SeqCst);
--- a/yewcross-lab/src/tier.rs
+++ b/yewcross-lab/src/tier.rs
@@ -1,5 +1,6 @@
 //! A tier in the simulator whose control plane keeps itself, for the tests of orders, seats and duties.
 
+use crate::platform::Platform;
 use crate::sim::Sim;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
@@ -124,6 +125,28 @@
         self.specs.lock().unwrap().insert(name.into(), st);
     }
 
+    /// Starts a platform that lists these servers, and tells all machines that start later of it.
+    pub async fn list_servers(&self, servers: Vec<Listed>) -> Arc<Platform> {
+        let at = SocketAddr::new(IpAddr::from([10, 9, 0, 1]), 80);
+        self.specs.lock().unwrap().values_mut().filter(|s| s.role == Role::Core).for_each(|s| s.platform = Some(at));
+        Platform::start(&self.op, at, servers).await.unwrap()
+    }
+
+    /// Stops what flows from one machine to each of the others.
+    pub fn cut_from(&self, name: &str, others: &[String]) {
+        others.iter().filter(|o| *o != name).for_each(|o| self.sim.cut(self.sim.find(name), self.sim.find(o)));
+    }
+
+    /// Stops what flows to one machine from each of the others.
+    pub fn cut_to(&self, name: &str, others: &[String]) {
+        others.iter().filter(|o| *o != name).for_each(|o| self.sim.cut(self.sim.find(o), self.sim.find(name)));
+    }
+
+    /// Machines that hold the duties at this moment.
+    pub fn on_duty(&self) -> Vec<String> {
+        self.control.lock().unwrap().iter().filter(|c| c.1.on_duty(0)).map(|c| c.0.clone()).collect()
+    }
+
     pub fn names(&self, r: Role) -> Vec<String> {
         self.specs.lock().unwrap().values().filter(|s| s.role == r).map(|s| s.name.clone()).collect()
     }
--- a/yewcross-lab/tests/relay.rs
+++ b/yewcross-lab/tests/relay.rs
@@ -374,7 +374,7 @@
     }
 
     fn list(&self, seq: u64, v: &[Listed]) {
-        let l = List { rev: seq, servers: v.to_vec() };
+        let l = List { rev: seq, term: 0, servers: v.to_vec() };
         assert!(self.relay.book.adopt("list", seq, Epoch::default(), serde_json::to_vec(&l).unwrap()));
     }
 
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -2,6 +2,7 @@
 
 use crate::code::Code;
 use crate::consts::*;
+use crate::lease::{LeaseAsk, LeaseTell};
 use crate::member::Node;
 use crate::reg::{Epoch, RegAsk, RegTell};
 use crate::tree::Rule;
@@ -63,10 +64,8 @@
         seq: u64,
     },
     Found,
-    Duty {
-        name: String,
-        holder: String,
-    },
+    /// The duty lease, and the heartbeat between core seats.
+    Lease(LeaseAsk),
     Begin(Begin),
     Commit(Commit),
     /// This shot will never be dispatched: it is barred, and its reservation goes back.
@@ -165,9 +164,7 @@
         #[serde(default)]
         proved: u64,
     },
-    Duty {
-        granted: bool,
-    },
+    Lease(LeaseTell),
     Begun(Begun),
     /// A kept outcome follows as blob.
     Kept {
@@ -302,6 +299,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct List {
     pub rev: u64,
+    /// Term of the duty lease under which it was written.
+    #[serde(default)]
+    pub term: u64,
     pub servers: Vec<Listed>,
 }
 
@@ -326,6 +326,9 @@
     /// Machines that were retired; they get no seat again by themselves.
     #[serde(default)]
     pub retired: std::collections::BTreeSet<String>,
+    /// Term of the duty lease under which seats were last changed.
+    #[serde(default)]
+    pub term: u64,
 }
 
 /// What the configuration register holds.
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -93,12 +93,18 @@
 pub const FOUND_WAIT: u64 = 500 * MS;
 /// us. How often a change of disks under way is looked at.
 pub const MOVE_LOOK: u64 = 120 * MS;
-/// us. Length of a duty lease as the granter counts it.
-pub const DUTY_LEASE: u64 = 3 * SEC;
-/// us. The holder counts itself out this much earlier.
-pub const DUTY_MARGIN: u64 = 600 * MS;
-/// us. How often a holder renews and others try.
-pub const DUTY_RENEW: u64 = 800 * MS;
+/// us. Length of a grant of the duty lease, on the granter's clock. Whoever takes over from a holder that is lost waits for it.
+pub const LEASE_LENGTH: u64 = SEC;
+/// us. The holder counts itself out this much earlier: two clocks may run apart by a tenth.
+pub const LEASE_MARGIN: u64 = 100 * MS;
+/// us. How often the holder asks for more: several rounds may be lost.
+pub const LEASE_RENEW: u64 = 200 * MS;
+/// us. Waiting for one granter. With `UNCONFIRMED_ROUNDS` rounds under way, no slower answer could count.
+pub const LEASE_WAIT: u64 = 400 * MS;
+/// us. Candidates step forward one after another, so far apart that the first has its majority before the second asks.
+pub const LEASE_STAGGER: u64 = 40 * MS;
+/// us. A candidate that got no majority waits at least this long, and up to as much again by chance.
+pub const LEASE_RETRY: u64 = 150 * MS;
 
 /// us. Poll of a back end's load report by its site's home node.
 pub const REPORT_EVERY: u64 = 250 * MS;
--- a/yewcross/src/lib.rs
+++ b/yewcross/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod follow;
 pub mod hash;
 pub mod http;
+pub mod lease;
 pub mod member;
 pub mod port;
 pub mod reactor;
