Send operators away from a core that no majority of core seats answers

A core cut off one way went on taking documents under new epochs: what it sent arrived, the answers didn't, and the holder of the lease had to take them again (one list decided 3.65 s after the platform showed it, 4 cores, what is sent to the old holder lost). Puts, reads and retirings on such a core now answer at once that no majority can be asked, which sends the operator on and refuses nothing; a document is not looked up there either. An order that is under way stays undecided.

--- a/yewcross-control/src/api.rs
+++ b/yewcross-control/src/api.rs
@@ -90,20 +90,32 @@
     /// Puts an operator's text in force on top of version `base` (0: the first). Any core node may be asked; answers
     /// within `Bounds::ack`.
     pub async fn put(self: &Arc<Self>, base: u64, text: Vec<u8>) -> PutAnswer {
+        if !self.has_quorum_contact() {
+            return if self.book.layout.load().0 == 0 { PutAnswer::NotFounded } else { PutAnswer::NoMajority };
+        }
         config::order(self, base, text).await
     }
 
     /// The newest decided configuration, by a majority of core disks.
     pub async fn read_config(self: &Arc<Self>) -> ReadAnswer {
+        if !self.has_quorum_contact() {
+            return ReadAnswer::Away;
+        }
         config::newest(self).await
     }
 
     /// Orders a store machine to be emptied for good. Any core node may be asked, and again.
     pub async fn retire_begin(self: &Arc<Self>, node: &str) -> RetireBegin {
+        if !self.has_quorum_contact() {
+            return RetireBegin::Away;
+        }
         layout::retire(self, node).await
     }
 
     pub async fn retire_state(self: &Arc<Self>, node: &str) -> RetireState {
+        if !self.has_quorum_contact() {
+            return RetireState::Away;
+        }
         layout::retired(self, node).await
     }
 
--- a/yewcross-control/src/config.rs
+++ b/yewcross-control/src/config.rs
@@ -37,6 +37,10 @@
     if c.st.role != Role::Core || c.book.layout.load().0 == 0 {
         return (Tell::No(Code::NotFounded), vec![]);
     }
+    // A core whose answers are lost on their way would only take the key from the one that has a majority.
+    if !c.has_quorum_contact() {
+        return (Tell::No(Code::NoMajority), vec![]);
+    }
     match c.owner.newest(name, PEER_WAIT).await {
         Ok((seq, epoch, v)) => {
             if seq > 0 {
