Let the seats of the core and of the stores change beside each other, the core first

A further loss waited for the end of the change under way as well.

Each group now carries the layout number that wrote its sets (`Group::since`) and its own joint set; progress is counted by that number, so that one group may begin, be amended and end while the other changes. The core is looked at first. A seat that is lost in a change has its successor taken into it; the outgoing set stays in force throughout. A step that begins or amends is bound to the layout's version, one that ends to the group's number. The decisions are pure functions over typed state (layout/planning.rs). layout.rs is split by job.

A report of a change names the disk that is meant and the one that answers.

--- a/yewcross-control/src/chain_sweep.rs
+++ b/yewcross-control/src/chain_sweep.rs
@@ -9,6 +9,9 @@
 use yewcross::hash::ranked;
 use yewcross::world::*;
 
+/// us. Longest wait for a disk that something is brought to: its own sync, and the way there and back.
+const PUSH_WAIT: u64 = PEER_WAIT + SYNC_WAIT;
+
 impl Engine {
     /// Whether all that this disk held when it adopted the layout is where that layout needs it, and how much is not yet. A disk
     /// without a seat has nothing to bring.
@@ -25,18 +28,14 @@
             if seated && self.doubt.load(SeqCst) {
                 self.ask_mend(&seats).await;
             }
-            if seated && self.swept.load(SeqCst) < seats.lay {
-                let fresh: Vec<String> = seats.now.iter().filter(|d| !seats.old.is_empty() && !seats.old.contains(d)).cloned().collect();
-                // Fewer disks than before: what was enough on the old ones may not be on those that stay.
-                let all = seats.now.len() < seats.old.len();
-                let to: Vec<String> = if all { seats.now.clone() } else { fresh };
-                let done = seats.old.is_empty() || self.sweep(&seats, &to).await;
-                if done && self.line.seats().lay == seats.lay {
-                    self.swept.fetch_max(seats.lay, SeqCst);
+            if seated && self.swept.load(SeqCst) < seats.since {
+                let done = seats.old.is_empty() || self.sweep(&seats).await;
+                if done && self.line.seats().since == seats.since {
+                    self.swept.fetch_max(seats.since, SeqCst);
                     continue;
                 }
             }
-            if seated && (self.swept.load(SeqCst) < seats.lay || self.doubt.load(SeqCst)) {
+            if seated && (self.swept.load(SeqCst) < seats.since || self.doubt.load(SeqCst)) {
                 self.w.within(2 * CHAIN_AGAIN, moved).await;
             } else {
                 moved.await;
@@ -47,7 +46,7 @@
     /// Another disk was damaged: it is brought up to date.
     pub(crate) async fn mend(self: &Arc<Self>) -> Told {
         let seats = self.line.seats();
-        if self.doubt.load(SeqCst) || !self.sweep(&seats, &seats.now.clone()).await { Told::Away } else { Told::Ok }
+        if self.doubt.load(SeqCst) || !self.sweep_to(&seats, &seats.now.clone()).await { Told::Away } else { Told::Ok }
     }
 
     async fn ask_mend(self: &Arc<Self>, seats: &Seats) {
@@ -69,33 +68,69 @@
 
     async fn push(self: &Arc<Self>, d: &str, lay: u64, rows: Vec<Row>, ledgers: Vec<LedgerRow>) -> bool {
         let n = rows.len() + ledgers.len();
-        let ok = self.line.ask(d, lay, &What::Push { rows, ledgers }, 2 * SEC).await == Ok(Told::Ok);
+        let ok = self.line.ask(d, lay, &What::Push { rows, ledgers }, PUSH_WAIT).await == Ok(Told::Ok);
         self.counts.pushed.fetch_add(if ok { n as u64 } else { 0 }, Relaxed);
         ok
     }
 
-    async fn push_ledgers(self: &Arc<Self>, d: &str, lay: u64) -> bool {
+    async fn push_ledgers(self: &Arc<Self>, d: &str) -> bool {
         let all: Vec<LedgerRow> = self.st.lock().unwrap().ledgers.iter().map(|(p, l)| l.row(p)).collect();
         for part in all.chunks(1024) {
-            if !self.push(d, lay, vec![], part.to_vec()).await {
+            if !self.push(d, self.line.seats().lay, vec![], part.to_vec()).await {
                 return false;
             }
         }
         true
     }
 
+    /// Brings all ledgers to these disks at once; how many of them have it.
+    async fn push_ledgers_to(self: &Arc<Self>, disks: &[&String]) -> usize {
+        let pushes: Vec<Fut<'static, bool>> = disks
+            .iter()
+            .map(|d| {
+                let (me, d) = (self.clone(), d.to_string());
+                let push: Fut<'static, bool> = Box::pin(async move { me.push_ledgers(&d).await });
+                push
+            })
+            .collect();
+        let (n, rx) = (pushes.len(), self.w.fan(pushes));
+        let mut reached = 0;
+        for _ in 0..n {
+            reached += (rx.recv().await == Ok(true)) as usize;
+        }
+        reached
+    }
+
+    /// Brings all ledgers to the disks that lack them. Where one of those cannot be reached, to every disk of the incoming set,
+    /// of which as many may then be missed as may be lost: what is read meets the rest.
+    async fn sweep_ledgers(self: &Arc<Self>, seats: &Seats, to: &[String]) -> bool {
+        let lacking: Vec<&String> = to.iter().filter(|d| **d != self.me).collect();
+        if self.push_ledgers_to(&lacking).await == lacking.len() {
+            return true;
+        }
+        let others: Vec<&String> = seats.now.iter().filter(|d| **d != self.me).collect();
+        let mine = seats.now.len() - others.len();
+        self.push_ledgers_to(&others).await + mine + seats.spare() >= seats.now.len()
+    }
+
     /// Which of these turns each of the other disks holds.
     async fn holders(self: &Arc<Self>, seats: &Seats, ids: &[u128]) -> HashMap<String, BTreeSet<u128>> {
-        let others: Vec<String> = seats.now.iter().filter(|d| **d != self.me).cloned().collect();
+        // One that does not answer at all holds nothing that counts, and is not waited for in every pass.
+        let others: Vec<String> = seats.now.iter().filter(|d| **d != self.me && self.line.fit(d)).cloned().collect();
         let n = others.len();
         let fs = others
             .into_iter()
             .map(|d| {
-                let (me, ids, lay) = (self.clone(), ids.to_vec(), seats.lay);
+                let (me, ids, lay) = (self.clone(), ids.to_vec(), self.line.seats().lay);
                 let f: Fut<'static, _> = Box::pin(async move {
                     let mut has = BTreeSet::new();
+                    let asked = me.w.now();
                     for part in ids.chunks(CHAIN_IDS) {
-                        let Ok(Told::Have(v)) = me.line.ask(&d, lay, &What::Have { ids: part.to_vec() }, PEER_WAIT).await else { break };
+                        let Ok(Told::Have(v)) = me.line.ask(&d, lay, &What::Have { ids: part.to_vec() }, PEER_WAIT).await else {
+                            me.line.silent(&d, asked);
+                            me.line.mark_slow(&d);
+                            break;
+                        };
                         has.extend(part.iter().zip(v).filter(|x| x.1).map(|x| *x.0));
                     }
                     (d, has)
@@ -111,35 +146,26 @@
         m
     }
 
+    /// Makes the change of disks that is under way good for what this disk holds.
+    async fn sweep(self: &Arc<Self>, seats: &Seats) -> bool {
+        let fresh: Vec<String> = seats.now.iter().filter(|d| !seats.old.contains(d)).cloned().collect();
+        // Fewer disks than before: what was enough on the old ones may not be on those that stay.
+        let fewer = seats.now.len() < seats.old.len();
+        self.sweep_to(seats, if fewer { &seats.now } else { &fresh }).await
+    }
+
     /// Brings ledgers to these disks, and every turn to as many present disks as it needs.
-    async fn sweep(self: &Arc<Self>, seats: &Seats, to: &[String]) -> bool {
+    async fn sweep_to(self: &Arc<Self>, seats: &Seats, to: &[String]) -> bool {
         // Whatever was checked against an older layout is on the disk after this.
         let rx = {
             let _g = self.st.lock().unwrap();
             self.keep(vec![])
         };
-        if rx.recv().await != Ok(true) {
-            return false;
-        }
-        let fs = to
-            .iter()
-            .filter(|d| **d != self.me)
-            .map(|d| {
-                let (me, d, lay) = (self.clone(), d.clone(), seats.lay);
-                let f: Fut<'static, bool> = Box::pin(async move { me.push_ledgers(&d, lay).await });
-                f
-            })
-            .collect::<Vec<_>>();
-        let (n, rx) = (fs.len(), self.w.fan(fs));
-        let mut ok = true;
-        for _ in 0..n {
-            ok &= rx.recv().await == Ok(true);
-        }
-        if !ok {
+        if rx.recv().await != Ok(true) || !self.sweep_ledgers(seats, to).await {
             return false;
         }
         for pass in 0.. {
-            if self.line.seats().lay != seats.lay || self.vault.failed.load(SeqCst) || pass > 50 {
+            if self.line.seats().since != seats.since || self.vault.failed.load(SeqCst) || pass > 50 {
                 return false;
             }
             let now = self.line.members.clock();
@@ -160,8 +186,8 @@
             let fs = jobs
                 .into_iter()
                 .map(|(d, rows)| {
-                    let (me, lay) = (self.clone(), seats.lay);
-                    let f: Fut<'static, bool> = Box::pin(async move { me.push_turns(&d, lay, rows).await });
+                    let me = self.clone();
+                    let f: Fut<'static, bool> = Box::pin(async move { me.push_turns(&d, rows).await });
                     f
                 })
                 .collect::<Vec<_>>();
@@ -177,13 +203,13 @@
         false
     }
 
-    async fn push_turns(self: &Arc<Self>, d: &str, lay: u64, rows: Vec<Row>) -> bool {
+    async fn push_turns(self: &Arc<Self>, d: &str, rows: Vec<Row>) -> bool {
         let (mut part, mut size) = (vec![], 0);
         let n = rows.len();
         for (i, r) in rows.into_iter().enumerate() {
             size += r.bytes();
             part.push(r);
-            if (size >= CHAIN_PUSH || i + 1 == n) && !self.push(d, lay, std::mem::take(&mut part), vec![]).await {
+            if (size >= CHAIN_PUSH || i + 1 == n) && !self.push(d, self.line.seats().lay, std::mem::take(&mut part), vec![]).await {
                 return false;
             }
             if part.is_empty() {
--- /dev/null
+++ b/yewcross-control/src/layout/change.rs
@@ -0,0 +1,199 @@
+//! The duty of keeping the seats of a tier that has no operator's hand.
+//!
+//! The core's and the stores' changes run beside each other: one may begin, be amended and end while the other is under way.
+//! A step that begins or amends is bound to the layout's version, one that ends to the group's sets (`Group::since`): two
+//! processes that both hold the duty for theirs cost each other time only.
+
+use super::planning::{self, IN_ORDER_OF_DANGER, Known, SeatReport, group};
+use super::report::survey;
+use crate::{Control, config};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use yewcross::ask::*;
+use yewcross::book::DOCS;
+use yewcross::consts::*;
+use yewcross::member::{Node, State};
+use yewcross::reg::Epoch;
+use yewcross::reg::Step;
+use yewcross::startup::Role;
+
+/// Layout and its version.
+type Versioned = Arc<(u64, Layout)>;
+
+/// Looks once at the seats and does the next step of each group. Returns how long to rest if nothing moves, us.
+pub async fn tend_seats(c: &Arc<Control>) -> u64 {
+    let l: Versioned = c.book.layout.load_full();
+    if l.0 == 0 || !c.founded.load(SeqCst) {
+        return SEC;
+    }
+    let live: Vec<Node> = c.members.view.load().values().cloned().collect();
+    let missing_since = note_missing(c, &l.1, &live);
+    let mut rest = if missing_since.is_empty() { SEC } else { SEATS_LOOK };
+    for role in IN_ORDER_OF_DANGER {
+        let next = {
+            let t = c.w.now();
+            let missing = |d: &str| missing_since.get(d).map_or(0, |since| (t - since).max(1));
+            let known = Known { live: &live, heard: &c.members.all(), missing: &missing, lost: c.st.bounds.lost };
+            planning::next_step(&l.1, l.0, &known, role)
+        };
+        let Some(next) = next else { continue };
+        match held_back(c, &l, &next, role, &live).await {
+            Some(us) => rest = rest.min(us),
+            None => return if decide(c, l.0, &next).await { 0 } else { rest.min(STEP_AGAIN) },
+        }
+    }
+    if !l.1.core.changing() && !l.1.store.changing() {
+        return rest;
+    }
+    if end_changes(c, &l).await { 0 } else { rest.min(MOVE_LOOK) }
+}
+
+/// Since when the machine of each seat, incoming or outgoing, is missing, us.
+fn note_missing(c: &Control, layout: &Layout, live: &[Node]) -> BTreeMap<String, u64> {
+    let t = c.w.now();
+    let is_here = |disk: &String| live.iter().any(|n| n.disk == *disk && n.state == State::Alive);
+    let seats: Vec<&String> = [&layout.core, &layout.store].into_iter().flat_map(|g| g.now.iter().chain(&g.old)).collect();
+    let mut missing = c.duties.missing.lock().unwrap();
+    missing.retain(|disk, _| seats.contains(&disk) && !is_here(disk));
+    for disk in seats.into_iter().filter(|d| !is_here(d)) {
+        missing.entry(disk.clone()).or_insert(t);
+    }
+    missing.clone()
+}
+
+/// How long a step must wait, us: for more of the first stores, or for a seat that does not answer.
+async fn held_back(c: &Arc<Control>, l: &Versioned, next: &Layout, role: Role, live: &[Node]) -> Option<u64> {
+    let (was, to) = (group(&l.1, role), group(next, role));
+    if was.changing() {
+        return None;
+    }
+    if was.now.is_empty() {
+        // The first stores are seated together.
+        let stores = live.iter().filter(|n| n.role == Role::Store && n.state == State::Alive).count();
+        let early = role == Role::Store && stores > 0 && c.w.now() < c.duties.since.load(SeqCst) + FOUND_WAIT;
+        return early.then_some(STEP_AGAIN);
+    }
+    if to.now.len() <= was.now.len() {
+        return None;
+    }
+    // A seat more is given only while all that have one answer: a newcomer may stand for one whose loss is not yet seen.
+    let reports = survey(c, &was.now, l.1.since(was, l.0), SEAT_REPORT_WAIT, |_| false).await;
+    let mute: Vec<&String> = was.now.iter().filter(|d| !reports.iter().any(|r| r.disk == **d)).collect();
+    if mute.is_empty() {
+        return None;
+    }
+    let t = c.w.now();
+    for disk in &mute {
+        c.duties.missing.lock().unwrap().entry(disk.to_string()).or_insert(t);
+    }
+    for node in mute.iter().filter_map(|d| c.members.by_disk(d)).collect::<Vec<_>>() {
+        c.members.clone().check(node).await;
+    }
+    Some(STEP_AGAIN / 2)
+}
+
+/// Decides a layout on top of version `at`, and tells all of it.
+async fn decide(c: &Arc<Control>, at: u64, next: &Layout) -> bool {
+    if !c.on_duty(1) {
+        return false;
+    }
+    let raw = serde_json::to_vec(next).unwrap_or_default();
+    let step = |seq, _: &[u8]| if seq == at { Step::Write(raw.clone(), true) } else { Step::Keep(false) };
+    let decided = c.owner.change("layout", SEC, step).await;
+    match decided {
+        Ok(true) => {
+            c.w.log(&format!("seats change: core {:?} store {:?}", machines(next, &next.core), machines(next, &next.store)));
+            config::push(c, "layout", at + 1, raw);
+        }
+        // Another's version, or one of ours whose answers were lost.
+        _ => super::spread(c).await,
+    }
+    decided == Ok(true)
+}
+
+fn machines(layout: &Layout, seats: &Group) -> String {
+    let names: Vec<&str> = seats.now.iter().map(|d| layout.names.get(d).map_or("?", |n| n.as_str())).collect();
+    names.join(" ")
+}
+
+/// Ends the changes that may end, each by itself.
+async fn end_changes(c: &Arc<Control>, l: &Versioned) -> bool {
+    let core = async { l.1.core.changing() && end_core(c, l).await };
+    let store = async { l.1.store.changing() && end_store(c, l).await };
+    let (core, store) = futures_lite::future::zip(core, store).await;
+    core || store
+}
+
+/// Once whoever decides does so in both sets, the documents are taken under both: then they are on majorities of the
+/// incoming one.
+async fn end_core(c: &Arc<Control>, l: &Versioned) -> bool {
+    let (seats, since) = (&l.1.core, l.1.since(&l.1.core, l.0));
+    let is_joint = |reports: &[SeatReport]| planning::core_is_joint(seats, since, reports);
+    let reports = survey(c, &seats.old, since, SEAT_REPORT_WAIT, is_joint).await;
+    if !is_joint(&reports) {
+        tell_again(c, &reports, since);
+        return false;
+    }
+    for document in DOCS {
+        if c.owner.change(document, SEC, |_, _| Step::Keep(())).await.is_err() {
+            return false;
+        }
+    }
+    end_change(c, Role::Core, since).await
+}
+
+async fn end_store(c: &Arc<Control>, l: &Versioned) -> bool {
+    let (seats, since) = (&l.1.store, l.1.since(&l.1.store, l.0));
+    let both: Vec<String> = seats.old.iter().chain(seats.now.iter().filter(|d| !seats.old.contains(d))).cloned().collect();
+    let may_end = |reports: &[SeatReport]| planning::store_may_end(seats, since, c.st.bounds.lost, reports);
+    let reports = survey(c, &both, since, SEAT_REPORT_WAIT, may_end).await;
+    if !may_end(&reports) {
+        tell_again(c, &reports, since);
+        return false;
+    }
+    end_change(c, Role::Store, since).await
+}
+
+/// Tells the layout to those that have not kept it.
+fn tell_again(c: &Arc<Control>, reports: &[SeatReport], since: u64) {
+    let page = c.book.page("layout");
+    for node in reports.iter().filter(|r| r.kept < since).filter_map(|r| c.members.by_disk(&r.disk)) {
+        let (me, raw) = (c.clone(), page.raw.clone());
+        let told = Ask::Adopt { name: "layout".into(), seq: page.seq, epoch: Epoch::default() };
+        c.w.go(async move {
+            let _ = me.peers.ask(node.peer, &told, &raw, PEER_WAIT).await;
+        });
+    }
+}
+
+/// Ends the change that layout number `since` began, whatever the other group did meanwhile.
+async fn end_change(c: &Arc<Control>, role: Role, since: u64) -> bool {
+    if !c.on_duty(1) {
+        return false;
+    }
+    let ended = c
+        .owner
+        .change("layout", SEC, |seq, v| {
+            let Ok(mut layout) = serde_json::from_slice::<Layout>(v) else { return Step::Keep(None) };
+            let seats = group(&layout, role);
+            if !seats.changing() || layout.since(seats, seq) != since {
+                return Step::Keep(None);
+            }
+            planning::end(&mut layout, seq, role);
+            let raw = serde_json::to_vec(&layout).unwrap_or_default();
+            Step::Write(raw.clone(), Some((seq + 1, raw)))
+        })
+        .await;
+    match ended {
+        Ok(Some((seq, raw))) => {
+            c.w.log(&format!("change of {} disks done", if role == Role::Core { "core" } else { "store" }));
+            config::push(c, "layout", seq, raw);
+            true
+        }
+        _ => {
+            super::spread(c).await;
+            false
+        }
+    }
+}
--- /dev/null
+++ b/yewcross-control/src/layout/manual.rs
@@ -0,0 +1,138 @@
+//! Changes of disks that an operator orders, for a tier that is kept by hand.
+
+use super::{planning, report, spread};
+use crate::Control;
+use std::sync::Arc;
+use yewcross::ask::*;
+use yewcross::code::Code;
+use yewcross::consts::*;
+use yewcross::member::Node;
+use yewcross::reg::*;
+use yewcross::startup::Role;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Move {
+    Empty(String),
+    Admit(String),
+    Replace(String, String),
+}
+
+/// The layout that a change would begin with, `None` if it already stands; the planner asks the same.
+pub fn propose(l: &Layout, seq: u64, m: &Move, of: impl Fn(&str) -> Option<Node>) -> Result<Option<Layout>, String> {
+    let mut l = l.clone();
+    let seated = |d: &String| l.store.now.contains(d) || l.core.now.contains(d);
+    let seat = |d: &str| {
+        let by_name = l.names.iter().find(|x| x.1 == d && seated(x.0)).map(|x| x.0.clone());
+        if l.names.contains_key(d) { Some(d.to_string()) } else { by_name }
+    };
+    let (out, put) = match m {
+        Move::Empty(d) => (Some(d), None),
+        Move::Admit(d) => (None, Some(d)),
+        Move::Replace(a, b) => (Some(a), Some(b)),
+    };
+    let out = out.map(|d| seat(d).ok_or(format!("{d} has no seat"))).transpose()?;
+    let put = put.map(|d| of(d).filter(|n| !n.disk.is_empty()).ok_or(format!("{d} is not a live machine with a disk"))).transpose()?;
+    let of_core = |d: &String| l.core.now.contains(d) || l.core.old.contains(d);
+    let core = out.as_ref().map(of_core).unwrap_or(put.as_ref().is_some_and(|n| n.role == Role::Core));
+    let mut was = if core { l.core.now.clone() } else { l.store.now.clone() };
+    was.sort();
+    let mut now = was.clone();
+    now.retain(|d| Some(d) != out.as_ref());
+    now.extend(put.iter().map(|n| n.disk.clone()).filter(|d| !was.contains(d)));
+    now.sort();
+    if now == was {
+        return Ok(None);
+    }
+    if !l.core.old.is_empty() || !l.store.old.is_empty() {
+        return Err("another change of disks is under way".into());
+    }
+    if put.as_ref().is_some_and(|n| (n.role == Role::Core) != core) {
+        return Err("a core seat needs a core machine, a store seat a store machine".into());
+    }
+    if now.len() < STORE_COPIES {
+        return Err("too few disks would be left".into());
+    }
+    l.names.extend(put.iter().map(|n| (n.disk.clone(), n.name.clone())));
+    l.sites.extend(put.iter().map(|n| (n.disk.clone(), n.site.clone())));
+    let g = if core { &mut l.core } else { &mut l.store };
+    g.old = std::mem::replace(&mut g.now, now);
+    g.since = seq + 1;
+    l.turn = seq + 1;
+    Ok(Some(l))
+}
+
+/// Begins a change of disks. The same change asked again is no new one.
+pub async fn begin(c: &Arc<Control>, m: Move) -> Result<u64, (Code, String)> {
+    let view = c.members.view.load_full();
+    let of = |d: &str| view.values().find(|n| n.disk == d || n.name == d).cloned();
+    let got = c
+        .owner
+        .change("layout", PUT_WAIT, |seq, v| {
+            let Ok(l) = serde_json::from_slice::<Layout>(v) else { return Step::Keep(Err((Code::NotFounded, String::new()))) };
+            match propose(&l, seq, &m, of) {
+                Err(why) => Step::Keep(Err((Code::BadLayout, why))),
+                Ok(None) => Step::Keep(Ok(seq)),
+                Ok(Some(n)) => Step::Write(serde_json::to_vec(&n).unwrap_or_default(), Ok(seq + 1)),
+            }
+        })
+        .await;
+    let r = got.unwrap_or_else(|t| Err((if t == Trouble::NotDone { Code::NoMajority } else { Code::Undecided }, String::new())));
+    spread(c).await;
+    r
+}
+
+/// How many of the outgoing seats have kept this layout and found all their keys whole under it.
+pub async fn progress(c: &Arc<Control>) -> (u64, Vec<(String, bool, u64)>) {
+    let l = c.book.layout.load_full();
+    let seats = if l.1.core.changing() { &l.1.core } else { &l.1.store };
+    let mut filled = vec![];
+    for disk in &seats.old {
+        let told = report::ask(c, disk, l.1.since(seats, l.0), PEER_WAIT).await;
+        filled.push(told.map_or((disk.clone(), false, 0), |(r, left)| (r.disk, r.swept, left)));
+    }
+    (l.0, filled)
+}
+
+/// The layout duty: finishes changes, and replaces the disk of a machine that came back empty.
+pub async fn tend_layout(c: &Arc<Control>) {
+    let l = c.book.layout.load_full();
+    if l.0 == 0 {
+        return;
+    }
+    if l.1.core.old.is_empty() && l.1.store.old.is_empty() {
+        let back = c.members.view.load().values().find_map(|n| {
+            let seats = if n.role == Role::Core { &l.1.core.now } else { &l.1.store.now };
+            let lost = l.1.names.iter().find(|x| *x.1 == n.name && seats.contains(x.0) && *x.0 != n.disk)?.0.clone();
+            (n.role != Role::Front && !n.disk.is_empty() && !l.1.names.contains_key(&n.disk)).then(|| (lost, n.disk.clone()))
+        });
+        if let Some((a, b)) = back.filter(|_| c.on_duty(1)) {
+            c.w.log(&format!("disk {a} came back empty as {b}"));
+            let _ = begin(c, Move::Replace(a, b)).await;
+        }
+        return;
+    }
+    let (at, v) = progress(c).await;
+    let done = v.iter().filter(|x| x.1).count();
+    if at != l.0 || done + c.st.bounds.lost < v.len() || !c.on_duty(1) {
+        return;
+    }
+    let got = c
+        .owner
+        .change("layout", PUT_WAIT, |seq, v| {
+            let Ok(mut l) = serde_json::from_slice::<Layout>(v) else { return Step::Keep(()) };
+            if seq != at {
+                return Step::Keep(());
+            }
+            for role in planning::IN_ORDER_OF_DANGER {
+                if planning::group(&l, role).changing() {
+                    planning::end(&mut l, seq, role);
+                }
+            }
+            Step::Write(serde_json::to_vec(&l).unwrap_or_default(), ())
+        })
+        .await;
+    if got.is_ok() {
+        c.w.log("change of disks done");
+    }
+    spread(c).await;
+}
--- /dev/null
+++ b/yewcross-control/src/layout/report.rs
@@ -0,0 +1,60 @@
+//! What disks report of a change of seats. The question names the disk that is meant and the answer the disk that gives it:
+//! a machine that came back empty at its address does not answer for the disk it lost.
+
+use super::planning::SeatReport;
+use crate::Control;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use yewcross::ask::{Ask, Tell};
+use yewcross::code::Code;
+use yewcross::world::Fut;
+
+/// This disk's own report of the change that layout number `since` began.
+pub fn report(c: &Control, since: u64, disk: &str) -> Tell {
+    // An empty name is one of a process older than this check.
+    if !disk.is_empty() && disk != c.vault.id {
+        return Tell::No(Code::Conflict);
+    }
+    let (chains_swept, chains_left) = c.chain.swept(since);
+    let kept = c.layout_kept();
+    let done = c.swept.load(SeqCst) >= since && kept >= since && chains_swept;
+    Tell::Swept { done, left: c.sweep_left.load(SeqCst) + chains_left, kept, disk: c.vault.id.clone() }
+}
+
+/// Asks one disk; also how many keys it has yet to bring.
+pub async fn ask(c: &Arc<Control>, disk: &str, since: u64, us: u64) -> Option<(SeatReport, u64)> {
+    let answer = if disk == c.vault.id {
+        report(c, since, disk)
+    } else {
+        let node = c.members.by_disk(disk)?;
+        let question = Ask::SweepDone { layout: since, disk: disk.into() };
+        c.peers.ask(node.peer, &question, &[], us).await.ok()?.0
+    };
+    match answer {
+        Tell::Swept { done, left, kept, disk: by } if by.is_empty() || by == disk => {
+            Some((SeatReport { disk: disk.into(), kept, swept: done }, left))
+        }
+        _ => None,
+    }
+}
+
+/// Asks all of the disks at once; ends when what was reported is `enough`, all have answered, or the wait is over.
+pub async fn survey(c: &Arc<Control>, disks: &[String], since: u64, us: u64, enough: impl Fn(&[SeatReport]) -> bool) -> Vec<SeatReport> {
+    let questions: Vec<Fut<'static, Option<SeatReport>>> = disks
+        .iter()
+        .map(|disk| {
+            let (me, disk) = (c.clone(), disk.clone());
+            let question: Fut<'static, _> = Box::pin(async move { ask(&me, &disk, since, us).await.map(|x| x.0) });
+            question
+        })
+        .collect();
+    let (asked, answers) = (questions.len(), c.w.fan(questions));
+    let mut reports = vec![];
+    for _ in 0..asked {
+        reports.extend(answers.recv().await.ok().flatten());
+        if enough(&reports) {
+            break;
+        }
+    }
+    reports
+}
--- /dev/null
+++ b/yewcross-control/src/layout/retire.rs
@@ -0,0 +1,64 @@
+//! Retiring a store machine: what it holds goes to others before it is told to be finished.
+
+use crate::api::*;
+use crate::{Control, config};
+use std::sync::Arc;
+use yewcross::ask::*;
+use yewcross::consts::*;
+use yewcross::reg::*;
+use yewcross::startup::Role;
+
+/// Writes down that a store machine is to be emptied; the layout duty does it.
+pub async fn retire(c: &Arc<Control>, node: &str) -> RetireBegin {
+    if c.book.layout.load().0 == 0 {
+        return RetireBegin::Away;
+    }
+    let fewest = 2 * c.st.bounds.lost + 1;
+    let known = c.members.all().iter().any(|n| n.name == node && n.role == Role::Store);
+    let got = c
+        .owner
+        .change("layout", SEC, |seq, v| {
+            let Ok(mut l) = serde_json::from_slice::<Layout>(v) else { return Step::Keep((RetireBegin::Away, 0, vec![])) };
+            if l.retired.contains(node) {
+                return Step::Keep((RetireBegin::Begun, 0, vec![]));
+            }
+            let named = |d: &&String| l.names.get(*d).is_some_and(|n| n == node);
+            let seated = l.store.now.iter().chain(&l.store.old).any(|d| named(&d));
+            if !seated && !known {
+                return Step::Keep((RetireBegin::Unknown, 0, vec![]));
+            }
+            let left = l.store.now.iter().filter(|d| !named(d) && !l.names.get(*d).is_some_and(|n| l.retired.contains(n))).count();
+            if left < fewest {
+                return Step::Keep((RetireBegin::TooFew, 0, vec![]));
+            }
+            l.retired.insert(node.into());
+            let raw = serde_json::to_vec(&l).unwrap_or_default();
+            Step::Write(raw.clone(), (RetireBegin::Begun, seq + 1, raw))
+        })
+        .await;
+    match got {
+        Ok((r, seq, raw)) => {
+            if seq > 0 {
+                c.w.log(&format!("{node} is to retire"));
+                config::push(c, "layout", seq, raw);
+            }
+            r
+        }
+        Err(_) => RetireBegin::Away,
+    }
+}
+
+pub async fn retired(c: &Arc<Control>, node: &str) -> RetireState {
+    if c.book.layout.load().0 == 0 {
+        return RetireState::Away;
+    }
+    let Ok((seq, epoch, raw)) = c.owner.newest("layout", PEER_WAIT).await else { return RetireState::Away };
+    let Ok(l) = serde_json::from_slice::<Layout>(&raw) else { return RetireState::Away };
+    c.book.adopt("layout", seq, epoch, raw.to_vec());
+    let there = |g: &Group| g.now.iter().chain(&g.old).any(|d| l.names.get(d).is_some_and(|n| n == node));
+    match (l.retired.contains(node), there(&l.store)) {
+        (false, _) => RetireState::Unknown,
+        (true, true) => RetireState::Running,
+        (true, false) => RetireState::Finished,
+    }
+}
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -229,12 +229,7 @@
                 self.sweep_call.notify(usize::MAX);
                 (Tell::Ok, vec![])
             }
-            Ask::SweepDone { layout } => {
-                let (beside, left) = self.chain.swept(layout);
-                let kept = self.layout_kept();
-                let done = self.swept.load(SeqCst) >= layout && kept >= layout && beside;
-                (Tell::Swept { done, left: self.sweep_left.load(SeqCst) + left, kept }, vec![])
-            }
+            Ask::SweepDone { layout, disk } => (layout::report(self, layout, &disk), vec![]),
             Ask::Chain => (Tell::Chain, self.chain.hear(blob).await),
             a => self.store.hear(a, blob).await,
         }
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -120,8 +120,11 @@
         same: Vec<String>,
         relay: bool,
     },
+    /// How far the disk named is with the change that layout number `layout` began.
     SweepDone {
         layout: u64,
+        #[serde(default)]
+        disk: String,
     },
     /// A disk found damaged files: whoever holds the same keys should mend it now.
     SweepNow,
@@ -187,6 +190,9 @@
         /// Newest layout that the disk keeps; it refuses older ones.
         #[serde(default)]
         kept: u64,
+        /// The disk that answers.
+        #[serde(default)]
+        disk: String,
     },
     /// The answer is the blob.
     Chain,
@@ -310,6 +316,23 @@
     pub now: Vec<String>,
     /// Set while a change is under way; both sets must then agree.
     pub old: Vec<String>,
+    /// Layout number that wrote these sets: progress of the group's change is counted by it, whatever the other group does
+    /// meanwhile. 0 where an older process wrote the layout.
+    #[serde(default)]
+    pub since: u64,
+}
+
+impl Group {
+    pub fn changing(&self) -> bool {
+        !self.old.is_empty()
+    }
+}
+
+impl Layout {
+    /// Layout number that wrote the group's sets, of a layout with this number.
+    pub fn since(&self, group: &Group, number: u64) -> u64 {
+        if group.since == 0 { number } else { group.since }
+    }
 }
 
 /// Which disks carry what. `names` tells the machine behind a disk.
--- a/yewcross/src/chain_wire.rs
+++ b/yewcross/src/chain_wire.rs
@@ -137,6 +137,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Seats {
     pub lay: u64,
+    /// Layout number that wrote these sets; `lay` may be newer by a change of other seats.
+    pub since: u64,
     pub now: Vec<String>,
     pub old: Vec<String>,
     /// Disks that may be lost at the same time.
@@ -145,7 +147,7 @@
 
 impl Seats {
     pub fn of(lay: u64, l: &Layout, lost: usize) -> Seats {
-        Seats { lay, now: l.store.now.clone(), old: l.store.old.clone(), lost }
+        Seats { lay, since: l.since(&l.store, lay), now: l.store.now.clone(), old: l.store.old.clone(), lost }
     }
 
     /// Fewer may be lost where there are too few disks for two quorums to meet.
@@ -176,6 +178,11 @@
         self.each(|g| g.len() - self.lost(g), ok)
     }
 
+    /// Of a set of so many disks, how many may be missed where all of them were to keep something.
+    pub fn spare(&self) -> usize {
+        self.lost(&self.now)
+    }
+
     /// Copies that outlast the losses, of the present disks.
     pub fn copies(&self) -> usize {
         self.lost(&self.now) + 1
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -91,8 +91,14 @@
 pub const SEAT_LOST: u64 = 8 * SEC;
 /// us. Founding waits this long for more store machines than the fewest that may be.
 pub const FOUND_WAIT: u64 = 500 * MS;
-/// us. How often a change of disks under way is looked at.
-pub const MOVE_LOOK: u64 = 120 * MS;
+/// us. How often a change of disks under way is looked at: short beside the time in which a seat should be whole.
+pub const MOVE_LOOK: u64 = 60 * MS;
+/// us. How often the seats are looked at while a machine of theirs is missing.
+pub const SEATS_LOOK: u64 = 200 * MS;
+/// us. A step of a change that could not be done is tried again after this.
+pub const STEP_AGAIN: u64 = 100 * MS;
+/// us. Longest wait for a disk's report of a change: the dead are not waited for longer.
+pub const SEAT_REPORT_WAIT: u64 = 350 * MS;
 /// us. Length of a duty lease as the granter counts it.
 pub const DUTY_LEASE: u64 = 3 * SEC;
 /// us. The holder counts itself out this much earlier.
