Name the disk in each register request and answer; an answer of another disk is no vote

A request went to an address and its answer counted as the vote of the disk that the asker last knew there. A machine that came back empty at its address answered `Promised` from nothing, for a disk that was gone: with one copy stale and one wiped, two of three led with the old value.

Frames of version 3 carry `Register { disk, request }` and `Register { disk, reply }`. The receiver answers `OtherDisk` to a request that means another disk; the asker takes an answer of another disk for no vote. Requests without a name, of programs that speak version 1 or 2, are answered only by a disk that the layout it keeps gives a seat: an empty disk has none. `SweepDone` and its answer carry the disk too, and `Found` is taken only by a disk that the layout names.

--- a/yewcross-control/src/layout.rs
+++ b/yewcross-control/src/layout.rs
@@ -17,6 +17,11 @@
 /// A core disk takes part only after it was founded, or once a decided layout names it.
 pub async fn found_here(c: &Arc<Control>, blob: Vec<u8>) -> Tell {
     let _one = c.finding.lock().await;
+    // The message goes to an address: only a disk that the layout names may found.
+    let names_us = serde_json::from_slice::<Layout>(&blob).is_ok_and(|l| l.core.now.contains(&c.vault.id));
+    if !names_us {
+        return Tell::No(Code::Conflict);
+    }
     let p = c.book.page("layout");
     if p.seq > 0 {
         return if *p.raw == blob { Tell::Ok } else { Tell::No(Code::Conflict) };
@@ -166,12 +171,15 @@
     let mut v = vec![];
     for d in &g.old {
         let r = match c.members.by_disk(d) {
-            Some(n) if n.name == c.st.name => Some(c.hear(Ask::SweepDone { layout: l.0 }, vec![], "").await.0),
-            Some(n) => c.peers.ask(n.peer, &Ask::SweepDone { layout: l.0 }, &[], PEER_WAIT).await.ok().map(|x| x.0),
+            Some(n) if n.name == c.st.name => Some(c.hear(Ask::SweepDone { layout: l.0, disk: d.clone() }, vec![], "").await.0),
+            Some(n) => {
+                let question = Ask::SweepDone { layout: l.0, disk: d.clone() };
+                c.peers.ask(n.peer, &question, &[], PEER_WAIT).await.ok().map(|x| x.0)
+            }
             None => None,
         };
         match r {
-            Some(Tell::Swept { done, left, .. }) => v.push((d.clone(), done, left)),
+            Some(Tell::Swept { done, left, disk, .. }) if disk.is_empty() || disk == *d => v.push((d.clone(), done, left)),
             _ => v.push((d.clone(), false, 0)),
         }
     }
@@ -568,7 +576,7 @@
         .map(|d| {
             let (me, d) = (c.clone(), d.clone());
             let f: Fut<'static, _> = Box::pin(async move {
-                let a = Ask::SweepDone { layout: lay };
+                let a = Ask::SweepDone { layout: lay, disk: d.clone() };
                 let t = if d == me.vault.id {
                     me.hear(a, vec![], "").await.0
                 } else {
@@ -576,7 +584,7 @@
                     me.peers.ask(n.peer, &a, &[], PEER_WAIT / 2).await.ok()?.0
                 };
                 match t {
-                    Tell::Swept { done, kept, .. } => Some((d, kept >= lay, done)),
+                    Tell::Swept { done, kept, disk, .. } if disk.is_empty() || disk == d => Some((d, kept >= lay, done)),
                     _ => None,
                 }
             });
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -199,9 +199,13 @@
     pub async fn hear(self: &Arc<Self>, a: Ask, blob: Vec<u8>, from: &str) -> (Tell, Vec<u8>) {
         match a {
             Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => (self.members.hear(a).await, vec![]),
-            Ask::Reg(r) => {
-                let (t, b) = self.replica.hear(r, blob).await;
-                (Tell::Reg(t), b)
+            Ask::Reg(request) => self.unnamed_register_request(request, blob).await,
+            Ask::Register { disk, .. } | Ask::SweepDone { disk, .. } if !disk.is_empty() && disk != self.vault.id => {
+                (Tell::OtherDisk { disk: self.vault.id.clone() }, vec![])
+            }
+            Ask::Register { request, .. } => {
+                let (reply, value) = self.replica.hear(request, blob).await;
+                (Tell::Register { disk: self.vault.id.clone(), reply }, value)
             }
             Ask::Newer { have, front } => (config::newer(self, have, front, from).await, vec![]),
             Ask::Page { name, more_than } => {
@@ -229,17 +233,28 @@
                 self.sweep_call.notify(usize::MAX);
                 (Tell::Ok, vec![])
             }
-            Ask::SweepDone { layout } => {
+            Ask::SweepDone { layout, .. } => {
                 let (beside, left) = self.chain.swept(layout);
                 let kept = self.layout_kept();
                 let done = self.swept.load(SeqCst) >= layout && kept >= layout && beside;
-                (Tell::Swept { done, left: self.sweep_left.load(SeqCst) + left, kept }, vec![])
+                (Tell::Swept { done, left: self.sweep_left.load(SeqCst) + left, kept, disk: self.vault.id.clone() }, vec![])
             }
             Ask::Chain => (Tell::Chain, self.chain.hear(blob).await),
             a => self.store.hear(a, blob).await,
         }
     }
 
+    /// An asker that names no disk means whichever was at this address when it last looked. Only a disk that the layout it
+    /// keeps gives a seat may be that one: a disk that has just been made here has none yet.
+    async fn unnamed_register_request(&self, request: RegAsk, blob: Vec<u8>) -> (Tell, Vec<u8>) {
+        let seated = self.book.layout.load().1.has_seat(&self.vault.id);
+        if !seated {
+            return (Tell::Reg(RegTell::Away), vec![]);
+        }
+        let (reply, value) = self.replica.hear(request, blob).await;
+        (Tell::Reg(reply), value)
+    }
+
     /// A planned stop: operators' requests under way are answered, then the others are told.
     pub async fn stop(&self) {
         self.members.leave().await;
--- /dev/null
+++ b/yewcross-lab/tests/votes.rs
@@ -0,0 +1,105 @@
+//! A vote belongs to a disk, not to an address: a machine that comes back empty where another disk was votes for nobody.
+
+use std::sync::Arc;
+use yewcross::consts::*;
+use yewcross::reg::{Owner, Step};
+use yewcross_lab::proof::Lab;
+use yewcross_lab::script::on_fleet_of;
+
+const KEY: &str = "k";
+
+/// Appends the text unless the value already ends with it.
+fn append(text: &'static str) -> impl FnMut(u64, &[u8]) -> Step<()> {
+    move |_, value| {
+        if value.ends_with(text.as_bytes()) { Step::Keep(()) } else { Step::Write([value, text.as_bytes()].concat(), ()) }
+    }
+}
+
+fn owner(lab: &Lab, node: &str) -> Arc<Owner> {
+    lab.control(node).unwrap().owner.clone()
+}
+
+/// What the node led with while the wiped machine was back, and what stands in the end.
+#[derive(Debug)]
+struct Outcome {
+    stale_reads: Vec<String>,
+    overwritten: bool,
+    end: String,
+}
+
+/// `store3` is frozen while `first second` is decided by `store1` and `store2`. Then `store1` loses power, `store2` loses its
+/// disk and is back at its address at once, and `store3` wakes: it remembers only `first`, and the two that decided are a
+/// machine that is down and a copy that forgot. With `unnamed`,
+/// `store3` takes the machine at that address for one of an older program, which knows no names of disks.
+fn wiped_behind_its_address(seed: u64, unnamed: bool) -> Outcome {
+    on_fleet_of(
+        "small",
+        seed,
+        |_| (),
+        move |lab| {
+            Box::pin(async move {
+                let machine = |name: &str| lab.sim.find(name);
+                owner(&lab, "store1").change(KEY, 2 * SEC, append("first")).await.unwrap();
+                assert!(owner(&lab, "store1").tend(KEY).await);
+                lab.sim.freeze(machine("store3"));
+                while owner(&lab, "store1").change(KEY, 2 * SEC, append("second")).await.is_err() {}
+                lab.sim.kill(machine("store1"), true);
+                lab.sim.kill(machine("store2"), true);
+                lab.sim.wipe(machine("store2"));
+                lab.sim.power_on(machine("store2"));
+                // Nobody tells `store3` yet which disk answers there now.
+                let others: Vec<usize> =
+                    lab.sh.nodes.iter().filter(|n| !["store2", "store3"].contains(&n.name.as_str())).map(|n| machine(&n.name)).collect();
+                lab.sim.split(&[machine("store2")], &others);
+                lab.boot("store2");
+                lab.sim.thaw(machine("store3"));
+                let stale = owner(&lab, "store3");
+                let (mut stale_reads, mut overwritten) = (vec![], false);
+                let end = lab.sim.now() + 3 * SEC;
+                while lab.sim.now() < end {
+                    if unnamed {
+                        let node = lab.sh.nodes.iter().find(|n| n.name == "store2").unwrap();
+                        lab.control("store3").unwrap().peers.learn(node.peer, &node.site, WIRE_OLDEST);
+                    }
+                    if let Ok((_, _, value)) = stale.read(KEY, 20 * MS).await
+                        && !value.ends_with(b"second")
+                    {
+                        stale_reads.push(String::from_utf8_lossy(&value).into_owned());
+                        overwritten |= stale.change(KEY, 100 * MS, append(" third")).await.is_ok();
+                        break;
+                    }
+                    lab.op.sleep(2 * MS).await;
+                }
+                lab.sim.heal();
+                lab.sim.power_on(machine("store1"));
+                lab.boot("store1");
+                lab.op.sleep(6 * SEC).await;
+                let mut value = Err(yewcross::reg::Trouble::NotDone);
+                while value.is_err() {
+                    value = owner(&lab, "store1").read(KEY, 2 * SEC).await;
+                }
+                let end = String::from_utf8_lossy(&value.unwrap().2).into_owned();
+                Outcome { stale_reads, overwritten, end }
+            })
+        },
+    )
+}
+
+fn the_decided_value_leads(unnamed: bool) {
+    for seed in 900..908 {
+        let outcome = wiped_behind_its_address(seed, unnamed);
+        assert!(outcome.stale_reads.is_empty() && !outcome.overwritten, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.end, "firstsecond", "seed {seed}: {outcome:?}");
+    }
+}
+
+#[test]
+fn a_wiped_machine_does_not_vote_for_the_disk_it_lost() {
+    the_decided_value_leads(false);
+}
+
+/// In the middle of an upgrade: an asker of the older program names nobody, so the machine that comes back empty must refuse.
+#[test]
+fn a_wiped_machine_does_not_vote_for_an_asker_that_names_no_disk() {
+    the_decided_value_leads(true);
+}
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -27,7 +27,13 @@
     Table {
         nodes: Vec<Node>,
     },
+    /// A register request that names no disk, as programs before `WIRE_NAMED_DISKS` send it.
     Reg(RegAsk),
+    /// A register request meant for one disk. Any other answers `Tell::OtherDisk`.
+    Register {
+        disk: String,
+        request: RegAsk,
+    },
     /// A node tells which documents it holds and asks whether a core disk holds newer ones.
     Newer {
         have: Vec<(String, u64)>,
@@ -122,6 +128,9 @@
     },
     SweepDone {
         layout: u64,
+        /// The disk asked about; empty where an older program asks. Any other answers `Tell::OtherDisk`.
+        #[serde(default)]
+        disk: String,
     },
     /// A disk found damaged files: whoever holds the same keys should mend it now.
     SweepNow,
@@ -146,7 +155,17 @@
     Table {
         nodes: Vec<Node>,
     },
+    /// The answer to a register request that named no disk.
     Reg(RegTell),
+    /// The answer of one disk to a register request meant for it.
+    Register {
+        disk: String,
+        reply: RegTell,
+    },
+    /// The question was meant for another disk than the one that is here now.
+    OtherDisk {
+        disk: String,
+    },
     Newer {
         newest: Vec<(String, u64)>,
         sure: bool,
@@ -187,6 +206,9 @@
         /// Newest layout that the disk keeps; it refuses older ones.
         #[serde(default)]
         kept: u64,
+        /// The disk that says so; empty where an older program answers.
+        #[serde(default)]
+        disk: String,
     },
     /// The answer is the blob.
     Chain,
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -4,10 +4,12 @@
 pub const SEC: u64 = 1_000_000;
 
 /// Versions of the frames between processes. Two speak the older of their newest, so that a tier can be upgraded
-/// node by node. 2 added deltas of register changes and news by difference.
-pub const WIRE_VERSION: u16 = 2;
+/// node by node. 2 added deltas of register changes and news by difference, 3 register requests and answers that name
+/// the disk they are meant for and come from.
+pub const WIRE_VERSION: u16 = 3;
 pub const WIRE_OLDEST: u16 = 1;
 pub const WIRE_DELTAS: u16 = 2;
+pub const WIRE_NAMED_DISKS: u16 = 3;
 /// Version of the files under the data folder.
 pub const DISK_FORMAT: u32 = 1;
 
--- a/yewcross/src/reg.rs
+++ b/yewcross/src/reg.rs
@@ -88,7 +88,10 @@
     },
     OldLayout,
     Damaged,
+    /// Nothing is known of what the disk did with the request.
     Away,
+    /// Another disk is at the address of the one that was asked; nothing was done.
+    OtherDisk,
     /// The version that a change builds on is not here.
     NeedWhole,
 }
@@ -291,6 +294,11 @@
 }
 
 impl Layout {
+    /// Whether the disk is in a set that is in force, the old ones of a change under way among them.
+    pub fn has_seat(&self, disk: &str) -> bool {
+        [&self.core.now, &self.core.old, &self.store.now, &self.store.old].iter().any(|set| set.iter().any(|seat| seat == disk))
+    }
+
     /// The disks that a key lives on: all core disks for the documents, three store disks for the rest.
     pub fn group(&self, key: &str) -> &Group {
         if DOCS.contains(&key) { &self.core } else { &self.store }
@@ -370,6 +378,19 @@
     used: u64,
 }
 
+/// Puts a request to the disk that is believed to be at the address. The answer of any other disk is no vote: a disk that
+/// came back empty promises anything, and remembers nothing of what the lost one accepted.
+async fn request(peers: &Arc<Peers>, to: SocketAddr, disk: &str, request: RegAsk, blob: &[u8]) -> (RegTell, Vec<u8>) {
+    let named = peers.version(to) >= WIRE_NAMED_DISKS;
+    let question = if named { Ask::Register { disk: disk.into(), request } } else { Ask::Reg(request) };
+    match peers.ask(to, &question, blob, PEER_WAIT).await {
+        Ok((Tell::Register { disk: from, reply }, value)) if from == disk => (reply, value),
+        Ok((Tell::Register { .. } | Tell::OtherDisk { .. }, _)) => (RegTell::OtherDisk, vec![]),
+        Ok((Tell::Reg(reply), value)) if !named => (reply, value),
+        _ => (RegTell::Away, vec![]),
+    }
+}
+
 type Place = Arc<dyn Fn(&str) -> Copies + Send + Sync>;
 
 pub struct Owner {
@@ -414,17 +435,14 @@
                         return (s.disk, t, v);
                     }
                     let Some(to) = s.addr else { return (s.disk, RegTell::Away, vec![]) };
-                    let mut got = Some((Tell::Reg(RegTell::NeedWhole), vec![]));
+                    let mut got = (RegTell::NeedWhole, vec![]);
                     if let Some(d) = d.filter(|_| p.version(to) >= WIRE_DELTAS) {
-                        got = p.ask(to, &Ask::Reg(a.as_delta()), &d, PEER_WAIT).await.ok();
-                    }
-                    if matches!(got, Some((Tell::Reg(RegTell::NeedWhole), _))) {
-                        got = p.ask(to, &Ask::Reg(a), &b, PEER_WAIT).await.ok();
+                        got = request(&p, to, &s.disk, a.as_delta(), &d).await;
                     }
-                    match got {
-                        Some((Tell::Reg(t), v)) => (s.disk, t, v),
-                        _ => (s.disk, RegTell::Away, vec![]),
+                    if got.0 == RegTell::NeedWhole {
+                        got = request(&p, to, &s.disk, a, &b).await;
                     }
+                    (s.disk, got.0, got.1)
                 });
                 f
             })
@@ -451,7 +469,7 @@
                     p.refused += 1;
                 }
                 RegTell::Away => p.unsure += 1,
-                RegTell::OldLayout => p.refused += 1,
+                RegTell::OldLayout | RegTell::OtherDisk => p.refused += 1,
                 _ => p.hurt.push(d),
             }
             if c.quorum(|d| yes.iter().any(|y| y.0 == d)) {
