Tell the progress of both groups' changes, and when a store has swept; hold what registers on stores carry

A run of routed calls, programs' budgets and orders shows that registers on stores hold no key there: their three copies bear one loss, whatever may be lost.

--- a/yewcross-control/src/chain_sweep.rs
+++ b/yewcross-control/src/chain_sweep.rs
@@ -29,9 +29,13 @@
                 self.ask_mend(&seats).await;
             }
             if seated && self.swept.load(SeqCst) < seats.since {
+                let begun = self.w.now();
                 let done = seats.old.is_empty() || self.sweep(&seats).await;
                 if done && self.line.seats().since == seats.since {
                     self.swept.fetch_max(seats.since, SeqCst);
+                    if !seats.old.is_empty() {
+                        self.w.log(&format!("swept for layout {} in {} ms", seats.since, (self.w.now() - begun) / MS));
+                    }
                     continue;
                 }
             }
--- a/yewcross-control/src/layout/manual.rs
+++ b/yewcross-control/src/layout/manual.rs
@@ -81,14 +81,17 @@
     r
 }
 
-/// How many of the outgoing seats have kept this layout and found all their keys whole under it.
+/// Of each outgoing seat of the changes under way: whether it has kept this layout and found all its keys whole under it, and
+/// how many it has yet to bring.
 pub async fn progress(c: &Arc<Control>) -> (u64, Vec<(String, bool, u64)>) {
     let l = c.book.layout.load_full();
-    let seats = if l.1.core.changing() { &l.1.core } else { &l.1.store };
     let mut filled = vec![];
-    for disk in &seats.old {
-        let told = report::ask(c, disk, l.1.since(seats, l.0), PEER_WAIT).await;
-        filled.push(told.map_or((disk.clone(), false, 0), |(r, left)| (r.disk, r.swept, left)));
+    for role in planning::IN_ORDER_OF_DANGER {
+        let seats = planning::group(&l.1, role);
+        for disk in &seats.old {
+            let told = report::ask(c, disk, l.1.since(seats, l.0), SEAT_REPORT_WAIT).await;
+            filled.push(told.map_or((disk.clone(), false, 0), |(r, left)| (r.disk, r.swept, left)));
+        }
     }
     (l.0, filled)
 }
--- a/yewcross-lab/src/routed/tier.rs
+++ b/yewcross-lab/src/routed/tier.rs
@@ -144,6 +144,16 @@
         Some(st)
     }
 
+    /// The core and store nodes that run.
+    pub fn control_nodes(&self) -> Vec<Arc<Control>> {
+        let nodes = self.nodes.lock().unwrap();
+        let control = |node: &Node| match node {
+            Node::Control(c) => Some(c.clone()),
+            Node::Front(_) => None,
+        };
+        nodes.values().filter_map(control).collect()
+    }
+
     pub fn names(&self, r: Role) -> Vec<String> {
         self.sh.of(r).iter().map(|n| n.name.clone()).collect()
     }
--- a/yewcross-lab/tests/seats.rs
+++ b/yewcross-lab/tests/seats.rs
@@ -12,6 +12,7 @@
 use yewcross::startup::Role;
 use yewcross_control::api::{ReadAnswer, RetireBegin, RetireState};
 use yewcross_control::layout::planning::{self, Known, SeatReport};
+use yewcross_lab::routed::tier::Plan;
 use yewcross_lab::sim::Costs;
 use yewcross_lab::tier::*;
 
@@ -259,6 +260,22 @@
     }
 }
 
+/// Registers on stores have three copies whatever may be lost: routed calls, with chains, programs' budgets, and operators' orders
+/// keep nothing in them.
+#[test]
+fn routed_calls_keep_nothing_in_registers_of_stores() {
+    let (t, evidence) = yewcross_lab::routed::tier::run(&Plan { seed: 7, shape: "metered".into(), acts: vec![] });
+    assert!(evidence.tries.len() > 200);
+    let (mut stores, mut turns) = (0, 0);
+    for c in t.control_nodes().iter().filter(|c| c.st.role == Role::Store) {
+        stores += 1;
+        turns += c.chain.figures()["turns"];
+        let (keys, damaged) = futures_lite::future::block_on(c.replica.keys());
+        assert!(keys.is_empty() && damaged == 0, "{} holds {keys:?}", c.st.name);
+    }
+    assert!(stores >= 4 && turns > 0, "{stores} stores, {turns} turns");
+}
+
 fn node(name: &str, role: Role, disk: &str) -> Node {
     let at = addr(name.bytes().map(|b| b as usize).sum::<usize>() % 200);
     let wire = WIRE_VERSION;
