Take an answer only if its length or its last chunk tells its end

Cause: a server's answer under a transfer coding other than chunked ends with its connection, so one that was cut off passed as whole: a caller got 200 with 2 of 4 bytes (an_answer_whose_end_cannot_be_told_is_none: 200 instead of 502). Change: such an answer counts as lost, as one without any length did before.

--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -137,6 +137,16 @@
     });
 }
 
+/// A body ends where its length or its last chunk says; one that ends with its connection may as well have been cut off.
+/// Source: RFC 9112, 6.3 "Message Body Length".
+fn tells_its_end(h: &HeaderMap) -> bool {
+    let last_coding = |v: &http::HeaderValue| v.to_str().ok().and_then(|t| t.rsplit(',').next().map(|c| c.trim().to_ascii_lowercase()));
+    match h.get_all(header::TRANSFER_ENCODING).iter().next_back() {
+        Some(v) => last_coding(v).as_deref() == Some("chunked"),
+        None => h.contains_key(header::CONTENT_LENGTH),
+    }
+}
+
 fn safe(m: Mode) -> bool {
     m == Mode::Pure
 }
@@ -463,8 +473,7 @@
     ) -> Option<(response::Parts, Rest)> {
         let (head, body) = r.into_parts();
         let bare = s.head.method == Method::HEAD || matches!(head.status.as_u16(), 204 | 304);
-        let told = head.headers.contains_key(header::CONTENT_LENGTH) || head.headers.contains_key(header::TRANSFER_ENCODING);
-        if !bare && !told {
+        if !bare && !tells_its_end(&head.headers) {
             return None;
         }
         let small = body.size_hint().upper().is_some_and(|n| n <= ANSWER_WHOLE);
--- a/yewcross-lab/tests/relay.rs
+++ b/yewcross-lab/tests/relay.rs
@@ -98,6 +98,8 @@
     ThenClose,
     /// A body whose end is told by nothing.
     Endless,
+    /// A body whose end is told by nothing, under a transfer coding that tells no end either.
+    OtherCoding,
     /// So many events, and then it breaks off.
     Break(usize),
     /// Events without end.
@@ -210,6 +212,9 @@
                 (vec![], true)
             }
             Act::Endless => (format!("HTTP/1.1 200 X\r\ntry: {a}\r\nstamp: 1\r\n\r\ngood").into_bytes(), true),
+            Act::OtherCoding => {
+                (format!("HTTP/1.1 200 X\r\ntry: {a}\r\nstamp: 1\r\ntransfer-encoding: identity\r\n\r\ngo").into_bytes(), true)
+            }
             Act::Break(n) => {
                 let _ = c.write_all(top.as_bytes()).await;
                 for i in 0..n {
@@ -776,6 +781,14 @@
     assert!((1_000..1_100).contains(&slow) && (5_000..5_100).contains(&idle), "{slow} {idle}");
 }
 
+#[test]
+fn an_answer_whose_end_cannot_be_told_is_none() {
+    let rig = Rig::new(92, 1);
+    rig.all(Act::OtherCoding);
+    let h = rig.ask("t", "/once/x", &[], "b");
+    assert_eq!((h.status, rig.runs("t").len()), (502, 1), "{h:?}");
+}
+
 #[test]
 fn events_pass_as_they_come_and_the_end_only_after_the_turn_is_kept() {
     let rig = Rig::new(70, 2);
