Take no success under a content coding that its caller did not ask for

Cause: an answer with a content coding is not the server's own bytes to a caller that asked for none, yet it passed as a success (an_encoded_answer_passes_only_to_who_asked_for_it: 200 instead of 502). Change: such a success counts as lost; a coding that the caller names, and identity, pass as before.

--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -147,6 +147,17 @@
     }
 }
 
+/// A caller that names no content coding gets the server's bytes themselves.
+fn coding_asked_for(request: &HeaderMap, answer: &HeaderMap) -> bool {
+    let names = |h: &HeaderMap, k: HeaderName| -> Vec<String> {
+        let texts = h.get_all(k).iter().filter_map(|v| v.to_str().ok());
+        let items = texts.flat_map(|t| t.split(','));
+        items.filter_map(|i| i.split(';').next()).map(|n| n.trim().to_ascii_lowercase()).filter(|n| !n.is_empty()).collect()
+    };
+    let asked = names(request, header::ACCEPT_ENCODING);
+    names(answer, header::CONTENT_ENCODING).iter().all(|n| n == "identity" || asked.contains(n))
+}
+
 fn safe(m: Mode) -> bool {
     m == Mode::Pure
 }
@@ -424,7 +435,8 @@
         let (ok, code) = (r.status().is_success(), r.status());
         // On a connection of its own nothing late can arrive: there a "not run" needs no id.
         let ours = meta.attempt == s.meta.attempt || (meta.attempt.is_empty() && meta.not_run && link.fresh);
-        if !ours || (ok && !meta.stamped) || code.is_informational() {
+        let foreign = ok && (!meta.stamped || !coding_asked_for(&s.head.headers, r.headers()));
+        if !ours || foreign || code.is_informational() {
             self.counts.strangers.fetch_add(1, SeqCst);
             c.failed();
             return Sent::Lost;
--- a/yewcross-lab/tests/relay.rs
+++ b/yewcross-lab/tests/relay.rs
@@ -100,6 +100,8 @@
     Endless,
     /// A body whose end is told by nothing, under a transfer coding that tells no end either.
     OtherCoding,
+    /// A good answer with a coded body, which no caller asked for.
+    Encoded,
     /// So many events, and then it breaks off.
     Break(usize),
     /// Events without end.
@@ -215,6 +217,7 @@
             Act::OtherCoding => {
                 (format!("HTTP/1.1 200 X\r\ntry: {a}\r\nstamp: 1\r\ntransfer-encoding: identity\r\n\r\ngo").into_bytes(), true)
             }
+            Act::Encoded => (say(200, &a, "stamp: 1\r\ncontent-encoding: br\r\n", "good"), false),
             Act::Break(n) => {
                 let _ = c.write_all(top.as_bytes()).await;
                 for i in 0..n {
@@ -789,6 +792,16 @@
     assert_eq!((h.status, rig.runs("t").len()), (502, 1), "{h:?}");
 }
 
+#[test]
+fn an_encoded_answer_passes_only_to_who_asked_for_it() {
+    let rig = Rig::new(93, 1);
+    rig.all(Act::Encoded);
+    let h = rig.ask("t1", "/once/x", &[], "b");
+    assert_eq!((h.status, rig.runs("t1").len()), (502, 1), "{h:?}");
+    let h = rig.ask("t2", "/once/x", &[("accept-encoding", "gzip, br;q=0.5")], "b");
+    assert_eq!((h.status, h.heads["content-encoding"].as_str()), (200, "br"));
+}
+
 #[test]
 fn events_pass_as_they_come_and_the_end_only_after_the_turn_is_kept() {
     let rig = Rig::new(70, 2);
