Send answers under our own version of the protocol

Cause: the version of a server's answer was passed on with it, so an HTTP/1.1 caller got an HTTP/1.0 answer and a connection that ends (an_answer_of_an_old_version_goes_out_as_ours: "HTTP/1.0 200"). Change: each connection speaks its own version.

--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -5,7 +5,7 @@
 use crate::scan::Scan;
 use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
-use http::{HeaderMap, HeaderName, Method, Request, Response, StatusCode, header, request, response};
+use http::{HeaderMap, HeaderName, Method, Request, Response, StatusCode, Version, header, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use std::io;
@@ -552,6 +552,8 @@
         self.counts.passed.fetch_add(1, SeqCst);
         let mut head = a.head;
         strip(&mut head.headers);
+        // The version is a connection's own: under an older one a body that breaks off would look complete.
+        head.version = Version::HTTP_11;
         let (body, link) = match a.body {
             Rest::Whole(b) => return Response::from_parts(head, full(b)),
             Rest::Coming(b, l) => (b, l),
--- a/yewcross-lab/tests/relay.rs
+++ b/yewcross-lab/tests/relay.rs
@@ -102,6 +102,8 @@
     OtherCoding,
     /// A good answer with a coded body, which no caller asked for.
     Encoded,
+    /// A good answer of HTTP/1.0.
+    OldVersion,
     /// So many events, and then it breaks off.
     Break(usize),
     /// Events without end.
@@ -218,6 +220,7 @@
                 (format!("HTTP/1.1 200 X\r\ntry: {a}\r\nstamp: 1\r\ntransfer-encoding: identity\r\n\r\ngo").into_bytes(), true)
             }
             Act::Encoded => (say(200, &a, "stamp: 1\r\ncontent-encoding: br\r\n", "good"), false),
+            Act::OldVersion => (String::from_utf8(good).unwrap().replace("HTTP/1.1", "HTTP/1.0").into_bytes(), true),
             Act::Break(n) => {
                 let _ = c.write_all(top.as_bytes()).await;
                 for i in 0..n {
@@ -802,6 +805,23 @@
     assert_eq!((h.status, h.heads["content-encoding"].as_str()), (200, "br"));
 }
 
+#[test]
+fn an_answer_of_an_old_version_goes_out_as_ours() {
+    let rig = Rig::new(94, 1);
+    rig.all(Act::OldVersion);
+    let said = rig.with(move |r, w| {
+        Box::pin(async move {
+            let mut c = w.connect(r.door).await.unwrap();
+            let q = "GET /once/x HTTP/1.1\r\nhost: h.example\r\ntry: t\r\nconnection: close\r\n\r\n";
+            c.write_all(q.as_bytes()).await.unwrap();
+            let mut v = vec![];
+            let _ = c.read_to_end(&mut v).await;
+            String::from_utf8(v).unwrap()
+        })
+    });
+    assert!(said.starts_with("HTTP/1.1 200") && said.ends_with("good"), "{said}");
+}
+
 #[test]
 fn events_pass_as_they_come_and_the_end_only_after_the_turn_is_kept() {
     let rig = Rig::new(70, 2);
