Settle a turn by the tokens per event of the service that ran it

Cause: a turn was counted by the service that its route chose when it was opened. A route that moved in between, or whose variants differ, ran it elsewhere: 4 tokens settled instead of 20 (a_turn_is_settled_by_the_service_that_ran_it), and a program could pass its budget. Change: once a server has answered, its service's figure counts.

--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -213,7 +213,7 @@
                     Refusal::Unknown => End(Code::UnknownTurn, "no such turn", 0),
                     Refusal::Away => End(Code::StoreAway, "the stores cannot be asked", self.soon(&route)),
                 })?;
-                let each = up.engine.as_ref().map_or(1, |e| e.tokens_per_event.max(1));
+                let each = self.tokens_per_event(&up.name).unwrap_or(1);
                 if route.retained {
                     shot.body = prompt(&o.chain, &input);
                     name_parts(&mut shot.meta, &o.chain);
@@ -226,6 +226,9 @@
 
         let answer = self.send_on(&shot, &route, prev.as_deref()).await?;
         let (route, a) = answer;
+        if let (Some(opened), Some(each)) = (&mut turn, self.tokens_per_event(&a.claim.to.service)) {
+            opened.each = each;
+        }
         let room = self.room(&a.claim.to.service);
         a.claim.read(&shot.meta.parts, room);
         let keep = route.retained.then(|| Turn {
@@ -284,6 +287,13 @@
         (r.target_ms / 4).clamp(20, 1_000)
     }
 
+    /// None where the newest configuration does not name the service.
+    fn tokens_per_event(&self, service: &str) -> Option<u64> {
+        let c = self.book.config.load();
+        let upstream = c.1.routing.upstreams.get(service)?;
+        Some(upstream.engine.as_ref().map_or(1, |e| e.tokens_per_event.max(1)))
+    }
+
     fn room(&self, service: &str) -> u64 {
         let c = self.book.config.load();
         c.1.routing.upstreams.get(service).and_then(|u| u.engine.as_ref()).map_or(0, |e| e.cache_tokens)
--- a/yewcross-lab/tests/relay.rs
+++ b/yewcross-lab/tests/relay.rs
@@ -263,6 +263,8 @@
     opened: AtomicUsize,
     finish_fails: Mutex<bool>,
     refuses: Mutex<Option<Refusal>>,
+    /// What happens while a turn is opened.
+    on_open: Mutex<Option<Box<dyn FnOnce() + Send>>>,
 }
 
 impl Chains for Memory {
@@ -272,6 +274,9 @@
                 return Err(r);
             }
             self.opened.fetch_add(1, SeqCst);
+            if let Some(f) = self.on_open.lock().unwrap().take() {
+                f();
+            }
             let (g, mut chain, mut at) = (self.turns.lock().unwrap(), vec![], o.prev.clone());
             while !at.is_empty() {
                 let t = g.get(&at).ok_or(Refusal::Unknown)?;
@@ -844,6 +849,24 @@
     assert!(rig.memory.turns.lock().unwrap().contains_key("t2"));
 }
 
+/// Tokens are counted as the service counts them that ran the turn, also where its route has moved since it was opened.
+#[test]
+fn a_turn_is_settled_by_the_service_that_ran_it() {
+    let rig = Rig::new(96, 1);
+    let config = |to: &str| {
+        let engine = |each: u64| json!({"slots": 4, "cache_tokens": 100_000, "token_bytes": 1, "tokens_per_event": each});
+        let t = json!({"routing": {"routes": [route("kept/stream", "stream", to, 2)], "upstreams": [
+            {"name": "a", "engine": engine(1)}, {"name": "model", "engine": engine(5)}]}});
+        serde_json::to_vec(&json!({"text": t.to_string(), "put": "", "note": "", "past": []})).unwrap()
+    };
+    assert!(rig.relay.book.adopt("config", 2, Epoch::default(), config("a")));
+    let (book, moved) = (rig.relay.book.clone(), config("model"));
+    *rig.memory.on_open.lock().unwrap() = Some(Box::new(move || assert!(book.adopt("config", 3, Epoch::default(), moved))));
+    let h = rig.ask("t1", "/kept/stream/x", &[("program", "p"), ("budget", "500"), ("most", "50")], "in");
+    assert_eq!((h.status, h.whole, rig.runs("t1")[0].server.as_str()), (200, true, "model0"), "{h:?}");
+    assert_eq!(*rig.memory.settled.lock().unwrap(), [("kept t1".into(), 20)]);
+}
+
 #[test]
 fn events_pass_as_they_come_and_the_end_only_after_the_turn_is_kept() {
     let rig = Rig::new(70, 2);
