Do not try again what may have run once its route has changed its kind

Cause: a repeatable request whose first server was lost went to a second one under a configuration in which its route is no longer repeatable: two runs (what_may_have_run_is_not_sent_again_by_a_route_that_changed_its_kind). Change: a further try needs a route of the same kind; else the request ends as one that may have run, or as refused where nothing has been sent.

--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -353,7 +353,8 @@
                 let c = self.book.config.load();
                 self.route(&c.1.routing, c.0, &s.host, &s.head, &s.meta)?
             };
-            if route.retained != first.retained {
+            // What was sent as repeatable, or opened as a turn, is not sent again as anything else.
+            if route.retained != first.retained || route.mode != first.mode {
                 return Err(End(Code::NotServing, "the route has changed", 20));
             }
             if now >= s.until {
@@ -408,10 +409,7 @@
         if let Some(x) = self.w.within(pause, one.as_mut()).await {
             return x;
         }
-        let Ok((route, c)) = self.seat(s, r, None, tried).await else { return one.await };
-        if !safe(route.mode) {
-            return one.await;
-        }
+        let Ok((_, c)) = self.seat(s, r, None, tried).await else { return one.await };
         self.counts.second.fetch_add(1, SeqCst);
         tried.push(c.to.server.clone());
         *sent += 1;
--- a/yewcross-lab/tests/relay.rs
+++ b/yewcross-lab/tests/relay.rs
@@ -867,6 +867,28 @@
     assert_eq!(*rig.memory.settled.lock().unwrap(), [("kept t1".into(), 20)]);
 }
 
+/// What was begun as repeatable is not sent again under a configuration in which it is not.
+#[test]
+fn what_may_have_run_is_not_sent_again_by_a_route_that_changed_its_kind() {
+    let rig = Rig::new(97, 2);
+    rig.act("a0", &[Act::Silent]);
+    rig.act("a1", &[Act::Silent]);
+    rig.list(2, &[rig.listed(0, "a")]);
+    let h = rig.with(|r, w| {
+        Box::pin(async move {
+            let (r2, w2) = (r.clone(), w.clone());
+            let heads = vec![("patience".to_string(), "900".to_string())];
+            let one = w.fan(vec![Box::pin(async move { call(&w2, r2.door, "t", "/pure/x", &heads, "").await }) as Fut<'static, Heard>]);
+            w.sleep(60 * MS).await;
+            r.configure(2, json!([route("pure", "effectful", "a", 3)]));
+            r.list(3, &[r.listed(0, "a"), r.listed(1, "a")]);
+            r.sim.kill(r.machines[0], false);
+            one.recv().await.unwrap()
+        })
+    });
+    assert_eq!((h.status, rig.runs("t").len()), (502, 1), "{h:?}");
+}
+
 #[test]
 fn events_pass_as_they_come_and_the_end_only_after_the_turn_is_kept() {
     let rig = Rig::new(70, 2);
