Of two servers asked the same, let the one that may have run it decide

Cause: where the first server of a repeatable request was lost while the second was asked, only what the second said counted: a 503 went out, which promises that it has not run, after a run (a_second_server_that_did_not_run_it_says_nothing_of_the_first: 503 instead of 502). Change: what two servers say is joined: an answer, else lost, else not run.

--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -74,6 +74,18 @@
     Lost,
 }
 
+impl Sent {
+    /// What two servers asked the same come to: the answer of either, else what says least about a run.
+    fn or(self, other: Sent) -> Sent {
+        match (self, other) {
+            (Sent::Answer(a), _) | (_, Sent::Answer(a)) => Sent::Answer(a),
+            (Sent::Lost, _) | (_, Sent::Lost) => Sent::Lost,
+            (Sent::NotRun, _) | (_, Sent::NotRun) => Sent::NotRun,
+            (Sent::Unsent, Sent::Unsent) => Sent::Unsent,
+        }
+    }
+}
+
 struct Answer {
     head: response::Parts,
     body: Rest,
@@ -418,8 +430,8 @@
         let (x, first) = async { (one.as_mut().await, true) }.or(async { (two.as_mut().await, false) }).await;
         match x {
             Sent::Answer(_) => x,
-            _ if first => two.await,
-            _ => one.await,
+            _ if first => x.or(two.await),
+            _ => x.or(one.await),
         }
     }
 
--- a/yewcross-lab/tests/relay.rs
+++ b/yewcross-lab/tests/relay.rs
@@ -106,6 +106,10 @@
     OldVersion,
     /// A row of events with its length told in the head.
     Counted,
+    /// It says only after a while that it did not run it.
+    SlowNotRun(u64),
+    /// A good answer, and the very same once more behind it.
+    Again,
     /// So many events, and then it breaks off.
     Break(usize),
     /// Events without end.
@@ -168,7 +172,7 @@
         let told = f.acts.lock().unwrap().get_mut(&id).and_then(|v| v.pop_front());
         let act = told.or(*f.other.lock().unwrap()).unwrap_or(Act::Good);
         let act = if heads.get("for").is_some_and(|x| *x != id) { Act::NotRun(421) } else { act };
-        if !matches!(act, Act::NotRun(_)) {
+        if !matches!(act, Act::NotRun(_) | Act::SlowNotRun(_)) {
             let mut w2 = first.split(' ');
             let target = w2.nth(1).unwrap().to_string();
             f.runs.lock().unwrap().push(Run { server: id.clone(), attempt: a.clone(), target, body: body.clone(), heads });
@@ -227,6 +231,11 @@
                 let b: String = (0..4).map(|i| format!("id: {i}\ndata: {a}-{i}\n\n")).collect();
                 (say(200, &a, "stamp: 1\r\ncontent-type: text/event-stream\r\n", &b), false)
             }
+            Act::SlowNotRun(us) => {
+                w.sleep(us).await;
+                (say(503, &a, "unrun: 1\r\n", ""), false)
+            }
+            Act::Again => ([good.clone(), good].concat(), false),
             Act::Break(n) => {
                 let _ = c.write_all(top.as_bytes()).await;
                 for i in 0..n {
@@ -651,7 +660,7 @@
 
 #[test]
 fn surplus_bytes_reach_nobody() {
-    for (i, act) in [Act::Surplus, Act::Late, Act::ThenClose].into_iter().enumerate() {
+    for (i, act) in [Act::Surplus, Act::Late, Act::ThenClose, Act::Again].into_iter().enumerate() {
         let rig = Rig::new(50 + i as u64, 1);
         rig.act("a0", &[act]);
         let h = rig.ask("one", "/once/x", &[], "b");
@@ -889,6 +898,28 @@
     assert_eq!((h.status, rig.runs("t").len()), (502, 1), "{h:?}");
 }
 
+/// Of two servers that were asked, one may have run it though the other says that it did not.
+#[test]
+fn a_second_server_that_did_not_run_it_says_nothing_of_the_first() {
+    let rig = Rig::new(98, 2);
+    rig.list(2, &[rig.listed(0, "a")]);
+    rig.configure(2, json!([route("pure", "pure", "a", 2)]));
+    rig.act("a0", &[Act::Silent]);
+    rig.act("a1", &[Act::SlowNotRun(300 * MS)]);
+    let h = rig.with(|r, w| {
+        Box::pin(async move {
+            let (r2, w2) = (r.clone(), w.clone());
+            let one = w.fan(vec![Box::pin(async move { call(&w2, r2.door, "t", "/pure/x", &[], "").await }) as Fut<'static, Heard>]);
+            w.sleep(50 * MS).await;
+            r.list(3, &[r.listed(0, "a"), r.listed(1, "a")]);
+            w.sleep(200 * MS).await;
+            r.sim.kill(r.machines[0], false);
+            one.recv().await.unwrap()
+        })
+    });
+    assert_eq!((h.status, rig.runs("t").len()), (502, 1), "{h:?}");
+}
+
 #[test]
 fn events_pass_as_they_come_and_the_end_only_after_the_turn_is_kept() {
     let rig = Rig::new(70, 2);
