Check a chosen server once more before the first byte goes out to it

Cause: between the choice of a server and the first byte to it a front may wait for a connection or stand still. When it woke, it sent what it had chosen by an older configuration and list: of 44 requests frozen in between, 33 ran at a server that their route no longer led to, that was leaving, or that was gone from the list, and 11 whose deadline was over were told 504 though nothing had been sent (a_front_that_wakes_sends_nothing_that_it_chose_before). Change: after a connection is at hand, the deadline, the route's service and kind, and the server's line in the list are checked again; the first byte must leave within SEND_WITHIN of that, which the connection itself enforces. What is withdrawn so is chosen anew, and is refused as not run where no time is left.

--- a/yewcross-front/src/pool.rs
+++ b/yewcross-front/src/pool.rs
@@ -17,32 +17,66 @@
 use yewcross::consts::*;
 use yewcross::world::*;
 
-/// Counts the bytes that left, so that a request of which none did is known as not sent.
-struct Counted(Conn, Arc<AtomicU64>);
+/// What a request may still do on its connection.
+#[derive(Default)]
+struct Departure {
+    /// Bytes that left since the connection was opened.
+    written: AtomicU64,
+    /// What `written` was when the request was handed over.
+    begins_at: AtomicU64,
+    /// us of the world's clock. Later than this its first byte may not leave: what it was chosen by may have changed.
+    latest: AtomicU64,
+}
+
+impl Departure {
+    fn begin(&self, latest: u64) {
+        self.begins_at.store(self.written.load(SeqCst), SeqCst);
+        self.latest.store(latest, SeqCst);
+    }
+
+    fn nothing_left(&self) -> bool {
+        self.written.load(SeqCst) == self.begins_at.load(SeqCst)
+    }
+
+    fn too_late(&self, now: u64) -> bool {
+        self.nothing_left() && now > self.latest.load(SeqCst)
+    }
+}
+
+/// Counts the bytes that leave, so that a request of which none did is known as not sent, and holds back the first byte
+/// of one that has been overtaken by time: a process that stood still does not know what it missed.
+struct Counted {
+    conn: Conn,
+    world: World,
+    departure: Arc<Departure>,
+}
 
 impl AsyncRead for Counted {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_read(cx, buf)
+        Pin::new(&mut self.conn).poll_read(cx, buf)
     }
 }
 
 impl AsyncWrite for Counted {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let n = std::task::ready!(Pin::new(&mut self.0).poll_write(cx, buf))?;
-        self.1.fetch_add(n as u64, SeqCst);
+        if self.departure.too_late(self.world.now()) {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        let n = std::task::ready!(Pin::new(&mut self.conn).poll_write(cx, buf))?;
+        self.departure.written.fetch_add(n as u64, SeqCst);
         Poll::Ready(Ok(n))
     }
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_close(cx)
+        Pin::new(&mut self.conn).poll_close(cx)
     }
 }
 
 pub struct Link {
     send: SendRequest<Full<Bytes>>,
-    wrote: Arc<AtomicU64>,
+    departure: Arc<Departure>,
     pub used_at: u64,
     until: u64,
     pub fresh: bool,
@@ -51,17 +85,26 @@
 pub enum Failed {
     /// No byte of the request left.
     Unsent,
+    /// No byte of it left, since what it was chosen by has changed or may have.
+    Withdrawn,
     /// It may have run.
     Lost,
 }
 
 impl Link {
-    pub async fn ask(&mut self, q: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failed> {
-        let n = self.wrote.load(SeqCst);
-        self.send
-            .try_send_request(q)
-            .await
-            .map_err(|e| if e.message().is_some() || self.wrote.load(SeqCst) == n { Failed::Unsent } else { Failed::Lost })
+    /// Sends a request whose first byte leaves by `latest` (us of the world's clock) or not at all.
+    pub async fn ask(&mut self, w: &World, q: Request<Full<Bytes>>, latest: u64) -> Result<Response<Incoming>, Failed> {
+        self.departure.begin(latest);
+        let failed = match self.send.try_send_request(q).await {
+            Ok(r) => return Ok(r),
+            Err(e) => e,
+        };
+        let unsent = failed.message().is_some() || self.departure.nothing_left();
+        match (unsent, w.now() > latest) {
+            (true, true) => Err(Failed::Withdrawn),
+            (true, false) => Err(Failed::Unsent),
+            (false, _) => Err(Failed::Lost),
+        }
     }
 }
 
@@ -89,13 +132,13 @@
     pub async fn dial(&self, w: &World, to: &Listed, us: u64) -> io::Result<Link> {
         self.dials.fetch_add(1, SeqCst);
         let c = w.dial(to.addr, us).await?;
-        let wrote = Arc::new(AtomicU64::new(0));
-        let io = FuturesIo::new(Counted(c, wrote.clone()));
+        let departure = Arc::new(Departure::default());
+        let io = FuturesIo::new(Counted { conn: c, world: w.clone(), departure: departure.clone() });
         let (send, conn) = Builder::new().max_buf_size(LINK_BUF).handshake(io).await.map_err(io::Error::other)?;
         w.go(async move {
             let _ = conn.await;
         });
-        Ok(Link { send, wrote, used_at: w.now(), until: u64::MAX, fresh: true })
+        Ok(Link { send, departure, used_at: w.now(), until: u64::MAX, fresh: true })
     }
 
     /// Keeps a connection whose answer was read whole; `idle_ms` is the time that the server names.
--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -37,7 +37,7 @@
     };
 }
 
-counts!(taken, sent, passed, not_run, unsent, lost, strangers, refused, expired, second, broken, unkept);
+counts!(taken, sent, passed, not_run, unsent, withdrawn, lost, strangers, refused, expired, second, broken, unkept);
 
 pub struct Relay {
     pub w: World,
@@ -71,17 +71,25 @@
     /// It says that it did not run it.
     NotRun,
     Unsent,
+    /// Nothing was sent, since the choice of the server no longer holds.
+    Withdrawn,
     Lost,
 }
 
 impl Sent {
+    /// Not a byte of the request left for this server.
+    fn nothing(&self) -> bool {
+        matches!(self, Sent::Unsent | Sent::Withdrawn)
+    }
+
     /// What two servers asked the same come to: the answer of either, else what says least about a run.
     fn or(self, other: Sent) -> Sent {
         match (self, other) {
             (Sent::Answer(a), _) | (_, Sent::Answer(a)) => Sent::Answer(a),
             (Sent::Lost, _) | (_, Sent::Lost) => Sent::Lost,
             (Sent::NotRun, _) | (_, Sent::NotRun) => Sent::NotRun,
-            (Sent::Unsent, Sent::Unsent) => Sent::Unsent,
+            (Sent::Unsent, _) | (_, Sent::Unsent) => Sent::Unsent,
+            (Sent::Withdrawn, Sent::Withdrawn) => Sent::Withdrawn,
         }
     }
 }
@@ -321,13 +329,11 @@
                 Err(e) => return last.map(|a| (first.clone(), a)).ok_or(if lost { self.gave_up(s) } else { e }),
             };
             let again = safe(route.mode) && sent + 1 < route.max_tries;
-            tried.push(claim.to.server.clone());
-            let got = if again {
-                self.send_twice(s, &route, claim, &mut tried, &mut sent).await
-            } else {
-                self.send(s, claim, route.mode == Mode::Stream).await
-            };
-            sent += !matches!(got, Sent::Unsent) as u32;
+            let server = claim.to.server.clone();
+            tried.push(server.clone());
+            let got =
+                if again { self.send_twice(s, &route, claim, &mut tried, &mut sent).await } else { self.send(s, claim, &route).await };
+            sent += !got.nothing() as u32;
             let more = sent < route.max_tries && self.w.now() < s.until;
             match got {
                 Sent::Answer(a) => {
@@ -337,6 +343,8 @@
                     }
                     last = Some(*a);
                 }
+                // It may be chosen again by what holds now; where no time is left, that is told there.
+                Sent::Withdrawn => tried.retain(|x| *x != server),
                 Sent::NotRun | Sent::Unsent if more => {}
                 Sent::NotRun | Sent::Unsent if lost => return Err(self.gave_up(s)),
                 Sent::NotRun | Sent::Unsent => {
@@ -417,15 +425,15 @@
     async fn send_twice(self: &Arc<Self>, s: &Shot, r: &Route, c: Claim, tried: &mut Vec<String>, sent: &mut u32) -> Sent {
         let usual = self.balance.usual(&c.to.service);
         let pause = (3 * usual).max(r.target_ms * MS * 6 / 10).max(50 * MS);
-        let mut one = std::pin::pin!(self.send(s, c, false));
+        let mut one = std::pin::pin!(self.send(s, c, r));
         if let Some(x) = self.w.within(pause, one.as_mut()).await {
             return x;
         }
-        let Ok((_, c)) = self.seat(s, r, None, tried).await else { return one.await };
+        let Ok((route, c)) = self.seat(s, r, None, tried).await else { return one.await };
         self.counts.second.fetch_add(1, SeqCst);
         tried.push(c.to.server.clone());
         *sent += 1;
-        let mut two = std::pin::pin!(self.send(s, c, false));
+        let mut two = std::pin::pin!(self.send(s, c, &route));
         // The first good answer of the two; a bad one leaves the other to be waited for.
         let (x, first) = async { (one.as_mut().await, true) }.or(async { (two.as_mut().await, false) }).await;
         match x {
@@ -435,11 +443,15 @@
         }
     }
 
-    async fn send(self: &Arc<Self>, s: &Shot, mut c: Claim, streamed: bool) -> Sent {
+    async fn send(self: &Arc<Self>, s: &Shot, mut c: Claim, route: &Route) -> Sent {
         let left = s.until.saturating_sub(self.w.now());
-        let got = self.w.within(left, self.exchange(s, &c)).await.unwrap_or(Err(Failed::Lost));
+        let got = self.w.within(left, self.exchange(s, &c, route)).await.unwrap_or(Err(Failed::Lost));
         let (r, link) = match got {
             Ok(x) => x,
+            Err(Failed::Withdrawn) => {
+                self.counts.withdrawn.fetch_add(1, SeqCst);
+                return Sent::Withdrawn;
+            }
             Err(Failed::Unsent) => {
                 self.counts.unsent.fetch_add(1, SeqCst);
                 c.failed();
@@ -483,7 +495,7 @@
         if code.is_server_error() {
             c.failed();
         }
-        match self.whole(s, r, link, &meta, &c, streamed).await {
+        match self.whole(s, r, link, &meta, &c, route.mode == Mode::Stream).await {
             Some((head, body)) => Sent::Answer(Box::new(Answer { head, body, meta, claim: c })),
             None => {
                 self.counts.broken.fetch_add(1, SeqCst);
@@ -537,16 +549,20 @@
         }
     }
 
-    async fn exchange(&self, s: &Shot, c: &Claim) -> Result<(Response<Incoming>, Link), Failed> {
+    async fn exchange(&self, s: &Shot, c: &Claim, route: &Route) -> Result<(Response<Incoming>, Link), Failed> {
         let mut stale = 0;
         loop {
             let mut link = match self.pool.take(&c.to.server, self.w.now(), stale > 0) {
                 Some(l) => l,
                 None => self.pool.dial(&self.w, &c.to, DIAL_WAIT).await.map_err(|_| Failed::Unsent)?,
             };
+            let now = self.w.now();
+            if now >= s.until || !self.still_holds(s, &c.to, route) {
+                return Err(Failed::Withdrawn);
+            }
             let fresh = link.fresh;
             self.counts.sent.fetch_add(1, SeqCst);
-            match link.ask(self.request(s, &c.to)).await {
+            match link.ask(&self.w, self.request(s, &c.to), s.until.min(now + SEND_WITHIN)).await {
                 Ok(r) => return Ok((r, link)),
                 Err(Failed::Unsent) if !fresh && stale < 3 => stale += 1,
                 Err(e) => return Err(e),
@@ -554,6 +570,17 @@
         }
     }
 
+    /// Whether the newest configuration and list would still let the request go to this server: a process may stand
+    /// still, or wait for a connection, after it has chosen.
+    fn still_holds(&self, s: &Shot, to: &Listed, route: &Route) -> bool {
+        let config = self.book.config.load();
+        let routed = config.1.routing.find(&s.host, s.head.uri.path()).is_some_and(|now| {
+            let same_kind = now.mode == route.mode && now.retained == route.retained;
+            same_kind && now.variants.iter().any(|(service, weight)| *service == to.service && *weight > 0)
+        });
+        routed && self.book.list.load().1.servers.iter().any(|l| l == to)
+    }
+
     fn request(&self, s: &Shot, to: &Listed) -> Request<Full<Bytes>> {
         let mut q = Request::new(Full::new(s.body.clone()));
         *q.method_mut() = s.head.method.clone();
--- a/yewcross-lab/tests/relay.rs
+++ b/yewcross-lab/tests/relay.rs
@@ -920,6 +920,68 @@
     assert_eq!((h.status, rig.runs("t").len()), (502, 1), "{h:?}");
 }
 
+/// A front that stood still between the choice of a server and the first byte to it, whatever changed meanwhile.
+#[test]
+fn a_front_that_wakes_sends_nothing_that_it_chose_before() {
+    type Change = fn(&Rig);
+    let changes: [(&str, Change); 4] = [
+        ("its deadline is over", |_| {}),
+        ("its route goes elsewhere", |r| r.configure(2, json!([route("once", "effectful", "b", 3)]))),
+        ("its server is leaving", |r| r.list(2, &[Listed { leaving: true, ..r.listed(0, "a") }])),
+        ("its server is gone", |r| r.list(2, &[])),
+    ];
+    let (mut caught, mut served, mut wrong) = (0, 0, vec![]);
+    for (what, change) in changes {
+        for step in 0..150 {
+            let rig = Rig::new(3_000 + step, 1);
+            // A kept connection for every second of them.
+            if step % 2 == 0 {
+                assert_eq!(rig.ask("first", "/once/x", &[], "b").status, 200);
+            }
+            let (patience, still) = if what.starts_with("its deadline") { ("900", 2 * SEC) } else { ("2900", SEC) };
+            let (taken, seen) = (rig.relay.counts.all()["taken"], rig.floor.seen.load(SeqCst));
+            let h = rig.with(move |r, w| {
+                Box::pin(async move {
+                    let (r2, w2) = (r.clone(), w.clone());
+                    let heads = vec![("patience".to_string(), patience.to_string())];
+                    let one =
+                        w.fan(vec![Box::pin(async move { call(&w2, r2.door, "t", "/once/x", &heads, "b").await }) as Fut<'static, Heard>]);
+                    w.sleep(step * 10).await;
+                    let front = r.sim.find("front");
+                    r.sim.freeze(front);
+                    w.sleep(20 * MS).await;
+                    let (had, ran) = (r.relay.counts.all()["taken"] > taken, r.floor.seen.load(SeqCst) > seen);
+                    w.sleep(still).await;
+                    change(&r);
+                    r.sim.thaw(front);
+                    let h = one.recv().await.unwrap();
+                    (h, had, ran)
+                })
+            });
+            let (h, had, ran) = h;
+            let runs = rig.runs("t").len();
+            match (had, ran) {
+                (true, false) => {
+                    caught += 1;
+                    if (h.status, runs) != (503, 0) {
+                        wrong.push(format!("{what}, frozen {} us after the call: {} and {runs} runs", step * 10, h.status));
+                    }
+                }
+                (true, true) => {
+                    served += 1;
+                    if runs != 1 || h.status == 503 {
+                        wrong.push(format!("{what}, sent before the freeze: {} and {runs} runs", h.status));
+                    }
+                }
+                // The request itself had not been read: it is dealt with as one that comes after the freeze.
+                (false, _) => assert!(runs <= 1 && (h.status != 503 || runs == 0), "{what}: {h:?}"),
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{} of {caught}: {wrong:#?}", wrong.len());
+    assert!(caught > 20 && served > 20, "{caught} {served}");
+}
+
 #[test]
 fn events_pass_as_they_come_and_the_end_only_after_the_turn_is_kept() {
     let rig = Rig::new(70, 2);
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -252,6 +252,9 @@
 /// count. Programs whose owner a front remembers.
 pub const CHAIN_OWNERS: usize = 16_384;
 
+/// us. From the last check of a server that was chosen to the first byte sent to it. Between the two lies one turn of
+/// the scheduler, some ms on a slow machine; a process that stood still for longer has to choose anew.
+pub const SEND_WITHIN: u64 = 250 * MS;
 /// us. Idle time of a server's connection where the server names none.
 pub const LINK_IDLE: u64 = 5 * SEC;
 /// us. An idle connection is given up this long before the server would close it.
