Split the simulated scenarios into a folder by job

It is now a folder: lab (deployment), scenario (faults by name, plans), faults/ (one function each, by what they strike), evidence, run, long_day and checks/ (by what is checked). What a faulty front needs around it moved to rogue.rs, which ends the circle.

--- a/yewcross-lab/src/rogue.rs
+++ b/yewcross-lab/src/rogue.rs
@@ -1,6 +1,8 @@
 //! A front that breaks its promises, one at a time, to show that each checker can fail.
 
-use crate::proof::Lab;
+use crate::proof::evidence::Ack;
+use crate::proof::lab::Lab;
+use crate::standin::Spec;
 use http_types::Response;
 use serde_json::{Value, json};
 use std::sync::Arc;
@@ -43,8 +45,29 @@
     http::serve(w, door, h, Arc::new(Gate::default())).await;
 }
 
+/// What a rogue needs around it to show its fault.
+pub async fn prepare(lab: &Arc<Lab>, sin: Sin) {
+    match sin {
+        Sin::UsesLeaving => lab.leave("m1"),
+        Sin::UsesStranger => {
+            let b = Spec { server: "x9".into(), addr: crate::proof::lab::stranger(), ..lab.sh.backs[0].clone() };
+            let m = lab.sim.machine("x9", &b.site, b.addr.ip());
+            lab.boot_back(lab.sim.boot(m), b);
+        }
+        Sin::Drops => lab.planned.lock().unwrap().push((lab.sim.now(), lab.sim.now())),
+        Sin::OldConfig => {
+            lab.put("core1", 2, "newer").await;
+        }
+        Sin::FalseAck => {
+            let a = Ack { sent: 0, at: lab.sim.now(), base: 2, mark: "never".into(), code: 1000, version: 9 };
+            lab.acks.lock().unwrap().push(a);
+        }
+        _ => {}
+    }
+}
+
 async fn at_server(r: &Rogue, job: &str, v: &Value, server: &str) -> Value {
-    let b = r.lab.sh.backs.iter().find(|b| b.server == server).map(|b| b.addr).unwrap_or(crate::proof::stranger());
+    let b = r.lab.sh.backs.iter().find(|b| b.server == server).map(|b| b.addr).unwrap_or(crate::proof::lab::stranger());
     let q = json!({"job": job, "session": format!("session/{}/{}", v["program"].as_str().unwrap_or(""), v["session"].as_str().unwrap_or("")),
         "program": v["program"], "prompt": "hello\t", "max_output": v["max_output"], "horizon_ms": 6000});
     let got = fetch(&r.w, b, http_types::Method::Post, "/turn", &[], q.to_string().into_bytes(), 5 * SEC).await;
