Split a front's turns by step, and the table of servers from its polling

turn/ holds request, answer, states, drive, place, attempt, commit and end_session; server_table.rs holds what is known of the servers, below judge and kv, so that the circle is gone.

--- a/yewcross-front/src/judge.rs
+++ b/yewcross-front/src/judge.rs
@@ -1,6 +1,6 @@
 //! Small judges vote on every server for every job; the highest sum is picked.
 
-use crate::news::Server;
+use crate::server_table::Server;
 use yewcross::ask::{Kv, Place};
 use yewcross::consts::*;
 use yewcross::tree::Family;
--- a/yewcross-front/src/kv.rs
+++ b/yewcross-front/src/kv.rs
@@ -2,7 +2,7 @@
 
 use crate::back;
 use crate::judge::{self, Weights};
-use crate::{Front, news};
+use crate::{Front, server_table};
 use lru::LruCache;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -113,7 +113,7 @@
         self.shard(key).lock().unwrap().pop(key);
     }
 
-    fn flows(&self, t: u64, servers: &[news::Server]) {
+    fn flows(&self, t: u64, servers: &[server_table::Server]) {
         let mut g = self.flow.lock().unwrap();
         g.retain(|n, _| servers.iter().any(|s| s.at.server == *n));
         servers.iter().filter(|s| s.report.cache > 0).for_each(|s| {
@@ -128,7 +128,7 @@
     }
 
     /// Whether what is placed there now is likely to stand for `KV_STANDS`.
-    fn roomy(&self, s: &news::Server, tokens: u64) -> bool {
+    fn roomy(&self, s: &server_table::Server, tokens: u64) -> bool {
         let g = self.flow.lock().unwrap();
         let Some(e) = g.get(&s.at.server).filter(|e| e.inst == s.report.inst) else { return false };
         let fast = s.report.placed.saturating_sub(e.from).max(e.last.unwrap_or(0));
@@ -213,7 +213,7 @@
 async fn bring(f: &Arc<Front>, x: Due) {
     let Due { key, service, replica, tell } = x;
     let newer = f.replicas.lock().unwrap().get(&key).is_some_and(|p| p.digest != replica.digest);
-    let servers = news::fit(f, &service);
+    let servers = server_table::fit(f, &service);
     let Some(s) = servers.iter().find(|s| s.at.server == replica.server && s.report.inst == replica.inst).filter(|_| !newer) else {
         return;
     };
@@ -262,7 +262,7 @@
 /// Sessions whose home has begun to leave or has fallen silent since the last look: their replicas are brought in.
 pub fn watch(f: &Arc<Front>) {
     let conf = f.book.config.load_full();
-    let servers: Vec<news::Server> = conf.1.services.keys().flat_map(|s| news::fit(f, s)).collect();
+    let servers: Vec<server_table::Server> = conf.1.services.keys().flat_map(|s| server_table::fit(f, s)).collect();
     f.spares.flows(f.w.now(), &servers);
     let fit: BTreeSet<String> = servers.into_iter().map(|s| s.at.server).collect();
     let was = std::mem::replace(&mut *f.spares.fit.lock().unwrap(), fit.clone());
@@ -282,9 +282,9 @@
 /// A replica has just arrived: it is brought in at once where the target's cache turns over slowly, and else where the home
 /// is nearly full, or no longer takes turns, and the target has places.
 fn after(f: &Arc<Front>, x: &Fresh, replica: Place) {
-    let servers = news::fit(f, &x.fam.service);
+    let servers = server_table::fit(f, &x.fam.service);
     let at = |n: &str| servers.iter().find(|s| s.at.server == n);
-    let full = |s: &news::Server| s.occupied() as u64 * 100 >= s.report.slots as u64 * KV_NEAR_FULL;
+    let full = |s: &server_table::Server| s.occupied() as u64 * 100 >= s.report.slots as u64 * KV_NEAR_FULL;
     let Some(to) = at(&replica.server) else { return };
     let press = x.kv.home.as_ref().and_then(|h| at(&h.server)).is_none_or(full) && !full(to);
     if press || f.spares.roomy(to, replica.tokens) {
@@ -369,7 +369,7 @@
     if !fam.kv_share || !big {
         return None;
     }
-    let servers = news::fit(f, &fam.service);
+    let servers = server_table::fit(f, &fam.service);
     let at = servers.iter().find(|s| s.at.server == home.server).cloned()?;
     let here = judge::Home { server: home.server.clone(), site: at.at.site.clone() };
     let to = judge::spill(&servers, key, &here, &Weights::from(fam)).cloned()?;
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod pool;
 pub mod relay;
 pub mod scan;
+pub mod server_table;
 pub mod turn;
 
 use http_types::{Method, Response};
@@ -86,7 +87,7 @@
     pub pool: back::Pool,
     pub lines: line::Lines,
     pub links: Links,
-    pub heard: Mutex<BTreeMap<String, news::Heard>>,
+    pub heard: Mutex<BTreeMap<String, server_table::Heard>>,
     /// What this node last told of each server as its home.
     pub told: Mutex<BTreeMap<String, Report>>,
     /// Jobs sent to a server since its last report.
@@ -447,7 +448,7 @@
         (Method::Post, "/v1/turn") => turn::answer(f, j, nonce).await,
         (Method::Post, "/v1/session/end") => turn::end(f, j).await,
         (Method::Post, "/v1/lookup") => lookup::answer(f, j, nonce).await,
-        (Method::Get, "/v1/servers") => reply(200, &news::table(&f)),
+        (Method::Get, "/v1/servers") => reply(200, &server_table::table(&f)),
         (Method::Get, "/health") => {
             let ok = f.follow.serving();
             let v: BTreeMap<String, u64> = f.book.have().into_iter().collect();
--- a/yewcross-front/src/lookup.rs
+++ b/yewcross-front/src/lookup.rs
@@ -3,7 +3,7 @@
 use crate::back::{Sent, Stamp};
 use crate::judge::{self, Case, Weights};
 use crate::turn::name_ok;
-use crate::{Front, news};
+use crate::{Front, server_table};
 use http_types::Response;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -73,7 +73,7 @@
     let horizon = t0 + b.horizon_ms.min(svc.horizon_ms) * MS;
     let patience = t0 + (horizon - t0) * PATIENCE / 100;
     let room = || {
-        let v = news::fit(&f, &b.service);
+        let v = server_table::fit(&f, &b.service);
         (v.iter().map(|s| s.free()).sum(), v.iter().map(|s| s.report.slots).sum())
     };
     let cap = (svc.line, svc.urgent_share);
@@ -116,7 +116,7 @@
     let mut lost = false;
     let won = loop {
         let left = horizon.saturating_sub(f.w.now() + HORIZON_SPARE / 2);
-        let servers = news::fit(&f, &b.service);
+        let servers = server_table::fit(&f, &b.service);
         let case = Case { key: &b.key, site: &f.st.site, tokens: 0, max_out: 0, kv: &none, left };
         let p = judge::pick(&servers, &case, &Weights::from(&fam), &not);
         let Some(p) = p.filter(|_| left > 0 && f.follow.serving()) else {
@@ -139,7 +139,7 @@
             not.push(at.server.clone());
             continue;
         };
-        if !f.follow.serving() || !news::fit(&f, &b.service).iter().any(|s| s.at == *at) {
+        if !f.follow.serving() || !server_table::fit(&f, &b.service).iter().any(|s| s.at == *at) {
             continue;
         }
         let _claim = f.claim(&at.server);
--- a/yewcross-front/src/news.rs
+++ b/yewcross-front/src/news.rs
@@ -1,57 +1,15 @@
 //! What is known of the servers: home nodes poll and tell, everyone keeps a table.
 
 use crate::Front;
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use crate::server_table::{Heard, home_of};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross::ask::*;
 use yewcross::consts::*;
 use yewcross::http;
-use yewcross::member::Node;
 use yewcross::startup::Role;
 use yewcross::world::*;
 
-#[derive(Clone, Debug, Default)]
-pub struct Heard {
-    pub report: Report,
-    pub at: u64,
-}
-
-/// A server as the judges see it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Server {
-    pub at: Listed,
-    pub report: Report,
-    pub age: u64,
-    pub mine: u32,
-    pub slow: u32,
-}
-
-impl Server {
-    pub fn occupied(&self) -> u32 {
-        self.report.running + self.report.waiting + self.mine
-    }
-    pub fn free(&self) -> u32 {
-        self.report.slots.saturating_sub(self.occupied())
-    }
-    /// Whether a prefix placed there is still held, from counts alone.
-    pub fn holds(&self, p: &Place) -> bool {
-        p.server == self.at.server
-            && p.inst == self.report.inst
-            && p.weights == self.report.weights
-            && self.report.placed.saturating_sub(p.mark).saturating_add(p.tokens) <= self.report.cache
-    }
-}
-
-/// The front of a site that polls and tells for a service there; of any site where that one has none.
-pub fn home_of(fronts: &[Node], service: &str, site: &str) -> Option<String> {
-    let near: Vec<&str> = fronts.iter().filter(|n| n.site == site).map(|n| n.name.as_str()).collect();
-    let all: Vec<&str> = fronts.iter().map(|n| n.name.as_str()).collect();
-    let from = if near.is_empty() { all } else { near };
-    yewcross::hash::ranked(service, from.into_iter()).first().map(|s| s.to_string())
-}
-
 fn home(f: &Front, service: &str, site: &str) -> Option<String> {
     home_of(&f.members.alive(Role::Front), service, site)
 }
@@ -174,37 +132,3 @@
         });
     }
 }
-
-/// Servers that may take a job of the service now: allowed, listed, heard of, not leaving.
-pub fn fit(f: &Front, svc: &str) -> Vec<Server> {
-    let conf = f.book.config.load();
-    let Some(s) = conf.1.services.get(svc) else { return vec![] };
-    let t = f.w.now();
-    let heard = f.heard.lock().unwrap();
-    let sent = f.sent.lock().unwrap();
-    let slow = f.slow.lock().unwrap();
-    f.book
-        .list
-        .load()
-        .1
-        .servers
-        .iter()
-        .filter(|l| l.service == svc && !l.leaving && s.allows(&l.server))
-        .filter_map(|l| {
-            let h = heard.get(&l.server)?;
-            let age = t.saturating_sub(h.at);
-            let ok = !h.report.leaving && age < REPORT_LOST && h.report.service == svc;
-            ok.then(|| Server {
-                at: l.clone(),
-                report: h.report.clone(),
-                age,
-                mine: sent.get(&l.server).cloned().unwrap_or(0),
-                slow: slow.get(&l.server).filter(|x| t < x.1).map(|x| x.0).unwrap_or(0),
-            })
-        })
-        .collect()
-}
-
-pub fn table(f: &Front) -> BTreeMap<String, Vec<Server>> {
-    f.book.config.load().1.services.keys().map(|s| (s.clone(), fit(f, s))).collect()
-}
--- /dev/null
+++ b/yewcross-front/src/turn/drive.rs
@@ -0,0 +1,178 @@
+//! The steps of a turn, and what follows when one fails.
+
+use crate::turn::answer::{Event, Kept, Out, no};
+use crate::turn::attempt::{Shot, cancel, shot, shot_id};
+use crate::turn::commit::{close, keep, lost};
+use crate::turn::place::place;
+use crate::turn::request::{TurnBody, tokens};
+use crate::turn::state::{Begun, Read};
+use crate::{Front, kv, server_table};
+use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use yewcross::ask::{Ask, Listed, Tell};
+use yewcross::code::Code;
+use yewcross::consts::{BACK_SOON, HORIZON_SPARE, MS, PATIENCE};
+use yewcross::hash::mark;
+use yewcross::tree::Placed;
+
+pub(super) async fn drive(f: Arc<Front>, b: TurnBody, t0: u64, nonce: u64, out: Out) {
+    f.counts.turns.fetch_add(1, SeqCst);
+    if !f.follow.serving() {
+        return no(&out, Code::NotServing, "", BACK_SOON).await;
+    }
+    let conf = f.book.config.load_full();
+    let Some(Placed { eff: fam, .. }) = conf.1.families.get(&b.program).cloned() else {
+        return no(&out, Code::UnknownProgram, &b.program, 0).await;
+    };
+    if b.budget != fam.budget {
+        return no(&out, Code::WrongBudget, &b.budget, 0).await;
+    }
+    let horizon = t0 + b.horizon_ms.min(fam.horizon_ms) * MS;
+    let key = format!("session/{}/{}", b.program, b.session);
+    let max_out = b.max_output.unwrap_or(fam.max_output).min(fam.max_output);
+    let cap = conf.1.services.get(&fam.service).map(|s| (s.line, s.urgent_share)).unwrap_or((1, 0));
+    let room = || {
+        let v = server_table::fit(&f, &fam.service);
+        (v.iter().map(|s| s.free()).sum(), v.iter().map(|s| s.report.slots).sum())
+    };
+    // A session not on hand may be new: then all of its prompt must be read.
+    let fresh = if f.hand.lock().unwrap().contains_key(&key) { 0 } else { tokens(b.messages.iter().map(|m| m.text.len()).sum()) };
+    let needs = |s: &server_table::Server| s.report.per_out * max_out + s.report.per_k * fresh / 1000;
+    let least = server_table::fit(&f, &fam.service).iter().map(needs).min().unwrap_or(0) + HORIZON_SPARE;
+    let patience = t0 + (horizon - t0) * PATIENCE / 100;
+    let mut pass = match f.lines.enter(&f.w, &fam.service, fam.class, horizon, cap, patience, least, room).await {
+        Ok(p) => Some(p),
+        Err((c, back)) => return no(&out, c, "", back).await,
+    };
+    let r = Read { b, fam, key, horizon, patience, max_out };
+    let mut g = match begin(&f, r, nonce, &out).await {
+        Some(g) => g,
+        None => return,
+    };
+    kv::begins(&f, &g.r.key, g.epoch);
+    let mut not: Vec<String> = vec![];
+    let ran = loop {
+        let Some((p, b)) = place(&f, &mut g, &mut not, &mut pass).await else {
+            if g.lost {
+                return lost(&f, g, &out).await;
+            }
+            f.abort(&g.r.key, &g.r.b.job, g.nonce, purse(&f, &g.r));
+            let c = if server_table::fit(&f, &g.r.fam.service).is_empty() { Code::NoServer } else { Code::TooLate };
+            return no(&out, c, "", BACK_SOON).await;
+        };
+        let claim = f.claim(&p.server.at.server);
+        let s = shot(&f, g, &p, b, &out).await;
+        drop(claim);
+        match s {
+            Shot::Ran(r) => {
+                f.calm(&p.server.at.server);
+                break *r;
+            }
+            Shot::Left(back, used) => {
+                close(&f, *back, Code::Cancelled, used).await;
+                return;
+            }
+            Shot::NotRun(back) => {
+                not.push(p.server.at.server.clone());
+                g = *back;
+            }
+            Shot::Lost(mut back, sent_any) => {
+                f.slowed(&p.server.at.server);
+                back.lost = true;
+                let again = back.r.fam.repeatable && !sent_any && f.w.now() + HORIZON_SPARE < back.r.horizon;
+                if !again || !another(&f, &mut back, &p.server.at).await {
+                    lost(&f, *back, &out).await;
+                    return;
+                }
+                not.push(p.server.at.server.clone());
+                g = *back;
+            }
+        }
+    };
+    drop(pass);
+    keep(f, ran, &out).await;
+}
+
+/// The budget that a turn spends from, if the configuration limits it.
+pub(super) fn purse(f: &Front, r: &Read) -> Option<String> {
+    f.book.config.load().1.budgets.contains_key(&r.fam.budget).then(|| r.fam.budget.clone())
+}
+
+/// The lost shot may yet put out all it was allowed: the next one needs a reservation of its own, which stays spent.
+async fn another(f: &Arc<Front>, g: &mut Begun, was: &Listed) -> bool {
+    let (me, at, svc, job) = (f.clone(), was.clone(), g.r.fam.service.clone(), shot_id(g));
+    f.w.go(async move {
+        cancel(&me, &at, &svc, &job).await;
+    });
+    g.shot = f.w.rand();
+    let limit = f.book.config.load().1.budgets.get(&g.r.fam.budget).map(|b| b.tokens);
+    let Some(limit) = limit else { return true };
+    let (budget, entry) = (g.r.fam.budget.clone(), format!("{}|{}|{}", g.r.key, g.r.b.job, g.shot));
+    let (key, job, nonce) = (g.r.key.clone(), g.r.b.job.clone(), g.shot);
+    let a = Ask::Reserve { budget: budget.clone(), entry: entry.clone(), amount: g.r.max_out, limit, key, job, nonce, keep: 0 };
+    let at = format!("budget/{budget}");
+    if !matches!(f.store(&at, &a, &[], 1).await, Some((Tell::Ok, _))) {
+        return false;
+    }
+    f.store(&at, &Ask::Settle { budget, entry, used: None }, &[], 1).await;
+    true
+}
+
+/// One round trip: the record is ours under a new epoch, the budget holds our reservation.
+async fn begin(f: &Arc<Front>, r: Read, nonce: u64, out: &Out) -> Option<Begun> {
+    let ask = {
+        let mut v = serde_json::to_vec(&r.b.messages).unwrap_or_default();
+        v.push(b'\t');
+        v
+    };
+    let limit = f.book.config.load().1.budgets.get(&r.fam.budget).map(|b| b.tokens);
+    let hand = f.hand.lock().unwrap().get(&r.key).cloned();
+    let body = serde_json::to_vec(&(&r.b.program, &r.b.session, &r.b.messages, r.b.max_output)).unwrap_or_default();
+    let a = Ask::Begin(yewcross::ask::Begin {
+        key: r.key.clone(),
+        job: r.b.job.clone(),
+        digest: mark(&body),
+        nonce,
+        front: f.st.name.clone(),
+        left: (r.horizon.saturating_sub(f.w.now())) / MS,
+        budget: limit.map(|l| (r.fam.budget.clone(), l)),
+        max_out: r.max_out,
+        keep: r.fam.keep_ms,
+        hand: hand.as_ref().map(|h| (h.len() as u64, mark(h))),
+    });
+    match f.store_until(&r.key, &a, &[], 3, r.patience).await {
+        Some((Tell::Begun(g), blob)) => {
+            let hist = if g.whole { blob } else { hand.unwrap_or_default() };
+            let all = tokens(hist.len() + ask.len());
+            if all > r.fam.max_prompt {
+                f.abort(&r.key, &r.b.job, nonce, purse(f, &r));
+                no(out, Code::TooLarge, "the prompt with its history passes max_prompt", 0).await;
+                return None;
+            }
+            Some(Begun { nonce, shot: nonce, lost: false, epoch: g.epoch, kv: g.kv, hist, ask, r })
+        }
+        Some((Tell::Kept { .. }, blob)) => {
+            f.counts.replayed.fetch_add(1, SeqCst);
+            match serde_json::from_slice::<Kept>(&blob) {
+                Ok(k) => {
+                    let _ = out.send(Event::End(Box::new(k), 1, true)).await;
+                }
+                Err(_) => no(out, Code::Forgotten, "", 0).await,
+            }
+            None
+        }
+        Some((Tell::No(Code::Undecided | Code::StoreAway), _)) | None => {
+            f.abort(&r.key, &r.b.job, nonce, purse(f, &r));
+            no(out, Code::StoreAway, "", BACK_SOON).await;
+            None
+        }
+        Some((Tell::No(c), _)) => {
+            no(out, c, "", c.back()).await;
+            None
+        }
+        Some(_) => {
+            no(out, Code::StoreAway, "", BACK_SOON).await;
+            None
+        }
+    }
+}
--- /dev/null
+++ b/yewcross-front/src/turn/end_session.rs
@@ -0,0 +1,45 @@
+//! The end of a session: its history is forgotten and its replica dropped.
+
+use crate::turn::request::name_ok;
+use crate::{Front, kv};
+use http_types::Response;
+use serde::Deserialize;
+use serde_json::json;
+use std::sync::Arc;
+use yewcross::ask::{Ask, Tell};
+use yewcross::code::Code;
+use yewcross::consts::BACK_SOON;
+use yewcross::http::{Job, refuse, reply};
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EndBody {
+    program: String,
+    session: String,
+}
+
+/// The session is over: its history is forgotten and its replica dropped.
+pub async fn end(f: Arc<Front>, j: Job) -> Response {
+    let b: EndBody = match serde_json::from_slice(&j.body) {
+        Ok(b) => b,
+        Err(e) => return refuse(Code::BadBody, &e.to_string(), 0),
+    };
+    if !name_ok(&b.program) || !name_ok(&b.session) {
+        return refuse(Code::BadField, "program or session", 0);
+    }
+    let Some(p) = f.book.config.load().1.families.get(&b.program).cloned() else { return refuse(Code::UnknownProgram, &b.program, 0) };
+    let key = format!("session/{}/{}", b.program, b.session);
+    match f.store(&key, &Ask::End { key: key.clone() }, &[], 3).await {
+        Some((Tell::Ended { kv }, _)) => {
+            let pushed = f.replicas.lock().unwrap().remove(&key);
+            f.spares.forget(&key);
+            f.hand.lock().unwrap().remove(&key);
+            for at in kv.replica.into_iter().chain(pushed).chain(kv.home) {
+                kv::drop_at(&f, &p.eff.service, &key, &at.server).await;
+            }
+            reply(200, &json!({"code": Code::Done.number(), "ended": true}))
+        }
+        Some((Tell::No(c), _)) => refuse(c, "", c.back()),
+        _ => refuse(Code::StoreAway, "", BACK_SOON),
+    }
+}
--- /dev/null
+++ b/yewcross-front/src/turn/place.rs
@@ -0,0 +1,86 @@
+//! Chooses a server and connects to it.
+
+use crate::back::{Back, Verified};
+use crate::judge::{Case, Pick, Warmth, Weights};
+use crate::kv::Due;
+use crate::line::Pass;
+use crate::turn::request::tokens;
+use crate::turn::state::Begun;
+use crate::{Front, judge, kv, server_table};
+use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use yewcross::ask::Place;
+use yewcross::consts::{HORIZON_SPARE, MS};
+
+/// The judges' pick, with a verified connection to it. No import is waited for: while the session's home is full, its
+/// replica is brought in beside the wait, and a turn that must move before that is served cold.
+pub(super) async fn place(
+    f: &Arc<Front>,
+    g: &mut Begun,
+    not: &mut Vec<String>,
+    pass: &mut Option<Pass<'_>>,
+) -> Option<(Pick, Back<Verified>)> {
+    let w = Weights::from(&g.r.fam);
+    let began = f.w.now();
+    let mut asked = false;
+    loop {
+        let left = g.r.horizon.checked_sub(f.w.now() + HORIZON_SPARE)?;
+        if !f.follow.serving() {
+            return None;
+        }
+        let servers = server_table::fit(f, &g.r.fam.service);
+        if servers.iter().all(|s| not.contains(&s.at.server)) {
+            return None;
+        }
+        let kv = kv::known(f, &g.r.key, &g.kv);
+        let case =
+            Case { key: &g.r.key, site: &f.st.site, tokens: tokens(g.hist.len() + g.ask.len()), max_out: g.r.max_out, kv: &kv, left };
+        let mut beside = || {
+            let due = |r: Place| Due { key: g.r.key.clone(), service: g.r.fam.service.clone(), replica: r, tell: false };
+            let room = |r: &&Place| !r.digest.is_empty() && servers.iter().any(|s| s.at.server == r.server && s.free() > 0);
+            if let Some(r) = kv.replica.as_ref().filter(room)
+                && !std::mem::replace(&mut asked, true)
+            {
+                kv::ahead(f, due(r.clone()), true);
+            }
+        };
+        let Some(p) = judge::pick(&servers, &case, &w, not) else {
+            let could = servers.iter().filter(|s| !not.contains(&s.at.server));
+            let hopeless = could.map(|s| judge::takes(s, &case, &judge::warmth(s, &case))).all(|t| t > left);
+            if hopeless || f.w.now() > g.r.patience {
+                return None;
+            }
+            beside();
+            f.w.sleep(20 * MS).await;
+            continue;
+        };
+        // A full home is waited for no longer than the move would cost over staying.
+        let stay = servers.iter().find(|s| g.kv.home.as_ref().is_some_and(|h| h.server == s.at.server) && !not.contains(&s.at.server));
+        let stay = stay.filter(|s| p.server.at.server != s.at.server).map(|s| (s, judge::warmth(s, &case)));
+        if let Some((s, m @ Warmth::Held(_))) = stay {
+            let more = p.takes.saturating_sub(judge::takes(s, &case, &m));
+            if f.w.now() < (began + more.min(left.saturating_sub(p.takes))).min(g.r.patience) {
+                *pass = None;
+                beside();
+                f.w.sleep(20 * MS).await;
+                continue;
+            }
+        }
+        let at = &p.server.at;
+        let b = match f.pool.get(&f.w, &g.r.fam.service, &at.server, at.addr).await {
+            Ok(b) => b,
+            Err(e) => {
+                if e.kind() == std::io::ErrorKind::PermissionDenied {
+                    f.counts.strangers.fetch_add(1, SeqCst);
+                }
+                f.slowed(&at.server);
+                not.push(at.server.clone());
+                continue;
+            }
+        };
+        if matches!(p.warmth, Warmth::Import(_)) {
+            f.counts.unready.fetch_add(1, SeqCst);
+        }
+        return Some((p, b));
+    }
+}
--- a/yewcross-front/tests/kv.rs
+++ b/yewcross-front/tests/kv.rs
@@ -4,7 +4,7 @@
 use yewcross::consts::{KV_MIN_TOKENS, SEC};
 use yewcross::tree::Family;
 use yewcross_front::judge::{Case, Home, Warmth, Weights, pick, spill, takes, warmth};
-use yewcross_front::news::Server;
+use yewcross_front::server_table::Server;
 
 fn server(n: &str, running: u32) -> Server {
     let at = Listed { server: n.into(), service: "llm".into(), addr: ([127, 0, 0, 1], 1).into(), site: "a".into(), leaving: false };
--- a/yewcross-lab/src/proof/faults/processes.rs
+++ b/yewcross-lab/src/proof/faults/processes.rs
@@ -100,7 +100,7 @@
         let server = self.any_back(true);
         let site = self.sh.backs.iter().find(|b| b.server == server).map(|b| b.site.clone()).unwrap_or_default();
         let fronts: Vec<_> = self.front("front1").map(|f| f.members.alive(Role::Front)).unwrap_or_default();
-        let n = yewcross_front::news::home_of(&fronts, "llm", &site).unwrap_or("front1".into());
+        let n = yewcross_front::server_table::home_of(&fronts, "llm", &site).unwrap_or("front1".into());
         s.kill(s.find(&n), false);
         self.hard(&n);
         if act == Act::LeavingHomeDies {
--- a/yewcross-lab/tests/defects.rs
+++ b/yewcross-lab/tests/defects.rs
@@ -288,7 +288,7 @@
             });
             // By now all are made: 6,000 tokens take 24 s, in two rounds at most.
             lab.op.sleep(50 * SEC).await;
-            let held: u32 = yewcross_front::news::fit(&f, "llm").iter().map(|s| s.report.running).sum();
+            let held: u32 = yewcross_front::server_table::fit(&f, "llm").iter().map(|s| s.report.running).sum();
             let t0 = lab.sim.now();
             let g = f.clone();
             let stopped = lab.op.within(60 * SEC, async move { g.stop().await }).await;
--- a/yewcross-plan/src/lib.rs
+++ b/yewcross-plan/src/lib.rs
@@ -17,7 +17,7 @@
 use yewcross::world::World;
 use yewcross_control::layout::{Move, propose};
 use yewcross_front::judge::{self, Home, Weights};
-use yewcross_front::news::{Server, home_of};
+use yewcross_front::server_table::{Server, home_of};
 
 #[derive(Debug, Snafu)]
 pub enum Fault {
