Split the store's records, sessions and budgets

It is now a folder: the record of a session, the record of a budget, what is done to sessions, what is done to budgets.

--- /dev/null
+++ b/yewcross-control/src/store/sessions.rs
@@ -0,0 +1,278 @@
+//! Sessions: a turn begins, is committed or aborted; the session ends or expires.
+
+use crate::store::Store;
+use crate::store::purse::purse_key;
+use crate::store::record::{Record, Run};
+use std::sync::Arc;
+use yewcross::ask::{Ask, Begin, Begun, Commit, Kv, Tell};
+use yewcross::code::Code;
+use yewcross::consts::{BAR_KEPT, HORIZON_MAX, KEEP_MAX, MS, OUTCOMES_KEPT, PEER_WAIT, RUN_GRACE};
+use yewcross::reg::{Step, Trouble};
+
+#[allow(clippy::large_enum_variant)]
+enum Pre {
+    Go(Begun, Vec<u8>, Option<Run>),
+    Kept(Code, String),
+    No(Code),
+}
+
+fn entry(b: &Begin) -> String {
+    format!("{}|{}|{}", b.key, b.job, b.nonce)
+}
+
+impl Store {
+    pub async fn begin(self: &Arc<Self>, b: Begin) -> (Tell, Vec<u8>) {
+        let seen = self.owner.hint(&b.key).is_some_and(|v| {
+            let r = Record::read(&v);
+            r.head.marks.iter().any(|m| m.job == b.job) || r.head.running.as_ref().is_some_and(|x| self.wall() < x.until)
+        });
+        let mut reserve = b.budget.clone().filter(|_| !seen);
+        if let Some((name, limit)) = reserve.clone() {
+            let a = Ask::Reserve {
+                budget: name.clone(),
+                entry: entry(&b),
+                amount: b.max_out,
+                limit,
+                key: b.key.clone(),
+                job: b.job.clone(),
+                nonce: b.nonce,
+                keep: b.keep,
+            };
+            match (self.route)(purse_key(&name), a).await {
+                Some(Tell::Ok) => {}
+                // Given back already: this shot may be looked at, and not begun.
+                Some(Tell::No(Code::Conflict)) => reserve = None,
+                Some(Tell::No(c)) => return (Tell::No(c), vec![]),
+                _ => return (Tell::No(Code::StoreAway), vec![]),
+            }
+        }
+        let wall = self.wall();
+        let got = self
+            .owner
+            .change(&b.key, PEER_WAIT, |_, v| {
+                let mut r = Record::read(v);
+                if let Some(m) = r.head.marks.iter().find(|m| m.job == b.job) {
+                    if m.digest != b.digest {
+                        return Step::Keep(Pre::No(Code::OtherBody));
+                    }
+                    let kept = r.head.kept.iter().find(|k| k.0 == b.job).map(|k| k.1.clone());
+                    return Step::Keep(match (m.code, kept) {
+                        (Code::Done, Some(k)) => Pre::Kept(m.code, k),
+                        (Code::Done, None) => Pre::No(Code::Forgotten),
+                        (c, _) => Pre::No(c),
+                    });
+                }
+                if r.head.barred.contains(&b.nonce) {
+                    return Step::Keep(Pre::No(Code::StoreAway));
+                }
+                if r.ran_before(&b.job) {
+                    return Step::Keep(Pre::No(Code::Forgotten));
+                }
+                let mut closed = None;
+                if let Some(x) = &r.head.running {
+                    if x.job == b.job && x.digest != b.digest {
+                        return Step::Keep(Pre::No(Code::OtherBody));
+                    }
+                    if x.nonce == b.nonce && x.job == b.job {
+                        let g = Begun { epoch: r.head.epoch, kv: r.head.kv.clone(), hist: r.hist.len() as u64, whole: true };
+                        return Step::Keep(Pre::Go(g, r.hist, None));
+                    }
+                    if wall < x.until {
+                        return Step::Keep(Pre::No(if x.job == b.job { Code::StillRunning } else { Code::SessionBusy }));
+                    }
+                    let (same, used) = (x.job == b.job, x.max_out);
+                    closed = r.close(Code::MayHaveRun, used);
+                    if same {
+                        return Step::Write(r.write(), Pre::No(Code::MayHaveRun));
+                    }
+                }
+                if r.full() {
+                    return Step::Keep(Pre::No(Code::SessionFull));
+                }
+                if b.budget.is_some() && reserve.is_none() {
+                    return Step::Keep(Pre::No(Code::StoreAway));
+                }
+                r.head.epoch += 1;
+                r.head.touched = wall;
+                r.head.keep = b.keep.min(KEEP_MAX);
+                r.head.running = Some(Run {
+                    job: b.job.clone(),
+                    digest: b.digest.clone(),
+                    nonce: b.nonce,
+                    front: b.front.clone(),
+                    until: wall + b.left.min(HORIZON_MAX) + RUN_GRACE / MS,
+                    max_out: b.max_out,
+                    budget: b.budget.as_ref().map(|x| x.0.clone()),
+                });
+                let g = Begun { epoch: r.head.epoch, kv: r.head.kv.clone(), hist: r.hist.len() as u64, whole: true };
+                Step::Write(r.write(), Pre::Go(g, r.hist, closed))
+            })
+            .await;
+        let free = |me: &Arc<Self>| {
+            reserve.iter().for_each(|(n, _)| me.settle_soon(n, entry(&b), Some(0)));
+        };
+        match got {
+            Ok(Pre::Go(mut g, hist, closed)) => {
+                closed.into_iter().for_each(|x| {
+                    let e = format!("{}|{}|{}", b.key, x.job, x.nonce);
+                    x.budget.iter().for_each(|n| self.settle_soon(n, e.clone(), None));
+                });
+                let same = b.hand.as_ref().is_some_and(|(n, d)| *n == hist.len() as u64 && *d == yewcross::hash::mark(&hist));
+                g.whole = !same;
+                (Tell::Begun(g), if same { vec![] } else { hist })
+            }
+            Ok(Pre::Kept(code, k)) => {
+                free(self);
+                (Tell::Kept { code }, k.into_bytes())
+            }
+            // The front may ask again with this very shot: it keeps its reservation until it is barred.
+            Ok(Pre::No(Code::StoreAway)) | Err(Trouble::NotDone) => (Tell::No(Code::StoreAway), vec![]),
+            Ok(Pre::No(c)) => {
+                free(self);
+                (Tell::No(c), vec![])
+            }
+            Err(Trouble::Undecided) => (Tell::No(Code::Undecided), vec![]),
+        }
+    }
+
+    pub async fn commit(self: &Arc<Self>, c: Commit, blob: Vec<u8>) -> Tell {
+        let n = (c.hist as usize).min(blob.len());
+        let (line, kept) = (blob[..n].to_vec(), String::from_utf8_lossy(&blob[n..]).into_owned());
+        let got = self
+            .owner
+            .change(&c.key, PEER_WAIT, |_, v| {
+                let mut r = Record::read(v);
+                if let Some(m) = r.head.marks.iter().find(|m| m.job == c.job) {
+                    return Step::Keep((m.nonce == c.nonce && m.code == c.code).then_some(None));
+                }
+                if r.head.epoch != c.epoch || r.head.running.as_ref().is_none_or(|x| x.nonce != c.nonce || x.job != c.job) {
+                    return Step::Keep(None);
+                }
+                let run = r.close(c.code, c.used);
+                r.hist.extend(&line);
+                c.rule.trim(&mut r.hist);
+                if !kept.is_empty() {
+                    r.head.kept.push_back((c.job.clone(), kept.clone()));
+                    while r.head.kept.len() > OUTCOMES_KEPT {
+                        r.head.kept.pop_front();
+                    }
+                }
+                r.head.kv = c.kv.clone();
+                Step::Write(r.write(), Some(run.and_then(|x| x.budget)))
+            })
+            .await;
+        match got {
+            Ok(Some(b)) => {
+                b.into_iter().for_each(|n| self.settle_soon(&n, format!("{}|{}|{}", c.key, c.job, c.nonce), Some(c.used)));
+                Tell::Committed
+            }
+            Ok(None) => Tell::No(Code::MayHaveRun),
+            Err(Trouble::NotDone) => Tell::No(Code::StoreAway),
+            Err(Trouble::Undecided) => Tell::No(Code::Undecided),
+        }
+    }
+
+    /// This shot will never be dispatched: as if it had not begun, and it never can begin any more. Only then is its
+    /// reservation given back.
+    pub async fn abort(self: &Arc<Self>, key: &str, job: &str, nonce: u64, budget: Option<String>) -> Tell {
+        let wall = self.wall();
+        let got = self
+            .owner
+            .change(key, PEER_WAIT, |_, v| {
+                let mut r = Record::read(v);
+                if r.head.marks.iter().any(|m| m.job == job && m.nonce == nonce) || r.ran_before(job) {
+                    return Step::Keep(false);
+                }
+                if r.head.barred.contains(&nonce) {
+                    return Step::Keep(true);
+                }
+                r.head.running.take_if(|x| x.job == job && x.nonce == nonce);
+                r.bar(nonce);
+                if r.head.keep == 0 {
+                    (r.head.touched, r.head.keep) = (wall, BAR_KEPT);
+                }
+                Step::Write(r.write(), true)
+            })
+            .await;
+        match got {
+            Ok(true) => {
+                budget.iter().for_each(|n| self.settle_soon(n, format!("{key}|{job}|{nonce}"), Some(0)));
+                Tell::Ok
+            }
+            Ok(false) => Tell::No(Code::Conflict),
+            Err(_) => Tell::No(Code::Undecided),
+        }
+    }
+
+    pub async fn note(&self, key: &str, epoch: u64, kv: Kv) -> Tell {
+        let got = self
+            .owner
+            .change(key, PEER_WAIT, |_, v| {
+                let mut r = Record::read(v);
+                if r.head.epoch != epoch || r.head.kv == kv {
+                    return Step::Keep(r.head.epoch == epoch);
+                }
+                r.head.kv = kv.clone();
+                Step::Write(r.write(), true)
+            })
+            .await;
+        if got == Ok(true) { Tell::Ok } else { Tell::No(Code::Conflict) }
+    }
+
+    /// The session is over: history and transfer state go, marks and kept outcomes stay.
+    pub async fn end(&self, key: &str) -> Tell {
+        let got = self
+            .owner
+            .change(key, PEER_WAIT, |_, v| {
+                let mut r = Record::read(v);
+                if r.head.running.is_some() {
+                    return Step::Keep(Err(Code::SessionBusy));
+                }
+                let kv = std::mem::take(&mut r.head.kv);
+                if v.is_empty() || (r.hist.is_empty() && kv == Kv::default()) {
+                    return Step::Keep(Ok(kv));
+                }
+                r.hist.clear();
+                r.head.epoch += 1;
+                Step::Write(r.write(), Ok(kv))
+            })
+            .await;
+        match got {
+            Ok(Ok(kv)) => Tell::Ended { kv },
+            Ok(Err(c)) => Tell::No(c),
+            Err(Trouble::NotDone) => Tell::No(Code::StoreAway),
+            Err(Trouble::Undecided) => Tell::No(Code::Undecided),
+        }
+    }
+
+    /// Whether a stored session has outlived its keeping time.
+    pub fn outlived(&self, v: &[u8]) -> bool {
+        let h = Record::read(v).head;
+        let (wall, sure) = self.members.clock();
+        h.keep > 0 && h.running.is_none() && sure && wall > h.touched + h.keep
+    }
+
+    pub async fn expire(&self, key: &str) -> Tell {
+        if self.owner.erase(key, |v| self.outlived(v)).await { Tell::Ok } else { Tell::No(Code::Undecided) }
+    }
+
+    pub async fn look(&self, key: &str) -> Tell {
+        let wall = self.wall();
+        let got = self
+            .owner
+            .change(key, PEER_WAIT, |_, v| {
+                let mut r = Record::read(v);
+                let late = r.head.running.as_ref().is_some_and(|x| wall > x.until);
+                let used = r.head.running.as_ref().map(|x| x.max_out).unwrap_or(0);
+                if late {
+                    r.close(Code::MayHaveRun, used);
+                }
+                let open = r.head.running.iter().map(|x| (x.job.clone(), x.nonce)).collect();
+                let done = r.head.marks.iter().map(|m| (m.job.clone(), m.nonce, m.used)).collect();
+                let t = Tell::Look { open, done };
+                if late { Step::Write(r.write(), t) } else { Step::Keep(t) }
+            })
+            .await;
+        got.unwrap_or(Tell::No(Code::StoreAway))
+    }
+}
