Remember taken orders by time, and never refuse one that is forgotten

The digests of the last 64 orders were remembered, however young. `an_order_whose_answer_was_lost_is_known_after_many_others` failed before: `core1: Some(Conflict(102))`, where `InForce(2)` is due.

A digest is now kept for four times the time for an answer, 30 s at least, besides the floor of 64; at most 512 are kept, 46 KB. The document tells the highest number that it no longer remembers: an order at or below it, on a base below its own number, may have been taken and is left without a clear answer (503). So a taken order is acknowledged again or left open, whatever the count, the rate or the clocks are (`a_taken_order_is_never_refused`: 2,000 orders, 0 to 100 s apart).

The middle of the clocks known is taken.

A register value that cannot be read is told as such; it counted as an empty document, on which a first order could be put.

--- a/yewcross-control/src/api.rs
+++ b/yewcross-control/src/api.rs
@@ -52,6 +52,8 @@
     NoMajority,
     /// Some disk may hold it; sent again unchanged, it is decided.
     Undecided,
+    /// Its number is not above those of orders that are no longer remembered: it may have been taken long ago, or not.
+    Forgotten,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/yewcross-control/src/config/orders.rs
+++ b/yewcross-control/src/config/orders.rs
@@ -1,101 +1,203 @@
 //! Operators' numbered orders: checked, decided by a majority of the core disks, then sent to every node.
+//!
+//! An order is a whole configuration with a number of the operator's choice, on top of the version that it names. Of the
+//! orders on one version, one is taken. An order whose answer was lost is sent again as it was, to any node and at any time
+//! after: whatever was taken is known by its digest for a time, and is acknowledged again. Once the digest is gone, such an
+//! order is left without a clear answer; it is never refused.
 
 use super::proved::{Put, put};
 use super::push;
 use crate::Control;
-use crate::api::*;
+use crate::api::{PutAnswer, Rollout};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
-use yewcross::ask::*;
+use yewcross::ask::{ConfigDoc, TakenOrder};
 use yewcross::code::Code;
 use yewcross::consts::*;
-use yewcross::reg::*;
+use yewcross::reg::{Step, Trouble};
+use yewcross::startup::Bounds;
 use yewcross::tree::Bad;
 
-/// us. A put that finds no majority is told so within this, so that the operator moves on.
-fn patience(c: &Control) -> u64 {
-    (c.st.bounds.ack * MS / 4).min(1_500 * MS)
+/// An operator's order, as it is decided.
+pub struct Order<'a> {
+    /// The version that it builds on, by the operator's numbers where there are any.
+    pub base: u64,
+    /// The operator's number; `None` where the tier numbers the versions.
+    pub number: Option<u64>,
+    pub text: &'a str,
+    /// Of this attempt, not of the order: a repeat has another.
+    pub attempt: &'a str,
+    /// ms since 1970 by the middle of the known clocks. Where few are known it may be wrong: digests may then go early, down to
+    /// `ORDERS_KEPT`, or stay, up to `ORDERS_KEPT_MOST`.
+    pub now_ms: u64,
+    /// ms that digests of taken orders are kept at least, as far as `ORDERS_KEPT_MOST` allows.
+    pub kept_ms: u64,
+}
+
+/// What an order came to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// It is taken, now or earlier.
+    Taken(TakenDocument),
+    /// It builds on another version than the current one.
+    Conflict { current: u64 },
+    /// It builds on the current version, and its number is not above that.
+    Invalid(Vec<Bad>),
+    /// It may have been taken so long ago that its digest is gone.
+    Forgotten,
+    /// The document in the register cannot be read; nothing is put in its place.
+    Unreadable,
 }
 
-enum Ordered {
-    /// The version, and the document as it now stands.
-    Stands(u64, u64, Vec<u8>),
-    Conflict(u64),
-    Bad(Vec<Bad>),
+/// The decided document that holds an order, or followed on one that did.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TakenDocument {
+    /// The number of the order that was asked about.
+    pub number: u64,
+    /// The document's sequence number in its register.
+    pub seq: u64,
+    pub document: Vec<u8>,
 }
 
-/// What an order makes of the document. Run again on a document that has its change, it says so again.
-fn decide(seq: u64, v: &[u8], base: u64, text: &str, number: Option<u64>, id: &str) -> Step<Ordered> {
-    let d: ConfigDoc = serde_json::from_slice(v).unwrap_or_default();
-    let now = if number.is_some() { d.number } else { seq };
-    if d.text == text && !text.is_empty() {
-        return Step::Keep(Ordered::Stands(now, seq, v.to_vec()));
+/// What an order makes of the register's value. Run again on a value that has its change, it comes to the same.
+pub fn decide(seq: u64, value: &[u8], order: &Order) -> Step<Decision> {
+    let Ok(document) = ConfigDoc::decode(value) else { return Step::Keep(Decision::Unreadable) };
+    let current = if order.number.is_some() { document.number } else { seq };
+    let taken = |number| Step::Keep(Decision::Taken(TakenDocument { number, seq, document: value.to_vec() }));
+    if document.text == order.text && !order.text.is_empty() {
+        return taken(current);
+    }
+    let earlier = remembered(&document);
+    if let Some(number) = order.number {
+        let digest = digest(order.text);
+        if earlier.iter().any(|o| o.digest == digest) {
+            return taken(number);
+        }
+        // What was taken had a number above its base, and whatever is forgotten is not above `forgotten`.
+        if order.base < number && number <= document.forgotten {
+            return Step::Keep(Decision::Forgotten);
+        }
+    }
+    if order.base != current {
+        return Step::Keep(Decision::Conflict { current });
+    }
+    let number = order.number.unwrap_or(seq + 1);
+    if number <= current {
+        return Step::Keep(Decision::Invalid(vec![Bad { path: "number".into(), why: format!("must be above {current}") }]));
     }
-    let own = mark(text);
-    if let Some(p) = d.past.iter().find(|p| number.is_some() && p.1 == own) {
-        return Step::Keep(Ordered::Stands(p.0, seq, v.to_vec()));
+    let next = successor(&document, earlier, order);
+    match next.encode() {
+        Ok(raw) => Step::Write(raw.clone(), Decision::Taken(TakenDocument { number, seq: seq + 1, document: raw })),
+        Err(_) => Step::Keep(Decision::Unreadable),
     }
-    if base != now {
-        return Step::Keep(Ordered::Conflict(now));
+}
+
+/// The document after an order on top of another.
+fn successor(document: &ConfigDoc, mut earlier: Vec<TakenOrder>, order: &Order) -> ConfigDoc {
+    let mut forgotten = document.forgotten;
+    let newest_ms = earlier.first().map_or(0, |o| o.taken_ms);
+    let now_ms = order.now_ms.max(newest_ms);
+    if !document.text.is_empty() && order.number.is_some() {
+        earlier.insert(0, TakenOrder { number: document.number, digest: digest(&document.text), taken_ms: now_ms });
+        let kept = kept(&earlier, now_ms, order.kept_ms);
+        forgotten = earlier.get(kept).map_or(forgotten, |o| o.number.max(forgotten));
+        earlier.truncate(kept);
     }
-    let next = number.unwrap_or(seq + 1);
-    if next <= now {
-        return Step::Keep(Ordered::Bad(vec![Bad { path: "number".into(), why: format!("must be above {now}") }]));
+    ConfigDoc {
+        text: order.text.into(),
+        put: order.attempt.into(),
+        number: order.number.unwrap_or(0),
+        forgotten,
+        orders: earlier,
+        ..Default::default()
     }
-    let mut past = d.past.clone();
-    if !d.text.is_empty() {
-        past.insert(0, (now, mark(&d.text), String::new()));
-        past.truncate(ORDERS_KEPT);
+}
+
+/// How many of the digests, newest first, are kept.
+fn kept(orders: &[TakenOrder], now_ms: u64, kept_ms: u64) -> usize {
+    let young = orders.iter().take_while(|o| o.taken_ms + kept_ms >= now_ms).count();
+    young.clamp(ORDERS_KEPT, ORDERS_KEPT_MOST).min(orders.len())
+}
+
+/// The digests of taken orders, newest first, wherever the document has them.
+fn remembered(document: &ConfigDoc) -> Vec<TakenOrder> {
+    if !document.orders.is_empty() || document.number == 0 {
+        return document.orders.clone();
     }
-    let n = ConfigDoc { text: text.into(), put: id.into(), note: String::new(), past, number: number.unwrap_or(0) };
-    let raw = serde_json::to_vec(&n).unwrap_or_default();
-    Step::Write(raw.clone(), Ordered::Stands(next, seq + 1, raw))
+    document.past.iter().map(|p| TakenOrder { number: p.0, digest: p.1.clone(), taken_ms: 0 }).collect()
 }
 
-fn mark(text: &str) -> String {
+fn digest(text: &str) -> String {
     yewcross::hash::mark(text.as_bytes())
 }
 
-/// An operator's text on top of a version: checked, decided by a majority of core disks, then carried.
+/// ms that digests of taken orders are kept: an operator asks again for a few times the time for an answer.
+pub fn kept_ms(bounds: &Bounds) -> u64 {
+    ORDERS_KEPT_MS.max(bounds.ack.saturating_mul(ORDERS_KEPT_ACKS))
+}
+
+/// us. An order that finds no majority is told so within this, so that the operator moves on.
+fn answer_within(c: &Control) -> u64 {
+    (c.st.bounds.ack * MS / 4).min(1_500 * MS)
+}
+
+/// Checks an operator's text on top of version `base`, has it decided by a majority of core disks, and sends it out.
+/// Answers within a quarter of `Bounds::ack`.
 pub async fn order(c: &Arc<Control>, base: u64, text: Vec<u8>) -> PutAnswer {
-    let bad = |path: &str, why: &str| PutAnswer::Bad(vec![Bad { path: path.into(), why: why.into() }]);
-    let Ok(text) = String::from_utf8(text) else { return bad("", "not UTF-8") };
+    let Ok(text) = String::from_utf8(text) else {
+        return PutAnswer::Bad(vec![Bad { path: String::new(), why: "not UTF-8".into() }]);
+    };
     if c.options.rollout == Rollout::Proved {
-        return match put(c, base, text, String::new(), false).await {
-            Put::InForce(v) => PutAnswer::InForce(v),
-            Put::No(Code::BadConfig, _, b) => PutAnswer::Bad(b),
-            Put::No(Code::Conflict, _, _) => PutAnswer::Conflict(c.book.config.load().0),
-            Put::No(Code::NotFounded, ..) => PutAnswer::NotFounded,
-            Put::No(Code::NoMajority, ..) => PutAnswer::NoMajority,
-            Put::No(..) => PutAnswer::Undecided,
-        };
+        return order_under_leases(c, base, text).await;
     }
-    if let Err(b) = c.options.dialect.read(text.as_bytes()) {
-        return PutAnswer::Bad(b);
+    if let Err(faults) = c.options.dialect.read(text.as_bytes()) {
+        return PutAnswer::Bad(faults);
     }
     if c.book.layout.load().0 == 0 {
         return PutAnswer::NotFounded;
     }
     c.counts.puts.fetch_add(1, SeqCst);
-    let number = c.options.dialect.number(text.as_bytes());
-    let (tx, rx) = async_channel::bounded(1);
-    let me = c.clone();
+    let (answer_tx, answer) = async_channel::bounded(1);
+    let control = c.clone();
     // It runs on its own: whoever asked may go, and half a change is never dropped.
     c.w.go(async move {
-        let id = format!("{}-{:016x}", me.st.name, me.w.rand());
-        let us = patience(&me) * 9 / 10;
-        let got = me.owner.change("config", us, |seq, v| decide(seq, v, base, &text, number, &id)).await;
-        let r = match got {
-            Ok(Ordered::Stands(n, seq, raw)) => {
-                push(&me, "config", seq, raw);
-                PutAnswer::InForce(n)
-            }
-            Ok(Ordered::Conflict(n)) => PutAnswer::Conflict(n),
-            Ok(Ordered::Bad(b)) => PutAnswer::Bad(b),
-            Err(Trouble::NotDone) => PutAnswer::NoMajority,
-            Err(Trouble::Undecided) => PutAnswer::Undecided,
-        };
-        let _ = tx.try_send(r);
+        let _ = answer_tx.try_send(order_by_majority(&control, base, &text).await);
     });
-    c.w.within(patience(c), rx.recv()).await.and_then(|r| r.ok()).unwrap_or(PutAnswer::Undecided)
+    let answer = c.w.within(answer_within(c), answer.recv()).await;
+    answer.and_then(|a| a.ok()).unwrap_or(PutAnswer::Undecided)
+}
+
+async fn order_by_majority(c: &Arc<Control>, base: u64, text: &str) -> PutAnswer {
+    let attempt = format!("{}-{:016x}", c.st.name, c.w.rand());
+    let (now_ms, _) = c.members.clock();
+    let order =
+        Order { base, number: c.options.dialect.number(text.as_bytes()), text, attempt: &attempt, now_ms, kept_ms: kept_ms(&c.st.bounds) };
+    let limit = answer_within(c) * 9 / 10;
+    match c.owner.change("config", limit, |seq, value| decide(seq, value, &order)).await {
+        Ok(Decision::Taken(taken)) => {
+            push(c, "config", taken.seq, taken.document);
+            PutAnswer::InForce(taken.number)
+        }
+        Ok(Decision::Conflict { current }) => PutAnswer::Conflict(current),
+        Ok(Decision::Invalid(faults)) => PutAnswer::Bad(faults),
+        Ok(Decision::Forgotten) => PutAnswer::Forgotten,
+        Ok(Decision::Unreadable) => {
+            c.w.log("the configuration in the register cannot be read");
+            PutAnswer::Undecided
+        }
+        Err(Trouble::NotDone) => PutAnswer::NoMajority,
+        Err(Trouble::Undecided) => PutAnswer::Undecided,
+    }
+}
+
+/// The same where fronts serve under leases.
+async fn order_under_leases(c: &Arc<Control>, base: u64, text: String) -> PutAnswer {
+    match put(c, base, text, String::new(), false).await {
+        Put::InForce(version) => PutAnswer::InForce(version),
+        Put::No(Code::BadConfig, _, faults) => PutAnswer::Bad(faults),
+        Put::No(Code::Conflict, _, _) => PutAnswer::Conflict(c.book.config.load().0),
+        Put::No(Code::NotFounded, ..) => PutAnswer::NotFounded,
+        Put::No(Code::NoMajority, ..) => PutAnswer::NoMajority,
+        Put::No(..) => PutAnswer::Undecided,
+    }
 }
--- a/yewcross-control/src/config/proved.rs
+++ b/yewcross-control/src/config/proved.rs
@@ -91,7 +91,7 @@
                 past.insert(0, (seq, d.put.clone(), d.text.clone()));
                 past.truncate(PAST_KEPT);
             }
-            let n = ConfigDoc { text: text.clone(), put: id.clone(), note: note.clone(), past, number: 0 };
+            let n = ConfigDoc { text: text.clone(), put: id.clone(), note: note.clone(), past, ..Default::default() };
             let proved = c.proved.load(SeqCst);
             let lost = n.past.len() == PAST_KEPT && n.past.last().is_some_and(|p| p.0 > proved);
             let why = lost.then(|| Bad { path: "fronts".into(), why: format!("none of the last {PAST_KEPT} versions is proved in force") });
--- a/yewcross-control/src/config/read.rs
+++ b/yewcross-control/src/config/read.rs
@@ -1,22 +1,23 @@
 //! Reading the newest configuration back.
 
 use crate::Control;
-use crate::api::*;
+use crate::api::ReadAnswer;
 use std::sync::Arc;
-use yewcross::ask::*;
-use yewcross::consts::*;
+use yewcross::ask::ConfigDoc;
+use yewcross::consts::PEER_WAIT;
 
+/// The newest decided configuration: linearizable with the orders, for a majority of the core disks is asked each time.
 pub async fn newest(c: &Arc<Control>) -> ReadAnswer {
     if c.book.layout.load().0 == 0 {
         return ReadAnswer::Away;
     }
-    match c.owner.newest("config", PEER_WAIT).await {
-        Ok((seq, epoch, raw)) => {
-            c.book.adopt("config", seq, epoch, raw.to_vec());
-            let d: ConfigDoc = serde_json::from_slice(&raw).unwrap_or_default();
-            let n = if c.options.dialect.number(d.text.as_bytes()).is_some() { d.number } else { seq };
-            if d.text.is_empty() { ReadAnswer::None } else { ReadAnswer::Text(n, d.text.into()) }
-        }
-        Err(_) => ReadAnswer::Away,
+    let Ok((seq, epoch, raw)) = c.owner.newest("config", PEER_WAIT).await else { return ReadAnswer::Away };
+    c.book.adopt("config", seq, epoch, raw.to_vec());
+    let Ok(document) = ConfigDoc::decode(&raw) else { return ReadAnswer::Away };
+    if document.text.is_empty() {
+        return ReadAnswer::None;
     }
+    let numbered = c.options.dialect.number(document.text.as_bytes()).is_some();
+    let version = if numbered { document.number } else { seq };
+    ReadAnswer::Text(version, document.text.into())
 }
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -82,8 +82,15 @@
 pub const PUT_WAIT: u64 = 4 * SEC;
 /// count. Versions of the configuration kept for going back, and for the lists of fronts not yet proved.
 pub const PAST_KEPT: usize = 16;
-/// count. Marks of operators' earlier texts kept, so that a text sent again after it was superseded is still known.
+/// count. Digests of operators' orders kept whatever their age, so that an order sent again after it was superseded is
+/// still known.
 pub const ORDERS_KEPT: usize = 64;
+/// count. And at most so many, whatever their age: 90 bytes each make 46 KB, written and synced with each order.
+pub const ORDERS_KEPT_MOST: usize = 512;
+/// ms. Digests younger than this are kept, or than `ORDERS_KEPT_ACKS` times the time for an answer, if that is longer.
+pub const ORDERS_KEPT_MS: u64 = 30_000;
+/// count. An operator whose answer was lost has given up, or has been answered, within so many times the time for one.
+pub const ORDERS_KEPT_ACKS: u64 = 4;
 /// us. A seat whose machine is missing this long is given to a disk that has none.
 pub const SEAT_MISSING: u64 = 1_500 * MS;
 /// us. A seat whose machine is missing this long, and that no disk takes, is given up while enough remain: the next loss
