Check the base of a change by its digest, and tell two contents under one number

Documents are pushed without the epoch under which they were decided, and taken by sequence number alone. That is sound: all that is pushed or handed out was returned by `Owner::change`, `read` or `newest`, so a majority of the core disks had accepted it, and a number is decided once; its epoch may rise when another node takes the key, so that epochs of equal documents differ. Two contents under one number stand only on minorities, which nobody pushes. But nothing would have told a breach of it: a patch onto another base of the same number was caught by the delta's checksum of 32 bits alone, and an adopted document of the same number by nothing.

--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -216,8 +216,8 @@
                 self.book.adopt(&name, seq, epoch, blob);
                 (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
             }
-            Ask::Patch { name, seq, epoch, base } => {
-                self.book.patch(&name, base, seq, epoch, &blob);
+            Ask::Patch { name, seq, epoch, base, base_digest } => {
+                let _ = self.book.patch(&name, base, &base_digest, seq, epoch, &blob);
                 (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
             }
             Ask::Grants { name, seq } => (config::grants(self, &name, seq).await, vec![]),
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -314,8 +314,8 @@
         match a {
             Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => self.members.hear(a).await,
             Ask::Newer { .. } => self.follow.newer(),
-            Ask::Patch { name, seq, epoch, base } => {
-                if self.book.patch(&name, base, seq, epoch, &blob) && name != "list" {
+            Ask::Patch { name, seq, epoch, base, base_digest } => {
+                if self.book.patch(&name, base, &base_digest, seq, epoch, &blob).is_ok() && name != "list" {
                     self.follow.reset();
                 }
                 Tell::Adopted { seq: self.book.page(&name).seq }
--- a/yewcross-lab/src/tier.rs
+++ b/yewcross-lab/src/tier.rs
@@ -49,8 +49,8 @@
                     self.book.adopt(&name, seq, epoch, p.blob);
                     Tell::Adopted { seq: self.book.page(&name).seq }
                 }
-                Some(Ask::Patch { name, seq, epoch, base }) => {
-                    self.book.patch(&name, base, seq, epoch, &p.blob);
+                Some(Ask::Patch { name, seq, epoch, base, base_digest }) => {
+                    let _ = self.book.patch(&name, base, &base_digest, seq, epoch, &p.blob);
                     Tell::Adopted { seq: self.book.page(&name).seq }
                 }
                 _ => Tell::No(Code::BadField),
@@ -268,6 +268,18 @@
         panic!("{text} is not acknowledged")
     }
 
+    /// Puts at one core until it is acknowledged; us that it took.
+    pub async fn put_at(&self, core: &str, base: u64, text: &str) -> u64 {
+        let t0 = self.op.now();
+        for _ in 0..200 {
+            if let Some(PutAnswer::InForce(_)) = self.put(core, base, text).await {
+                return self.op.now() - t0;
+            }
+            self.op.sleep(10 * MS).await;
+        }
+        panic!("{text} is not acknowledged by {core}")
+    }
+
     /// us until every front that runs holds the text.
     pub async fn adopted(&self, text: &str, us: u64) -> Option<u64> {
         let t0 = self.op.now();
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -53,6 +53,9 @@
         seq: u64,
         epoch: Epoch,
         base: u64,
+        /// `hash::mark` of the version named; empty from nodes that don't tell it.
+        #[serde(default)]
+        base_digest: String,
     },
     Grants {
         name: String,
--- a/yewcross/src/book.rs
+++ b/yewcross/src/book.rs
@@ -8,6 +8,8 @@
 use crate::world::World;
 use arc_swap::ArcSwap;
 use event_listener::Event;
+use snafu::Snafu;
+use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 
 pub const DOCS: [&str; 3] = ["config", "layout", "list"];
@@ -19,12 +21,32 @@
     pub raw: Arc<Vec<u8>>,
 }
 
+/// Why a document that was sent has not become the one on hand.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum DocumentRejected {
+    #[snafu(display("no document of this name is kept"))]
+    UnknownName,
+    #[snafu(display("version {held} is on hand"))]
+    NotNewer { held: u64 },
+    /// Two contents under one sequence number: only decided documents are sent, so that one of them was never decided.
+    #[snafu(display("version {seq} is on hand with other content"))]
+    Conflicting { seq: u64 },
+    #[snafu(display("it cannot be read"))]
+    Unreadable,
+    #[snafu(display("the change builds on another version than {held}"))]
+    OtherBase { held: u64 },
+    #[snafu(display("the change does not give the content that it names"))]
+    BadDelta,
+}
+
 pub struct Book {
     w: World,
     gate: Mutex<()>,
     dialect: Arc<dyn Dialect>,
     /// A document was adopted.
     pub moved: Event,
+    /// Documents refused because another content is on hand under their number; more than 0 is a fault of this program.
+    pub conflicts: AtomicU64,
     pages: [ArcSwap<Page>; 3],
     pub config: ArcSwap<(u64, Tree)>,
     pub layout: ArcSwap<(u64, Layout)>,
@@ -43,6 +65,7 @@
             gate: Mutex::new(()),
             dialect,
             moved: Event::new(),
+            conflicts: AtomicU64::new(0),
             pages: std::array::from_fn(|_| ArcSwap::default()),
             config: ArcSwap::default(),
             layout: ArcSwap::default(),
@@ -62,37 +85,65 @@
         DOCS.iter().position(|d| *d == name).map(|i| self.pages[i].load_full()).unwrap_or_default()
     }
 
-    /// Takes a decided document as a change to the version on hand; nothing where another is on hand.
-    pub fn patch(&self, name: &str, base: u64, seq: u64, epoch: Epoch, delta: &[u8]) -> bool {
-        let p = self.page(name);
-        let raw = Some(p).filter(|p| p.seq == base).and_then(|p| crate::delta::patch(&p.raw, delta));
-        raw.is_some_and(|raw| self.adopt(name, seq, epoch, raw))
+    /// Takes a decided document as a change to the version on hand. `base_digest` is that version's `hash::mark`; empty from
+    /// nodes that don't tell it, whose delta's own checksum alone then holds.
+    pub fn patch(&self, name: &str, base: u64, base_digest: &str, seq: u64, epoch: Epoch, delta: &[u8]) -> Result<(), DocumentRejected> {
+        let page = self.page(name);
+        if seq <= page.seq {
+            return Err(DocumentRejected::NotNewer { held: page.seq });
+        }
+        let same_base = page.seq == base && (base_digest.is_empty() || base_digest == crate::hash::mark(&page.raw));
+        if !same_base {
+            return Err(DocumentRejected::OtherBase { held: page.seq });
+        }
+        let raw = crate::delta::patch(&page.raw, delta).ok_or(DocumentRejected::BadDelta)?;
+        self.try_adopt(name, seq, epoch, raw)
     }
 
-    /// Takes a decided document; never an older one than is on hand.
+    /// Whether the document was taken; see `try_adopt`.
     pub fn adopt(&self, name: &str, seq: u64, epoch: Epoch, raw: Vec<u8>) -> bool {
-        let _g = self.gate.lock().unwrap();
-        let Some(i) = DOCS.iter().position(|d| *d == name) else { return false };
-        if seq <= self.pages[i].load().seq {
-            return false;
+        self.try_adopt(name, seq, epoch, raw).is_ok()
+    }
+
+    /// Takes a decided document; never an older one than is on hand. The sequence number alone names the content: a number is
+    /// decided once, though the epoch under which it stands may rise. So the epoch is not compared.
+    pub fn try_adopt(&self, name: &str, seq: u64, epoch: Epoch, raw: Vec<u8>) -> Result<(), DocumentRejected> {
+        let _one_at_a_time = self.gate.lock().unwrap();
+        let index = DOCS.iter().position(|d| *d == name).ok_or(DocumentRejected::UnknownName)?;
+        let held = self.pages[index].load();
+        if seq > 0 && seq == held.seq && *held.raw != raw {
+            self.conflicts.fetch_add(1, SeqCst);
+            self.w.log(&format!("{name} {seq} is refused: another content is on hand under this number"));
+            return Err(DocumentRejected::Conflicting { seq });
         }
-        let ok = match name {
-            "config" => serde_json::from_slice::<ConfigDoc>(&raw).ok().and_then(|d| match d.text.is_empty() {
+        if seq <= held.seq {
+            return Err(DocumentRejected::NotNewer { held: held.seq });
+        }
+        self.parse(name, seq, &raw).ok_or(DocumentRejected::Unreadable)?;
+        self.pages[index].store(Arc::new(Page { seq, epoch, raw: Arc::new(raw) }));
+        // Only a configuration's text is named: it is what an operator sent.
+        let what = if name == "config" { format!(" {}", crate::hash::mark(self.text().as_bytes())) } else { String::new() };
+        self.w.log(&format!("adopted {name} {seq}{what}"));
+        self.moved.notify(usize::MAX);
+        Ok(())
+    }
+
+    /// Reads the document and puts what it says in force; `None` where it cannot be read.
+    fn parse(&self, name: &str, seq: u64, raw: &[u8]) -> Option<()> {
+        match name {
+            "config" => {
+                let document: ConfigDoc = serde_json::from_slice(raw).ok()?;
                 // Founded, and nothing put yet.
-                true => Some(()),
-                false => self.dialect.read(d.text.as_bytes()).ok().map(|t| self.config.store(Arc::new((seq, t)))),
-            }),
-            "layout" => serde_json::from_slice(&raw).ok().map(|l| self.layout.store(Arc::new((seq, l)))),
-            _ => serde_json::from_slice(&raw).ok().map(|l| self.list.store(Arc::new((seq, l)))),
-        };
-        ok.map(|_| {
-            self.pages[i].store(Arc::new(Page { seq, epoch, raw: Arc::new(raw) }));
-            // Only a configuration's text is named: it is what an operator sent.
-            let what = if name == "config" { format!(" {}", crate::hash::mark(self.text().as_bytes())) } else { String::new() };
-            self.w.log(&format!("adopted {name} {seq}{what}"));
-            self.moved.notify(usize::MAX);
-        })
-        .is_some()
+                if document.text.is_empty() {
+                    return Some(());
+                }
+                let tree = self.dialect.read(document.text.as_bytes()).ok()?;
+                self.config.store(Arc::new((seq, tree)));
+            }
+            "layout" => self.layout.store(Arc::new((seq, serde_json::from_slice(raw).ok()?))),
+            _ => self.list.store(Arc::new((seq, serde_json::from_slice(raw).ok()?))),
+        }
+        Some(())
     }
 }
 
