Number a kept document's files by its writes, so that none is left behind

A document adopted by a control node was kept in a file numbered by the document, and writing one removes the file numbered one lower. A node that adopts version 9 after version 5 left the file of 5 behind for good, one for each gap. `documents_that_skip_versions_leave_no_files_behind` failed before: 2 files before 30 such versions, 33 after.

Files are numbered by writes now; what a file holds tells the document's version, as before.

--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -274,25 +274,41 @@
     }
 }
 
-/// Documents a control node adopts are kept on its own disk, so that a restart begins from them.
+/// A document as this node's own disk holds it.
+#[derive(Clone, Copy, Default)]
+struct KeptPage {
+    /// Version of the file. It counts the writes, not the documents: each write removes the file of the version before.
+    file_version: u64,
+    /// Sequence number of the document.
+    seq: u64,
+}
+
+/// Documents a control node adopts are kept on its own disk, so that a restart begins from them. One that is adopted and
+/// not yet kept is asked for again: a node believes no more than what its disk held, and is told of the rest as news.
 async fn keep_pages(c: Arc<Control>) {
-    let mut kept: BTreeMap<&str, u64> = BTreeMap::new();
-    for d in DOCS {
-        kept.insert(d, c.book.page(d).seq);
+    let mut kept: BTreeMap<&str, KeptPage> = BTreeMap::new();
+    for (name, file_version, _) in c.vault.scan("local").await.unwrap_or_default() {
+        if let Some(d) = DOCS.into_iter().find(|d| *d == name) {
+            kept.insert(d, KeptPage { file_version, seq: c.book.page(d).seq });
+        }
     }
     loop {
         let moved = c.book.moved.listen();
         // Where cores are asked for all else, only the layout must be known again before anybody answers.
         for d in DOCS.into_iter().filter(|d| !c.options.tends || *d == "layout") {
-            let p = c.book.page(d);
-            if p.seq > kept[d] {
-                let b = serde_json::to_vec(&(p.seq, p.epoch, String::from_utf8_lossy(&p.raw))).unwrap_or_default();
-                if c.vault.keep("local", d, p.seq, &b).await.is_ok() {
-                    kept.insert(d, p.seq);
-                    if d == "layout" {
-                        c.replica.lay.fetch_max(p.seq, SeqCst);
-                    }
-                }
+            let page = c.book.page(d);
+            let before = kept.get(d).copied().unwrap_or_default();
+            if page.seq <= before.seq {
+                continue;
+            }
+            let now = KeptPage { file_version: before.file_version + 1, seq: page.seq };
+            let body = serde_json::to_vec(&(page.seq, page.epoch, String::from_utf8_lossy(&page.raw))).unwrap_or_default();
+            if c.vault.keep("local", d, now.file_version, &body).await.is_err() {
+                continue;
+            }
+            kept.insert(d, now);
+            if d == "layout" {
+                c.replica.lay.fetch_max(page.seq, SeqCst);
             }
         }
         c.w.within(if c.vault.failed.load(SeqCst) { 50 * MS } else { 10 * SEC }, moved).await;
