--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -69,6 +69,10 @@
 pub const STORE_COPIES: usize = 3;
 /// us. A disk that has not synced within this is treated as stalled for that exchange.
 pub const SYNC_WAIT: u64 = 600 * MS;
+/// count. Times that a reader looks at copies that differ before it takes the key and repairs them.
+pub const READ_LOOKS: usize = 4;
+/// us. Between two looks, up to twice this: an owner's write reaches a majority within a few ms.
+pub const READ_LOOK_AGAIN: u64 = 10 * MS;
 /// us. An idle key's owner forgets its value after this, to bound memory.
 pub const HELD_IDLE: u64 = 120 * SEC;
 /// us. Pause between keys of the repair sweep.
@@ -84,8 +88,15 @@
 pub const PUT_WAIT: u64 = 4 * SEC;
 /// count. Versions of the configuration kept for going back, and for the lists of fronts not yet proved.
 pub const PAST_KEPT: usize = 16;
-/// count. Marks of operators' earlier texts kept, so that a text sent again after it was superseded is still known.
+/// count. Digests of operators' orders kept whatever their age, so that an order sent again after it was superseded is
+/// still known.
 pub const ORDERS_KEPT: usize = 64;
+/// count. And at most so many, whatever their age: 90 bytes each make 46 KB, written and synced with each order.
+pub const ORDERS_KEPT_MOST: usize = 512;
+/// ms. Digests younger than this are kept, or than `ORDERS_KEPT_ACKS` times the time for an answer, if that is longer.
+pub const ORDERS_KEPT_MS: u64 = 30_000;
+/// count. An operator whose answer was lost has given up, or has been answered, within so many times the time for one.
+pub const ORDERS_KEPT_ACKS: u64 = 4;
 /// us. A seat whose machine is missing this long is given to a disk that has none.
 pub const SEAT_MISSING: u64 = 1_500 * MS;
 /// us. A seat whose machine is missing this long, and that no disk takes, is given up while enough remain: the next loss
@@ -260,6 +271,9 @@
 /// count. Programs whose owner a front remembers.
 pub const CHAIN_OWNERS: usize = 16_384;
 
+/// us. From the last check of a server that was chosen to the first byte sent to it. Between the two lies one turn of
+/// the scheduler, some ms on a slow machine; a process that stood still for longer has to choose anew.
+pub const SEND_WITHIN: u64 = 250 * MS;
 /// us. Idle time of a server's connection where the server names none.
 pub const LINK_IDLE: u64 = 5 * SEC;
 /// us. An idle connection is given up this long before the server would close it.
