Split the relay by job: admission, dispatch, attempt, streaming, turn, heads

Cause: one file of 781 lines held the whole way of a request, under names of its own. Change: a module a job, with its description; Shot, End, Sent, Rest, Opened and Passing become ClientRequest, Rejection, Outcome, AnswerBody, OpenedTurn and ForwardedBody; reading a request and opening its turn are steps of their own. Behaviour stays.

--- /dev/null
+++ b/yewcross-front/src/relay/admission.rs
@@ -0,0 +1,148 @@
+//! What comes before a request is sent: reading it whole, its route, and the opening of its turn.
+
+use super::headers::strip_hop_by_hop;
+use super::turn::{OpenedTurn, is_accounted, name_parts, open_request, prompt};
+use super::{ClientRequest, Rejection, Relay};
+use http::{HeaderMap, Request, Response, header, request};
+use hyper::body::Incoming;
+use std::sync::Arc;
+use yewcross::chain::{Refusal, Turn};
+use yewcross::code::Code;
+use yewcross::consts::*;
+use yewcross::hash::weigh;
+use yewcross::port::RequestMeta;
+use yewcross::route::{Mode, Route, Routes, Upstream};
+use yewcross::web::{Body, Unread, read_body};
+
+/// The one host that a head names.
+fn the_host(headers: &HeaderMap) -> Option<String> {
+    let mut hosts = headers.get_all(header::HOST).iter();
+    let host = hosts.next()?.to_str().ok()?;
+    hosts.next().is_none().then(|| host.to_string())
+}
+
+impl Relay {
+    pub(super) async fn handle(self: Arc<Self>, q: Request<Incoming>) -> Result<Response<Body>, Rejection> {
+        let began = self.w.now();
+        if !self.informed() {
+            self.w.within(FIRST_NEWS, self.news()).await;
+        }
+        let (mut request, route, upstream) = self.read(q, began).await?;
+        let input = request.body.clone();
+        let (mut turn, previous) = self.open_turn(&mut request, &route, &upstream).await?;
+
+        let (route, answer) = self.dispatch(&request, &route, previous.as_deref()).await?;
+        let service = &answer.claim.to.service;
+        if let (Some(opened), Some(tokens)) = (&mut turn, self.tokens_per_event(service)) {
+            opened.tokens_per_event = tokens;
+        }
+        answer.claim.read(&request.meta.parts, self.cache_tokens(service));
+        let keep = route.retained.then(|| Turn {
+            id: request.meta.attempt.clone(),
+            prev: request.meta.prev.clone(),
+            input,
+            server: answer.claim.to.server.clone(),
+            tokens: request.meta.prompt_tokens,
+            retain_ms: route.retain_ms,
+            ..Turn::default()
+        });
+        let streamed = route.mode == Mode::Stream && answer.head.status.is_success();
+        if !streamed {
+            drop(turn.take());
+        }
+        Ok(self.forward(answer, turn, keep, request.until, streamed))
+    }
+
+    /// Reads a request whole: no server hears of one that its caller has not finished.
+    async fn read(&self, q: Request<Incoming>, began: u64) -> Result<(ClientRequest, Route, Upstream), Rejection> {
+        let (mut head, body) = q.into_parts();
+        let meta = self.caller.request(&head.headers).map_err(|_| Rejection(Code::BadHead, "a field of the head is wrong", 0))?;
+        let host = the_host(&head.headers).ok_or(Rejection(Code::BadHead, "one host is needed", 0))?;
+        let (route, upstream, limit) = {
+            let c = self.book.config.load();
+            let (route, upstream) = self.route(&c.1.routing, c.0, &host, &head, &meta)?;
+            (route, upstream, c.1.routing.limits.body_bytes)
+        };
+        let until = began + meta.deadline_ms.unwrap_or(u64::MAX / MS / 2).min(route.timeout_ms) * MS;
+        let left = until.saturating_sub(self.w.now());
+        let body = self.w.within(left.min(BODY_WAIT), read_body(body, limit)).await;
+        let body = body.unwrap_or(Err(Unread::Broken)).map_err(|e| match e {
+            Unread::TooLarge => Rejection(Code::TooLarge, "the body is too large", 0),
+            Unread::Broken => Rejection(Code::TooSlow, "the body did not come whole", 0),
+        })?;
+        strip_hop_by_hop(&mut head.headers);
+        [header::CONTENT_LENGTH, header::EXPECT].iter().for_each(|n| {
+            head.headers.remove(n);
+        });
+        Ok((ClientRequest { head, meta, host, body, began, until }, route, upstream))
+    }
+
+    /// Asks the stores for the chain that a turn goes on from and for its share of the budget; hands back the turn before.
+    async fn open_turn(
+        &self,
+        request: &mut ClientRequest,
+        route: &Route,
+        upstream: &Upstream,
+    ) -> Result<(Option<OpenedTurn>, Option<Arc<Turn>>), Rejection> {
+        let away = || Rejection(Code::StoreAway, "the stores cannot be asked", self.soon(route));
+        let Some(chains) = self.chains.clone().filter(|_| is_accounted(route, &request.meta)) else {
+            return if route.retained { Err(away()) } else { Ok((None, None)) };
+        };
+        let open = open_request(route, &request.meta);
+        let until = request.until.min(self.w.now() + STORE_PATIENCE);
+        let opened = chains.open(open.clone(), until).await.map_err(|r| match r {
+            Refusal::Spent => Rejection(Code::BudgetSpent, "the budget is spent", 0),
+            Refusal::Unknown => Rejection(Code::UnknownTurn, "no such turn", 0),
+            Refusal::Away => away(),
+        })?;
+        if route.retained {
+            request.body = prompt(&opened.chain, &request.body);
+            name_parts(&mut request.meta, &opened.chain);
+        }
+        let tokens_per_event = self.tokens_per_event(&upstream.name).unwrap_or(1);
+        let turn = OpenedTurn { chains, open, tokens_per_event, done: false, events: 0 };
+        Ok((Some(turn), opened.chain.last().cloned()))
+    }
+
+    /// A configuration and a list are on hand.
+    pub fn informed(&self) -> bool {
+        self.book.config.load().0 > 0 && self.book.list.load().0 > 0
+    }
+
+    async fn news(&self) {
+        loop {
+            let l = self.book.moved.listen();
+            if self.informed() {
+                return;
+            }
+            l.await;
+        }
+    }
+
+    /// The route and the service, both of one configuration.
+    pub(super) fn route(
+        &self,
+        r: &Routes,
+        seq: u64,
+        host: &str,
+        head: &request::Parts,
+        m: &RequestMeta,
+    ) -> Result<(Route, Upstream), Rejection> {
+        if seq == 0 {
+            return Err(Rejection(Code::NotServing, "no configuration yet", 300));
+        }
+        let none = Rejection(Code::UnknownRoute, "no such route", 0);
+        let route = r.find(host, head.uri.path()).ok_or(none)?;
+        let all: u64 = route.variants.iter().map(|v| v.1).sum();
+        // A program stays with one variant, where its prompts are held.
+        let key = if m.program.is_empty() { self.w.rand() } else { weigh(&m.program, &route.name) };
+        let mut at = key % all.max(1);
+        let name = route.variants.iter().find(|v| {
+            let hit = at < v.1;
+            at = at.saturating_sub(v.1);
+            hit
+        });
+        let up = name.and_then(|v| r.upstreams.get(&v.0)).cloned().ok_or(Rejection(Code::NoServer, "no such service", 300))?;
+        Ok((route.clone(), up))
+    }
+}
--- /dev/null
+++ b/yewcross-front/src/relay/dispatch.rs
@@ -0,0 +1,162 @@
+//! The choice of servers for a request, and its attempts at them within `max_tries`.
+
+use super::attempt::{Answer, Outcome};
+use super::{ClientRequest, Rejection, Relay};
+use crate::balance::{Claim, Need, NoSeat};
+use futures_lite::FutureExt;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use yewcross::chain::Turn;
+use yewcross::code::Code;
+use yewcross::consts::*;
+use yewcross::route::{Mode, Route, Upstream};
+
+/// Whether a request may run more than once.
+fn repeatable(m: Mode) -> bool {
+    m == Mode::Pure
+}
+
+impl Relay {
+    /// Sends it to one server after another until one answers; at most `max_tries` of them ever see a byte of it.
+    pub(super) async fn dispatch(
+        self: &Arc<Self>,
+        s: &ClientRequest,
+        first: &Route,
+        prev: Option<&Turn>,
+    ) -> Result<(Route, Answer), Rejection> {
+        let (mut tried, mut sent, mut lost): (Vec<String>, u32, bool) = (vec![], 0, false);
+        let mut last: Option<Answer> = None;
+        loop {
+            let (route, claim) = match self.seat(s, first, prev, &tried).await {
+                Ok(x) => x,
+                Err(e) => return last.map(|a| (first.clone(), a)).ok_or(if lost { self.gave_up(s) } else { e }),
+            };
+            let again = repeatable(route.mode) && sent + 1 < route.max_tries;
+            let server = claim.to.server.clone();
+            tried.push(server.clone());
+            let got = if again {
+                self.attempt_with_backup(s, &route, claim, &mut tried, &mut sent).await
+            } else {
+                self.attempt(s, claim, &route).await
+            };
+            sent += !got.nothing_sent() as u32;
+            let more = sent < route.max_tries && self.w.now() < s.until;
+            match got {
+                Outcome::Answer(a) => {
+                    let ill = a.head.status.is_server_error();
+                    if !(ill && repeatable(route.mode) && more) {
+                        return Ok((route, *a));
+                    }
+                    last = Some(*a);
+                }
+                // It may be chosen again by what holds now; where no time is left, that is told there.
+                Outcome::Withdrawn => tried.retain(|x| *x != server),
+                Outcome::NotRun | Outcome::Unsent if more => {}
+                Outcome::NotRun | Outcome::Unsent if lost => return Err(self.gave_up(s)),
+                Outcome::NotRun | Outcome::Unsent => {
+                    return last.map(|a| (route.clone(), a)).ok_or(Rejection(
+                        Code::LineFull,
+                        "every server turned it away",
+                        self.soon(&route),
+                    ));
+                }
+                Outcome::Lost if repeatable(route.mode) && more => lost = true,
+                Outcome::Lost => return Err(self.gave_up(s)),
+            }
+        }
+    }
+
+    fn gave_up(&self, s: &ClientRequest) -> Rejection {
+        if self.w.now() + MS >= s.until {
+            self.counts.expired.fetch_add(1, SeqCst);
+            return Rejection(Code::Expired, "no answer by its deadline", 0);
+        }
+        Rejection(Code::MayHaveRun, "its answer was lost", 0)
+    }
+
+    /// A place at a server, by the newest configuration and list at the moment it is taken.
+    async fn seat(&self, s: &ClientRequest, first: &Route, prev: Option<&Turn>, tried: &[String]) -> Result<(Route, Claim), Rejection> {
+        let patience = self.w.now() + first.target_ms.max(40) * MS * PLACE_PATIENCE / 100;
+        loop {
+            let now = self.w.now();
+            let (route, up) = {
+                let c = self.book.config.load();
+                self.route(&c.1.routing, c.0, &s.host, &s.head, &s.meta)?
+            };
+            // What was sent as repeatable, or opened as a turn, is not sent again as anything else.
+            if route.retained != first.retained || route.mode != first.mode {
+                return Err(Rejection(Code::NotServing, "the route has changed", 20));
+            }
+            if now >= s.until {
+                return Err(Rejection(Code::TooLate, "no time is left", self.soon(&route)));
+            }
+            let n = self.need(s, &route, &up, prev);
+            let got = {
+                let l = self.book.list.load();
+                self.balance.pick(&self.w, &n, &l.1.servers, tried, |x| self.pool.has(x))
+            };
+            let due = match got {
+                Ok(c) => return Ok((route, c)),
+                Err(NoSeat::None) => return Err(Rejection(Code::NoServer, "no server of the service may take it now", self.soon(&route))),
+                Err(NoSeat::Full(due)) => due,
+            };
+            let end = patience.min(s.until);
+            if now + due >= end || !self.balance.wait(&self.w, &n, end).await {
+                let back = (due / MS).clamp(self.soon(&route) / 2, (route.target_ms / 2).max(20));
+                return Err(Rejection(Code::LineFull, "all places are taken", back));
+            }
+        }
+    }
+
+    fn need(&self, s: &ClientRequest, r: &Route, up: &Upstream, prev: Option<&Turn>) -> Need {
+        let fronts = self.fronts.load(SeqCst).max(1) as u32;
+        Need {
+            service: up.name.clone(),
+            engine: up.engine.clone(),
+            parts: s.meta.parts.clone(),
+            prompt: s.meta.prompt_tokens,
+            output: s.meta.max_output_tokens,
+            prev: prev.map(|t| t.server.clone()).unwrap_or_default(),
+            prev_tokens: prev.map_or(0, |t| t.tokens),
+            site: self.site.clone(),
+            target_us: r.target_ms.max(1) * MS,
+            rank: (r.rank, s.began + s.meta.finish_ms.unwrap_or(r.timeout_ms) * MS),
+            conns: (up.max_conns * 3 / 2 / fronts).max(2),
+        }
+    }
+
+    /// 0 for the most urgent: by the route's rank, and by the time that its program has left.
+    pub(super) fn urgency(&self, s: &ClientRequest, r: &Route, up: bool) -> Option<u8> {
+        let hurry = s.meta.finish_ms.is_some_and(|f| f < 4 * r.target_ms.max(1));
+        up.then(|| (2 + 3 * r.rank.min(2)).saturating_sub(hurry as u8).min(9))
+    }
+
+    /// A repeatable request to whose silence a second server is asked.
+    async fn attempt_with_backup(
+        self: &Arc<Self>,
+        s: &ClientRequest,
+        r: &Route,
+        c: Claim,
+        tried: &mut Vec<String>,
+        sent: &mut u32,
+    ) -> Outcome {
+        let usual = self.balance.usual(&c.to.service);
+        let pause = (3 * usual).max(r.target_ms * MS * 6 / 10).max(50 * MS);
+        let mut one = std::pin::pin!(self.attempt(s, c, r));
+        if let Some(x) = self.w.within(pause, one.as_mut()).await {
+            return x;
+        }
+        let Ok((route, c)) = self.seat(s, r, None, tried).await else { return one.await };
+        self.counts.second.fetch_add(1, SeqCst);
+        tried.push(c.to.server.clone());
+        *sent += 1;
+        let mut two = std::pin::pin!(self.attempt(s, c, &route));
+        // The first good answer of the two; a bad one leaves the other to be waited for.
+        let (x, first) = async { (one.as_mut().await, true) }.or(async { (two.as_mut().await, false) }).await;
+        match x {
+            Outcome::Answer(_) => x,
+            _ if first => x.or(two.await),
+            _ => x.or(one.await),
+        }
+    }
+}
