--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -199,9 +199,13 @@
     pub async fn hear(self: &Arc<Self>, a: Ask, blob: Vec<u8>, from: &str) -> (Tell, Vec<u8>) {
         match a {
             Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => (self.members.hear(a).await, vec![]),
-            Ask::Reg(r) => {
-                let (t, b) = self.replica.hear(r, blob).await;
-                (Tell::Reg(t), b)
+            Ask::Reg(request) => self.unnamed_register_request(request, blob).await,
+            Ask::Register { disk, .. } | Ask::SweepDone { disk, .. } if !disk.is_empty() && disk != self.vault.id => {
+                (Tell::OtherDisk { disk: self.vault.id.clone() }, vec![])
+            }
+            Ask::Register { request, .. } => {
+                let (reply, value) = self.replica.hear(request, blob).await;
+                (Tell::Register { disk: self.vault.id.clone(), reply }, value)
             }
             Ask::Newer { have, front } => (config::newer(self, have, front, from).await, vec![]),
             Ask::Page { name, more_than } => {
@@ -216,8 +220,8 @@
                 self.book.adopt(&name, seq, epoch, blob);
                 (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
             }
-            Ask::Patch { name, seq, epoch, base } => {
-                self.book.patch(&name, base, seq, epoch, &blob);
+            Ask::Patch { name, seq, epoch, base, base_digest } => {
+                let _ = self.book.patch(&name, base, &base_digest, seq, epoch, &blob);
                 (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
             }
             Ask::Grants { name, seq } => (config::grants(self, &name, seq).await, vec![]),
@@ -229,17 +233,23 @@
                 self.sweep_call.notify(usize::MAX);
                 (Tell::Ok, vec![])
             }
-            Ask::SweepDone { layout } => {
-                let (beside, left) = self.chain.swept(layout);
-                let kept = self.layout_kept();
-                let done = self.swept.load(SeqCst) >= layout && kept >= layout && beside;
-                (Tell::Swept { done, left: self.sweep_left.load(SeqCst) + left, kept }, vec![])
-            }
+            Ask::SweepDone { layout, .. } => (layout::report(self, layout), vec![]),
             Ask::Chain => (Tell::Chain, self.chain.hear(blob).await),
             a => self.store.hear(a, blob).await,
         }
     }
 
+    /// An asker that names no disk means whichever was at this address when it last looked. Only a disk that the layout it
+    /// keeps gives a seat may be that one: a disk that has just been made here has none yet.
+    async fn unnamed_register_request(&self, request: RegAsk, blob: Vec<u8>) -> (Tell, Vec<u8>) {
+        let seated = self.book.layout.load().1.has_seat(&self.vault.id);
+        if !seated {
+            return (Tell::Reg(RegTell::Away), vec![]);
+        }
+        let (reply, value) = self.replica.hear(request, blob).await;
+        (Tell::Reg(reply), value)
+    }
+
     /// A planned stop: operators' requests under way are answered, then the others are told.
     pub async fn stop(&self) {
         self.members.leave().await;
@@ -274,25 +284,41 @@
     }
 }
 
-/// Documents a control node adopts are kept on its own disk, so that a restart begins from them.
+/// A document as this node's own disk holds it.
+#[derive(Clone, Copy, Default)]
+struct KeptPage {
+    /// Version of the file. It counts the writes, not the documents: each write removes the file of the version before.
+    file_version: u64,
+    /// Sequence number of the document.
+    seq: u64,
+}
+
+/// Documents a control node adopts are kept on its own disk, so that a restart begins from them. One that is adopted and
+/// not yet kept is asked for again: a node believes no more than what its disk held, and is told of the rest as news.
 async fn keep_pages(c: Arc<Control>) {
-    let mut kept: BTreeMap<&str, u64> = BTreeMap::new();
-    for d in DOCS {
-        kept.insert(d, c.book.page(d).seq);
+    let mut kept: BTreeMap<&str, KeptPage> = BTreeMap::new();
+    for (name, file_version, _) in c.vault.scan("local").await.unwrap_or_default() {
+        if let Some(d) = DOCS.into_iter().find(|d| *d == name) {
+            kept.insert(d, KeptPage { file_version, seq: c.book.page(d).seq });
+        }
     }
     loop {
         let moved = c.book.moved.listen();
         // Where cores are asked for all else, only the layout must be known again before anybody answers.
         for d in DOCS.into_iter().filter(|d| !c.options.tends || *d == "layout") {
-            let p = c.book.page(d);
-            if p.seq > kept[d] {
-                let b = serde_json::to_vec(&(p.seq, p.epoch, String::from_utf8_lossy(&p.raw))).unwrap_or_default();
-                if c.vault.keep("local", d, p.seq, &b).await.is_ok() {
-                    kept.insert(d, p.seq);
-                    if d == "layout" {
-                        c.replica.lay.fetch_max(p.seq, SeqCst);
-                    }
-                }
+            let page = c.book.page(d);
+            let before = kept.get(d).copied().unwrap_or_default();
+            if page.seq <= before.seq {
+                continue;
+            }
+            let now = KeptPage { file_version: before.file_version + 1, seq: page.seq };
+            let body = serde_json::to_vec(&(page.seq, page.epoch, String::from_utf8_lossy(&page.raw))).unwrap_or_default();
+            if c.vault.keep("local", d, now.file_version, &body).await.is_err() {
+                continue;
+            }
+            kept.insert(d, now);
+            if d == "layout" {
+                c.replica.lay.fetch_max(page.seq, SeqCst);
             }
         }
         c.w.within(if c.vault.failed.load(SeqCst) { 50 * MS } else { 10 * SEC }, moved).await;
