--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -27,7 +27,13 @@
     Table {
         nodes: Vec<Node>,
     },
+    /// A register request that names no disk, as programs before `WIRE_NAMED_DISKS` send it.
     Reg(RegAsk),
+    /// A register request meant for one disk. Any other answers `Tell::OtherDisk`.
+    Register {
+        disk: String,
+        request: RegAsk,
+    },
     /// A node tells which documents it holds and asks whether a core disk holds newer ones.
     Newer {
         have: Vec<(String, u64)>,
@@ -123,8 +129,12 @@
         same: Vec<String>,
         relay: bool,
     },
+    /// How far the disk named is with the change that layout number `layout` began.
     SweepDone {
         layout: u64,
+        /// The disk asked about; empty where an older program asks. Any other answers `Tell::OtherDisk`.
+        #[serde(default)]
+        disk: String,
     },
     /// A disk found damaged files: whoever holds the same keys should mend it now.
     SweepNow,
@@ -149,7 +159,17 @@
     Table {
         nodes: Vec<Node>,
     },
+    /// The answer to a register request that named no disk.
     Reg(RegTell),
+    /// The answer of one disk to a register request meant for it.
+    Register {
+        disk: String,
+        reply: RegTell,
+    },
+    /// The question was meant for another disk than the one that is here now.
+    OtherDisk {
+        disk: String,
+    },
     Newer {
         newest: Vec<(String, u64)>,
         sure: bool,
@@ -190,6 +210,9 @@
         /// Newest layout that the disk keeps; it refuses older ones.
         #[serde(default)]
         kept: u64,
+        /// The disk that says so; empty where an older program answers.
+        #[serde(default)]
+        disk: String,
     },
     /// The answer is the blob.
     Chain,
@@ -313,6 +336,23 @@
     pub now: Vec<String>,
     /// Set while a change is under way; both sets must then agree.
     pub old: Vec<String>,
+    /// Layout number that wrote these sets: progress of the group's change is counted by it, whatever the other group does
+    /// meanwhile. 0 where an older process wrote the layout.
+    #[serde(default)]
+    pub since: u64,
+}
+
+impl Group {
+    pub fn changing(&self) -> bool {
+        !self.old.is_empty()
+    }
+}
+
+impl Layout {
+    /// Layout number that wrote the group's sets, of a layout with this number.
+    pub fn since(&self, group: &Group, number: u64) -> u64 {
+        if group.since == 0 { number } else { group.since }
+    }
 }
 
 /// Which disks carry what. `names` tells the machine behind a disk.
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -4,10 +4,12 @@
 pub const SEC: u64 = 1_000_000;
 
 /// Versions of the frames between processes. Two speak the older of their newest, so that a tier can be upgraded
-/// node by node. 2 added deltas of register changes and news by difference.
-pub const WIRE_VERSION: u16 = 2;
+/// node by node. 2 added deltas of register changes and news by difference, 3 register requests and answers that name
+/// the disk they are meant for and come from.
+pub const WIRE_VERSION: u16 = 3;
 pub const WIRE_OLDEST: u16 = 1;
 pub const WIRE_DELTAS: u16 = 2;
+pub const WIRE_NAMED_DISKS: u16 = 3;
 /// Version of the files under the data folder.
 pub const DISK_FORMAT: u32 = 1;
 
@@ -102,8 +104,14 @@
 pub const SEAT_LOST: u64 = 8 * SEC;
 /// us. Founding waits this long for more store machines than the fewest that may be.
 pub const FOUND_WAIT: u64 = 500 * MS;
-/// us. How often a change of disks under way is looked at.
-pub const MOVE_LOOK: u64 = 120 * MS;
+/// us. How often a change of disks under way is looked at: short beside the time in which a seat should be whole.
+pub const MOVE_LOOK: u64 = 60 * MS;
+/// us. How often the seats are looked at while a machine of theirs is missing.
+pub const SEATS_LOOK: u64 = 200 * MS;
+/// us. A step of a change that could not be done is tried again after this.
+pub const STEP_AGAIN: u64 = 100 * MS;
+/// us. Longest wait for a disk's report of a change: the dead are not waited for longer.
+pub const SEAT_REPORT_WAIT: u64 = 350 * MS;
 /// us. Length of a duty lease as the granter counts it.
 pub const DUTY_LEASE: u64 = 3 * SEC;
 /// us. The holder counts itself out this much earlier.
@@ -263,6 +271,9 @@
 /// count. Programs whose owner a front remembers.
 pub const CHAIN_OWNERS: usize = 16_384;
 
+/// us. From the last check of a server that was chosen to the first byte sent to it. Between the two lies one turn of
+/// the scheduler, some ms on a slow machine; a process that stood still for longer has to choose anew.
+pub const SEND_WITHIN: u64 = 250 * MS;
 /// us. Idle time of a server's connection where the server names none.
 pub const LINK_IDLE: u64 = 5 * SEC;
 /// us. An idle connection is given up this long before the server would close it.
