Check operators' calls for linearizability, under every kind of trouble

Two to eight operators put, put again at other cores, lose answers and read back, while cores are cut both ways or one way, frozen, slow, killed, without power, wiped and replaced, one at a time or two where two may be lost, on 4, 5 and 8 cores. Each call is recorded with its beginning, end and answer, and the history is checked against a compare-and-set register that knows what it took: an undecided call may take effect at any later time, or never.

The check finds orders that do not look at their base, orders that forget what they took, and reads of what a node has on hand.

--- a/yewcross-lab/src/lib.rs
+++ b/yewcross-lab/src/lib.rs
@@ -1,6 +1,7 @@
 pub mod caller;
 pub mod fleet;
 pub mod grind;
+pub mod history;
 pub mod platform;
 pub mod proof;
 pub mod rogue;
--- /dev/null
+++ b/yewcross-lab/tests/histories.rs
@@ -0,0 +1,368 @@
+//! Operators' calls under every kind of trouble are linearizable: orders as compare-and-set, reads, and retiring.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering::SeqCst;
+use std::sync::{Arc, Mutex};
+use yewcross::ask::ConfigDoc;
+use yewcross::consts::*;
+use yewcross::reg::Step;
+use yewcross::startup::Role;
+use yewcross_control::api::*;
+use yewcross_lab::history::*;
+use yewcross_lab::sim::{Costs, Weather};
+use yewcross_lab::tier::*;
+
+type Calls = Arc<Mutex<Vec<Operation<ConfigRegister>>>>;
+
+/// How a run is set up.
+#[derive(Clone, Copy, Debug)]
+struct Plan {
+    seed: u64,
+    counts: [usize; 3],
+    tolerance: usize,
+    operators: usize,
+    /// us that the operators go on for.
+    length: u64,
+    /// Orders are decided by this instead, to show that the check can fail.
+    broken: Option<Broken>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Broken {
+    /// The base is not looked at.
+    AnyBase,
+    /// Superseded orders are not remembered.
+    NoMemory,
+    /// A read answers from what the node was last told.
+    ReadOnHand,
+}
+
+#[derive(Default, Debug)]
+struct Outcome {
+    /// Told with a run.
+    calls: usize,
+    taken: usize,
+    refused: usize,
+    open: usize,
+    slowest: u64,
+}
+
+/// One operator's call, at one core, with what it saw.
+struct Caller {
+    tier: Arc<Tier>,
+    calls: Calls,
+    broken: Option<Broken>,
+}
+
+/// An order as its operator sends it.
+#[derive(Clone, Debug)]
+struct Sent {
+    base: u64,
+    number: u64,
+    text: String,
+}
+
+impl Caller {
+    fn random_core(&self) -> String {
+        let cores = self.tier.names(Role::Core);
+        cores[self.tier.op.rand() as usize % cores.len()].clone()
+    }
+
+    fn record(&self, begin: u64, call: ConfigCall, answer: Option<ConfigAnswer>) {
+        let at = self.tier.op.now();
+        self.calls.lock().unwrap().push(Operation { begin, call, ended: answer.map(|answer| Ended { at, answer }) });
+    }
+
+    async fn read(&self) -> Option<u64> {
+        let begin = self.tier.op.now();
+        let core = self.random_core();
+        let got = if self.broken == Some(Broken::ReadOnHand) { self.read_on_hand(&core) } else { self.tier.read(&core).await };
+        match got {
+            Some(ReadAnswer::Text(number, text)) => {
+                self.record(begin, ConfigCall::Read, Some(ConfigAnswer::Text { number, text: text.to_string() }));
+                Some(number)
+            }
+            Some(ReadAnswer::None) => {
+                self.record(begin, ConfigCall::Read, Some(ConfigAnswer::Nothing));
+                Some(0)
+            }
+            // A read without an answer has no effect.
+            Some(ReadAnswer::Away) | None => None,
+        }
+    }
+
+    fn read_on_hand(&self, core: &str) -> Option<ReadAnswer> {
+        let document = ConfigDoc::decode(&self.tier.at(core)?.book.page("config").raw).ok()?;
+        Some(ReadAnswer::Text(document.number, document.text.into()))
+    }
+
+    /// Sends an order once. Where its answer is lost, the operator knows nothing.
+    async fn send(&self, order: &Sent, answer_is_lost: bool) -> Option<ConfigAnswer> {
+        let begin = self.tier.op.now();
+        let core = self.random_core();
+        let got = match self.broken {
+            Some(Broken::AnyBase | Broken::NoMemory) => self.put_broken(&core, order).await,
+            _ => self.tier.put(&core, order.base, &order.text).await,
+        };
+        let answer = got.and_then(|a| match a {
+            PutAnswer::InForce(number) => Some(ConfigAnswer::Taken { number }),
+            PutAnswer::Conflict(current) => Some(ConfigAnswer::Conflict { current }),
+            PutAnswer::Bad(_) => Some(ConfigAnswer::Invalid),
+            PutAnswer::NotFounded | PutAnswer::NoMajority | PutAnswer::Forgotten => Some(ConfigAnswer::NotDone),
+            PutAnswer::Undecided => None,
+        });
+        let answer = answer.filter(|_| !answer_is_lost);
+        let call = ConfigCall::Put { base: order.base, number: order.number, text: order.text.clone() };
+        self.record(begin, call, answer.clone());
+        answer
+    }
+
+    /// An order decided as the product does not.
+    async fn put_broken(&self, core: &str, order: &Sent) -> Option<PutAnswer> {
+        let (order, broken) = (order.clone(), self.broken);
+        self.tier
+            .on(core, move |c| {
+                Box::pin(async move {
+                    let got = c
+                        .owner
+                        .change("config", SEC, |_, value| {
+                            let document = ConfigDoc::decode(value).unwrap();
+                            let base_fits = document.number == order.base || broken == Some(Broken::AnyBase);
+                            if document.text == order.text {
+                                Step::Keep(PutAnswer::InForce(order.number))
+                            } else if base_fits && order.number > document.number {
+                                let next = ConfigDoc { text: order.text.clone(), number: order.number, ..Default::default() };
+                                Step::Write(next.encode().unwrap(), PutAnswer::InForce(order.number))
+                            } else if base_fits {
+                                Step::Keep(PutAnswer::Bad(vec![]))
+                            } else {
+                                Step::Keep(PutAnswer::Conflict(document.number))
+                            }
+                        })
+                        .await;
+                    got.unwrap_or(PutAnswer::Undecided)
+                })
+            })
+            .await
+    }
+
+    /// Orders one change after another, as an operator does, until the time is over.
+    async fn operate(&self, who: usize, until: u64) {
+        let op = &self.tier.op;
+        let mut taken: Vec<Sent> = vec![];
+        let mut nth = 0;
+        while op.now() < until {
+            let Some(base) = self.read().await else {
+                op.sleep(50 * MS).await;
+                continue;
+            };
+            op.sleep(op.rand() % (30 * MS)).await;
+            nth += 1;
+            let number = base + 1 + op.rand() % 3;
+            let order = Sent { base, number, text: format!("{number} by {who} {nth}") };
+            if self.send_until_clear(&order).await == Some(true) {
+                taken.push(order);
+            }
+            if !taken.is_empty() && op.rand().is_multiple_of(4) {
+                let again = &taken[op.rand() as usize % taken.len()];
+                self.send(again, false).await;
+            }
+            op.sleep(op.rand() % (120 * MS)).await;
+        }
+    }
+
+    /// Sends an order as it is to one core after another until there is a clear answer; whether it was taken.
+    async fn send_until_clear(&self, order: &Sent) -> Option<bool> {
+        for _ in 0..12 {
+            let answer_is_lost = self.tier.op.rand().is_multiple_of(6);
+            match self.send(order, answer_is_lost).await {
+                Some(ConfigAnswer::Taken { .. }) => return Some(true),
+                Some(ConfigAnswer::Conflict { .. } | ConfigAnswer::Invalid) => return Some(false),
+                _ => self.tier.op.sleep(60 * MS + self.tier.op.rand() % (60 * MS)).await,
+            }
+        }
+        None
+    }
+}
+
+/// Trouble with as many machines as may be lost at once, one kind after another, each over before the next.
+async fn trouble(tier: Arc<Tier>, plan: Plan) {
+    let until = tier.op.now() + plan.length;
+    let mut spare = 60;
+    while tier.op.now() < until {
+        let mut machines: Vec<String> = tier.names(Role::Core);
+        let mut back: Vec<String> = vec![];
+        let mut settle = 300 * MS;
+        for _ in 0..plan.tolerance {
+            let name = machines.swap_remove(tier.op.rand() as usize % machines.len());
+            let machine = tier.sim.find(&name);
+            let others: Vec<usize> = tier.names(Role::Core).iter().filter(|n| **n != name).map(|n| tier.sim.find(n)).collect();
+            match tier.op.rand() % 8 {
+                0 => tier.sim.split(&[machine], &others),
+                1 => others.iter().for_each(|o| tier.sim.cut(machine, *o)),
+                2 => others.iter().for_each(|o| tier.sim.cut(*o, machine)),
+                3 => tier.sim.freeze(machine),
+                4 => tier.sim.charge(machine, Costs { share: 2, wake: 200, byte: 50, sync: 60_000 }),
+                5 => {
+                    tier.kill(&name, tier.op.rand().is_multiple_of(2));
+                    back.push(name);
+                }
+                6 => {
+                    tier.kill(&name, true);
+                    tier.sim.wipe(machine);
+                    back.push(name);
+                    settle = 4_200 * MS;
+                }
+                _ => {
+                    spare += 1;
+                    tier.kill(&name, true);
+                    tier.specs.lock().unwrap().remove(&name);
+                    let other = format!("other{spare}");
+                    tier.add(&other, Role::Core, spare % 4, spare, plan.tolerance);
+                    back.push(other);
+                    settle = 4_200 * MS;
+                }
+            }
+        }
+        tier.op.sleep(300 * MS + tier.op.rand() % (2_500 * MS)).await;
+        tier.sim.heal();
+        for name in tier.names(Role::Core) {
+            tier.sim.thaw(tier.sim.find(&name));
+            tier.sim.charge(tier.sim.find(&name), Costs::default());
+        }
+        back.iter().for_each(|n| tier.boot(n, false));
+        tier.op.sleep(settle + tier.op.rand() % SEC).await;
+    }
+}
+
+/// Nobody goes back within one life, adopts what was refused, or holds two contents under one number.
+fn check_fronts(tier: &Tier, calls: &[Operation<ConfigRegister>]) {
+    let refused = |c: &&Operation<ConfigRegister>| {
+        c.ended.as_ref().is_some_and(|e| matches!(e.answer, ConfigAnswer::Conflict { .. } | ConfigAnswer::Invalid))
+    };
+    let text = |c: &Operation<ConfigRegister>| match &c.call {
+        ConfigCall::Put { text, .. } => Some(text.clone()),
+        ConfigCall::Read => None,
+    };
+    let refused: BTreeSet<String> = calls.iter().filter(refused).filter_map(text).collect();
+    for (name, front) in tier.fronts.lock().unwrap().iter() {
+        let seen = front.seen.lock().unwrap();
+        assert!(seen.windows(2).all(|w| w[0].1 < w[1].1), "{name} went back");
+        assert!(seen.iter().all(|s| !refused.contains(&s.2)), "{name} adopted what was refused");
+        assert_eq!(front.book.conflicts.load(SeqCst), 0, "{name}");
+    }
+    for (name, control) in tier.control.lock().unwrap().iter() {
+        assert_eq!(control.book.conflicts.load(SeqCst), 0, "{name}");
+    }
+}
+
+/// Runs a plan; the history, and what the last reads at all cores gave.
+fn run(plan: Plan) -> (Vec<Operation<ConfigRegister>>, Outcome, Arc<Tier>) {
+    let tier = Tier::new(plan.seed, plan.counts, plan.tolerance);
+    let calls: Calls = Default::default();
+    let recorded = calls.clone();
+    play(&tier, move |tier| {
+        Box::pin(async move {
+            up(&tier).await;
+            let caller = |tier: &Arc<Tier>| Caller { tier: tier.clone(), calls: recorded.clone(), broken: plan.broken };
+            let first = Sent { base: 0, number: 1, text: "1 first".into() };
+            while caller(&tier).send_until_clear(&first).await != Some(true) {}
+            tier.sim.weather(Weather { lose: 5, twice: 20, late: 20, jitter: 500 });
+            let until = tier.op.now() + plan.length;
+            let (done_tx, done) = async_channel::unbounded();
+            for who in 0..plan.operators {
+                let (caller, done_tx) = (caller(&tier), done_tx.clone());
+                tier.op.go(async move {
+                    caller.operate(who, until).await;
+                    let _ = done_tx.send(()).await;
+                });
+            }
+            trouble(tier.clone(), plan).await;
+            for _ in 0..plan.operators {
+                let _ = done.recv().await;
+            }
+            tier.sim.weather(Weather::default());
+            tier.op.sleep(4 * SEC).await;
+            for core in tier.names(Role::Core) {
+                let begin = tier.op.now();
+                let Some(ReadAnswer::Text(number, text)) = tier.read(&core).await else { panic!("{core} cannot read\n{}", tell(&tier)) };
+                caller(&tier).record(begin, ConfigCall::Read, Some(ConfigAnswer::Text { number, text: text.to_string() }));
+            }
+        })
+    });
+    let calls = calls.lock().unwrap().clone();
+    let mut outcome = Outcome { calls: calls.len(), ..Default::default() };
+    for call in calls.iter().filter(|c| matches!(c.call, ConfigCall::Put { .. })) {
+        match &call.ended {
+            Some(Ended { answer: ConfigAnswer::Taken { .. }, .. }) => outcome.taken += 1,
+            Some(_) => outcome.refused += 1,
+            None => outcome.open += 1,
+        }
+    }
+    outcome.slowest = calls.iter().filter_map(|c| c.ended.as_ref().map(|e| e.at - c.begin)).max().unwrap_or(0);
+    (calls, outcome, tier)
+}
+
+fn first_register() -> ConfigRegister {
+    ConfigRegister::default()
+}
+
+fn holds(plan: Plan) {
+    let (calls, outcome, tier) = run(plan);
+    let verdict = check(first_register(), &calls);
+    println!(
+        "seed {} cores {} tolerance {} operators {}: {outcome:?} {verdict:?}",
+        plan.seed, plan.counts[0], plan.tolerance, plan.operators
+    );
+    assert!(verdict.holds(), "{plan:?}: {verdict:#?}\n{}", tell(&tier));
+    check_fronts(&tier, &calls);
+    assert!(outcome.taken > 30, "{outcome:?}");
+    assert!(outcome.slowest < 4 * SEC, "{outcome:?}");
+}
+
+const PLAN: Plan = Plan { seed: 0, counts: [4, 4, 3], tolerance: 1, operators: 2, length: 20 * SEC, broken: None };
+
+#[test]
+fn two_operators_on_four_cores() {
+    (0..8).for_each(|i| holds(Plan { seed: 7200 + i, ..PLAN }));
+}
+
+#[test]
+fn eight_operators_on_four_cores() {
+    (0..4).for_each(|i| holds(Plan { seed: 7220 + i, operators: 8, ..PLAN }));
+}
+
+#[test]
+fn operators_on_five_cores_that_bear_two_losses() {
+    (0..4).for_each(|i| holds(Plan { seed: 7240 + i, counts: [5, 5, 3], tolerance: 2, operators: 3, ..PLAN }));
+}
+
+#[test]
+fn operators_on_eight_cores_that_bear_two_losses() {
+    (0..4).for_each(|i| holds(Plan { seed: 7260 + i, counts: [8, 5, 3], tolerance: 2, operators: 4, ..PLAN }));
+}
+
+/// Whether some of a few runs shows the fault.
+fn is_found(broken: Broken) -> bool {
+    (0..6).any(|i| {
+        let (calls, ..) = run(Plan { seed: 7280 + i, broken: Some(broken), operators: 4, ..PLAN });
+        let verdict = check(first_register(), &calls);
+        println!("{broken:?} seed {}: {verdict:?}", 7280 + i);
+        matches!(verdict, Verdict::Broken { .. })
+    })
+}
+
+#[test]
+fn the_check_finds_orders_that_do_not_look_at_their_base() {
+    assert!(is_found(Broken::AnyBase));
+}
+
+#[test]
+fn the_check_finds_orders_that_forget_what_they_took() {
+    assert!(is_found(Broken::NoMemory));
+}
+
+#[test]
+fn the_check_finds_reads_of_what_is_on_hand() {
+    assert!(is_found(Broken::ReadOnHand));
+}
