Name the queues before servers admission, and step them by short functions

line.rs (waiting lines, pass, horizon, lead) had one function of 71 lines with eight arguments and a lint put off for it. admission.rs holds the same steps: a request is a struct with units, a refusal has named fields, the queue's own arithmetic stands apart from the waiting. server_table::slots replaces the same closure that stood in two places. Behaviour is unchanged, the read of free slots under the queue's lock included.

--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -1,8 +1,8 @@
+pub mod admission;
 pub mod back;
 pub mod balance;
 pub mod judge;
 pub mod kv;
-pub mod line;
 pub mod lookup;
 pub mod news;
 pub mod pool;
@@ -85,7 +85,8 @@
     pub follow: Arc<Follow>,
     pub gate: Arc<Gate>,
     pub pool: back::Pool,
-    pub lines: line::Lines,
+    /// Requests that wait for a server with room.
+    pub admission: admission::Admission,
     pub links: Links,
     pub heard: Mutex<BTreeMap<String, server_table::Heard>>,
     /// What this node last told of each server as its home.
@@ -293,7 +294,7 @@
             follow,
             gate: Default::default(),
             pool: Default::default(),
-            lines: Default::default(),
+            admission: Default::default(),
             links: Default::default(),
             heard: Default::default(),
             told: Default::default(),
@@ -459,7 +460,7 @@
             reply(
                 200,
                 &json!({"counts": f.counts.all(), "kinds": *t.kinds.lock().unwrap(), "odd_frames": f.peers.odd.load(SeqCst), "messages": t.sent.load(SeqCst), "bytes_within": t.bytes_within.load(SeqCst),
-                    "bytes_across": t.bytes_across.load(SeqCst), "lines": f.lines.depth(), "open": f.gate.open.load(SeqCst),
+                    "bytes_across": t.bytes_across.load(SeqCst), "lines": f.admission.depth(), "open": f.gate.open.load(SeqCst),
                     "busy": f.gate.busy.load(SeqCst)}),
             )
         }
--- a/yewcross-front/src/lookup.rs
+++ b/yewcross-front/src/lookup.rs
@@ -3,7 +3,7 @@
 use crate::back::{Sent, Stamp};
 use crate::judge::{self, Case, Weights};
 use crate::turn::name_ok;
-use crate::{Front, server_table};
+use crate::{Front, admission, server_table};
 use http_types::Response;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -72,14 +72,18 @@
     }
     let horizon = t0 + b.horizon_ms.min(svc.horizon_ms) * MS;
     let patience = t0 + (horizon - t0) * PATIENCE / 100;
-    let room = || {
-        let v = server_table::fit(&f, &b.service);
-        (v.iter().map(|s| s.free()).sum(), v.iter().map(|s| s.report.slots).sum())
+    let request = admission::Request {
+        service: &b.service,
+        class: Class::Normal,
+        deadline: horizon,
+        patience,
+        needs: HORIZON_SPARE,
+        capacity: svc.line,
+        urgent_share: svc.urgent_share,
     };
-    let cap = (svc.line, svc.urgent_share);
-    let pass = match f.lines.enter(&f.w, &b.service, Class::Normal, horizon, cap, patience, HORIZON_SPARE, room).await {
-        Ok(p) => p,
-        Err((c, back)) => return refuse(c, "", back),
+    let pass = match f.admission.admit(&f.w, request, || server_table::slots(&f, &b.service)).await {
+        Ok(permit) => permit,
+        Err(refused) => return refuse(refused.code, "", refused.retry_after),
     };
     let key = format!("once/{}/{}", b.service, b.job);
     let mut epoch = 0;
@@ -159,7 +163,7 @@
         let stamped = |v: &Value| serde_json::from_value::<Stamp>(v["stamp"].clone()).is_ok_and(|s| k.stamped(&s, &job));
         match got {
             Some((true, v)) if stamped(&v) => {
-                f.lines.took(&b.service, f.w.now() - t);
+                f.admission.served_in(&b.service, f.w.now() - t);
                 f.calm(&at.server);
                 f.pool.put(&f.w, k);
                 break Ok(v);
--- a/yewcross-front/src/news.rs
+++ b/yewcross-front/src/news.rs
@@ -118,7 +118,7 @@
             }
         });
     }
-    f.lines.wake(svc);
+    f.admission.wake(svc);
     if left {
         crate::kv::watch(f);
     }
--- a/yewcross-front/src/server_table.rs
+++ b/yewcross-front/src/server_table.rs
@@ -1,6 +1,7 @@
 //! What this front knows of the servers: their last reports, and which of them may take a request.
 
 use crate::Front;
+use crate::admission::Slots;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use yewcross::ask::{Listed, Place, Report};
@@ -80,3 +81,9 @@
 pub fn table(f: &Front) -> BTreeMap<String, Vec<Server>> {
     f.book.config.load().1.services.keys().map(|s| (s.clone(), fit(f, s))).collect()
 }
+
+/// Slots of the servers that may take a request of the service now.
+pub fn slots(f: &Front, service: &str) -> Slots {
+    let servers = fit(f, service);
+    Slots { free: servers.iter().map(|s| s.free()).sum(), all: servers.iter().map(|s| s.report.slots).sum() }
+}
--- a/yewcross-front/src/turn/attempt.rs
+++ b/yewcross-front/src/turn/attempt.rs
@@ -103,7 +103,7 @@
         if lines.drained(&f.w).await {
             f.pool.put(&f.w, b);
         }
-        f.lines.took(&g.r.fam.service, f.w.now() - started);
+        f.admission.served_in(&g.r.fam.service, f.w.now() - started);
         kv::count(f, &g.r.fam, &g.kv, &e.stamp.server, e.prompt, e.reused);
         let stamp = Stamp { job: g.r.b.job.clone(), ..e.stamp };
         let kept = Kept { digest: e.digest, prompt: e.prompt, reused: e.reused, output: e.output.min(g.r.max_out), stamp, text };
--- a/yewcross-front/src/turn/drive.rs
+++ b/yewcross-front/src/turn/drive.rs
@@ -6,7 +6,7 @@
 use crate::turn::place::place;
 use crate::turn::request::{TurnBody, tokens};
 use crate::turn::state::{Begun, Read};
-use crate::{Front, kv, server_table};
+use crate::{Front, admission, kv, server_table};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross::ask::{Ask, Listed, Tell};
@@ -30,19 +30,17 @@
     let horizon = t0 + b.horizon_ms.min(fam.horizon_ms) * MS;
     let key = format!("session/{}/{}", b.program, b.session);
     let max_out = b.max_output.unwrap_or(fam.max_output).min(fam.max_output);
-    let cap = conf.1.services.get(&fam.service).map(|s| (s.line, s.urgent_share)).unwrap_or((1, 0));
-    let room = || {
-        let v = server_table::fit(&f, &fam.service);
-        (v.iter().map(|s| s.free()).sum(), v.iter().map(|s| s.report.slots).sum())
-    };
+    let (capacity, urgent_share) = conf.1.services.get(&fam.service).map(|s| (s.line, s.urgent_share)).unwrap_or((1, 0));
     // A session not on hand may be new: then all of its prompt must be read.
     let fresh = if f.hand.lock().unwrap().contains_key(&key) { 0 } else { tokens(b.messages.iter().map(|m| m.text.len()).sum()) };
-    let needs = |s: &server_table::Server| s.report.per_out * max_out + s.report.per_k * fresh / 1000;
-    let least = server_table::fit(&f, &fam.service).iter().map(needs).min().unwrap_or(0) + HORIZON_SPARE;
+    let least = |s: &server_table::Server| s.report.per_out * max_out + s.report.per_k * fresh / 1000;
+    let needs = server_table::fit(&f, &fam.service).iter().map(least).min().unwrap_or(0) + HORIZON_SPARE;
     let patience = t0 + (horizon - t0) * PATIENCE / 100;
-    let mut pass = match f.lines.enter(&f.w, &fam.service, fam.class, horizon, cap, patience, least, room).await {
-        Ok(p) => Some(p),
-        Err((c, back)) => return no(&out, c, "", back).await,
+    let request =
+        admission::Request { service: &fam.service, class: fam.class, deadline: horizon, patience, needs, capacity, urgent_share };
+    let mut pass = match f.admission.admit(&f.w, request, || server_table::slots(&f, &fam.service)).await {
+        Ok(permit) => Some(permit),
+        Err(refused) => return no(&out, refused.code, "", refused.retry_after).await,
     };
     let r = Read { b, fam, key, horizon, patience, max_out };
     let mut g = match begin(&f, r, nonce, &out).await {
--- a/yewcross-front/src/turn/place.rs
+++ b/yewcross-front/src/turn/place.rs
@@ -1,9 +1,9 @@
 //! Chooses a server and connects to it.
 
+use crate::admission::Permit;
 use crate::back::{Back, Verified};
 use crate::judge::{Case, Pick, Warmth, Weights};
 use crate::kv::Due;
-use crate::line::Pass;
 use crate::turn::request::tokens;
 use crate::turn::state::Begun;
 use crate::{Front, judge, kv, server_table};
@@ -18,7 +18,7 @@
     f: &Arc<Front>,
     g: &mut Begun,
     not: &mut Vec<String>,
-    pass: &mut Option<Pass<'_>>,
+    pass: &mut Option<Permit<'_>>,
 ) -> Option<(Pick, Back<Verified>)> {
     let w = Weights::from(&g.r.fam);
     let began = f.w.now();
