Take news only from a core that a majority of core seats answers

A follower took any core's answer for news, cut off or just restarted though it was, and a core told what it held itself. Pages are told under the same condition. A follower knows how long it has been without such word (untold_for).

--- a/yewcross-control/src/config.rs
+++ b/yewcross-control/src/config.rs
@@ -30,11 +30,13 @@
     let mut newest = vec![];
     for d in DOCS {
         let s = c.replica.peek(d).await.map(|s| s.seq).unwrap_or(0);
-        newest.push((d.to_string(), s.max(c.book.page(d).seq)));
+        newest.push((d.to_string(), s.max(c.book.page(d).seq).max(c.version_heard(d))));
     }
     let l = c.book.layout.load();
     let seat = l.1.core.now.contains(&c.vault.id);
     let sure = seat && !c.vault.failed.load(SeqCst) && c.replica.peek("config").await.is_some() && !have.is_empty();
+    // Where fronts hold leases, majorities of cores are asked; where they don't, one core is, and must itself have a majority.
+    let sure = sure && (!c.options.tends || c.has_quorum_contact());
     Tell::Newer { newest, sure }
 }
 
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -215,7 +215,7 @@
             Ask::Newer { have, front } => (config::newer(self, have, front, from).await, vec![]),
             Ask::Page { name, more_than } => {
                 let p = self.book.page(&name);
-                if p.seq > more_than {
+                if p.seq > more_than && (!self.options.tends || self.has_quorum_contact()) {
                     return (Tell::Doc { seq: p.seq, epoch: p.epoch }, p.raw.to_vec());
                 }
                 config::doc(self, &name).await
--- a/yewcross/src/follow.rs
+++ b/yewcross/src/follow.rs
@@ -25,6 +25,8 @@
     rounds: AtomicU64,
     heard: Mutex<BTreeMap<String, u64>>,
     was: AtomicBool,
+    /// us. When the question was sent that a core with a majority answered last; 0 before the first.
+    told_at: AtomicU64,
 }
 
 impl Follow {
@@ -51,6 +53,7 @@
             rounds: AtomicU64::new(w.rand() % 64),
             heard: Default::default(),
             was: AtomicBool::new(false),
+            told_at: AtomicU64::new(0),
         })
     }
 
@@ -62,6 +65,12 @@
         self.w.now() < self.until.load(SeqCst)
     }
 
+    /// us since a core in contact with a majority last told this node what is newest; none if none ever did.
+    pub fn untold_for(&self) -> Option<u64> {
+        let at = self.told_at.load(SeqCst);
+        (at > 0).then(|| self.w.now() - at)
+    }
+
     /// What this front tells other fronts: its version, if it was ever proved.
     pub fn newer(&self) -> Tell {
         let newest = self.book.have();
@@ -122,11 +131,17 @@
         all
     }
 
-    /// Whether the core answered.
+    /// Whether the core answered, and a majority of core seats had answered it lately. What any other core holds may be old:
+    /// nothing is taken over from it.
     async fn ask_one(self: &Arc<Self>, n: &Node) -> bool {
         let have = self.book.have();
         let a = Ask::Newer { have: have.clone(), front: false };
-        let Ok((Tell::Newer { newest, .. }, _)) = self.members.peers.ask(n.peer, &a, &[], SERVE_ASK).await else { return false };
+        let sent = self.w.now();
+        let Ok((Tell::Newer { newest, sure }, _)) = self.members.peers.ask(n.peer, &a, &[], SERVE_ASK).await else { return false };
+        if !sure {
+            return false;
+        }
+        self.told_at.fetch_max(sent, SeqCst);
         for (d, s) in newest {
             let more_than = have.iter().find(|h| h.0 == d).map_or(0, |h| h.1);
             if s <= more_than {
