Cause the loss of the duties' holder by cuts, freezes, kills and restarts of the whole core

The holder is cut off from the other cores for 20 s, one way, the other way or both, while fronts reach all of them and a server leaves every second (4, 5 and 8 cores, 27 runs); it is frozen at any moment and thawed; the whole core dies at once; and all of it is mixed, frames lost, doubled and late (30 runs). Looked at every millisecond: never two on duty, and the term of a document never falls.

--- /dev/null
+++ b/yewcross-lab/tests/duty.rs
@@ -0,0 +1,276 @@
+//! The duty lease: one holder at most, taken over in a bounded time, fenced in what it writes (docs/control-safety.md, 1a).
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use yewcross::ask::Listed;
+use yewcross::consts::*;
+use yewcross::startup::Role;
+use yewcross_lab::sim::{Costs, Weather};
+use yewcross_lab::tier::*;
+
+/// Longest time without a process on duty while a majority of the core seats can reach each other.
+const TAKEOVER: u64 = 2 * SEC;
+
+/// How a core is cut off from the other cores.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    /// What it sends is lost.
+    Outward,
+    /// What is sent to it is lost.
+    Inward,
+    Both,
+}
+
+const CUTS: [Cut; 3] = [Cut::Outward, Cut::Inward, Cut::Both];
+/// Cores, stores and fronts, and disks that may be lost.
+const SIZES: [([usize; 3], usize); 3] = [([4, 4, 6], 1), ([5, 5, 6], 2), ([8, 5, 6], 2)];
+
+fn cut(t: &Tier, name: &str, how: Cut) {
+    let cores = t.names(Role::Core);
+    if matches!(how, Cut::Outward | Cut::Both) {
+        t.cut_from(name, &cores);
+    }
+    if matches!(how, Cut::Inward | Cut::Both) {
+        t.cut_to(name, &cores);
+    }
+}
+
+fn server(n: usize, leaving: bool) -> Listed {
+    let addr = std::net::SocketAddr::new([10, 7, 0, n as u8].into(), 80);
+    Listed { server: format!("s{n}"), service: "llm".into(), addr, site: "z1".into(), leaving }
+}
+
+/// Looks at all cores every millisecond: at most one is on duty, and the term that a document was written under never falls
+/// from one version to the next. Remembers the longest time without anybody on duty since `begin` was last called.
+struct Watch {
+    on: AtomicBool,
+    longest_gap: std::sync::Mutex<u64>,
+    since: std::sync::Mutex<u64>,
+}
+
+impl Watch {
+    fn start(t: &Arc<Tier>) -> Arc<Watch> {
+        let watch = Arc::new(Watch { on: AtomicBool::new(true), longest_gap: Default::default(), since: Default::default() });
+        let (me, t) = (watch.clone(), t.clone());
+        t.op.clone().go(async move {
+            let mut terms: [BTreeMap<u64, u64>; 2] = Default::default();
+            while me.on.load(SeqCst) {
+                me.look(&t, &mut terms);
+                t.op.sleep(MS).await;
+            }
+        });
+        watch
+    }
+
+    fn look(&self, t: &Tier, terms: &mut [BTreeMap<u64, u64>; 2]) {
+        let (now, holders) = (t.op.now(), t.on_duty());
+        assert!(holders.len() <= 1, "two on duty: {holders:?}\n{}", tell(t));
+        if !holders.is_empty() {
+            *self.since.lock().unwrap() = now;
+        }
+        let gap = now - *self.since.lock().unwrap();
+        let mut longest = self.longest_gap.lock().unwrap();
+        *longest = gap.max(*longest);
+        for c in t.control.lock().unwrap().values() {
+            let (layout, list) = (c.book.layout.load(), c.book.list.load());
+            for (written, (version, term)) in terms.iter_mut().zip([(layout.0, layout.1.term), (list.0, list.1.term)]) {
+                assert_eq!(*written.entry(version).or_insert(term), term, "two documents under one version\n{}", tell(t));
+                let falls = written.range(..version).next_back().is_some_and(|(_, earlier)| *earlier > term);
+                assert!(!falls, "a term fell\n{}", tell(t));
+            }
+        }
+    }
+
+    fn begin(&self, now: u64) {
+        *self.since.lock().unwrap() = now;
+        *self.longest_gap.lock().unwrap() = 0;
+    }
+
+    fn end(&self) -> u64 {
+        self.on.store(false, SeqCst);
+        *self.longest_gap.lock().unwrap()
+    }
+}
+
+/// us until every front holds a list in which the server is leaving.
+async fn list_known(t: &Tier, server: &str, us: u64) -> Option<u64> {
+    let t0 = t.op.now();
+    while t.op.now() < t0 + us {
+        let knows = |b: &Arc<Bare>| b.book.list.load().1.servers.iter().any(|s| s.server == server && s.leaving);
+        if t.fronts.lock().unwrap().values().all(knows) {
+            return Some(t.op.now() - t0);
+        }
+        t.op.sleep(10 * MS).await;
+    }
+    None
+}
+
+/// The holder is cut off from the other cores for 20 s while fronts reach all; a server leaves every second.
+fn holder_cut_off(seed: u64, counts: [usize; 3], lost: usize, how: Cut) -> (u64, u64) {
+    let t = Tier::new(seed, counts, lost);
+    play(&t, |t| {
+        Box::pin(async move {
+            let platform = t.list_servers((0..20).map(|n| server(n, false)).collect()).await;
+            up(&t).await;
+            t.op.sleep(3 * SEC + t.op.rand() % SEC).await;
+            let watch = Watch::start(&t);
+            let holder = t.on_duty().first().cloned().unwrap_or_else(|| panic!("nobody on duty\n{}", tell(&t)));
+            watch.begin(t.op.now());
+            cut(&t, &holder, how);
+            let mut slowest = 0;
+            for n in 0..20 {
+                let t0 = t.op.now();
+                platform.edit(|v| v[n].leaving = true);
+                let us = list_known(&t, &format!("s{n}"), 20 * SEC).await;
+                slowest = slowest.max(us.unwrap_or_else(|| panic!("{holder} {how:?}: the list is not read\n{}", tell(&t))));
+                t.op.sleep(SEC.saturating_sub(t.op.now() - t0)).await;
+            }
+            t.sim.heal();
+            t.op.sleep(5 * SEC).await;
+            (watch.end(), slowest)
+        })
+    })
+}
+
+#[test]
+fn a_holder_that_is_cut_off_is_replaced_in_time() {
+    let (mut worst_gap, mut slowest) = (0, 0);
+    for (size, (counts, lost)) in SIZES.into_iter().enumerate() {
+        for (i, how) in CUTS.into_iter().enumerate() {
+            for k in 0..3 {
+                let seed = 5000 + 100 * size as u64 + 10 * i as u64 + k;
+                let (gap, known) = holder_cut_off(seed, counts, lost, how);
+                println!(
+                    "{} cores, {how:?}: {} ms without a holder, a leaving server known after {} ms at most",
+                    counts[0],
+                    gap / MS,
+                    known / MS
+                );
+                worst_gap = worst_gap.max(gap);
+                slowest = slowest.max(known);
+            }
+        }
+    }
+    assert!(worst_gap < TAKEOVER, "{worst_gap}");
+    assert!(slowest < 3 * SEC, "{slowest}");
+}
+
+/// All cores die at once and are back soon; each has a tenth of a processor.
+#[test]
+fn the_lease_is_taken_after_the_whole_core_restarts() {
+    let mut worst = 0;
+    for (size, (counts, lost)) in SIZES.into_iter().enumerate() {
+        for power in [false, true] {
+            let t = Tier::new(5300 + 10 * size as u64 + power as u64, counts, lost);
+            t.names(Role::Core).iter().for_each(|n| t.sim.charge(t.sim.find(n), Costs { share: 11, wake: 20, byte: 3, sync: 500 }));
+            let (us, terms) = play(&t, |t| {
+                Box::pin(async move {
+                    t.list_servers(vec![server(1, false)]).await;
+                    up(&t).await;
+                    t.op.sleep(3 * SEC).await;
+                    let cores = t.names(Role::Core);
+                    let watch = Watch::start(&t);
+                    let was = t.at(&t.on_duty()[0]).unwrap().duty_term().unwrap();
+                    cores.iter().for_each(|n| t.kill(n, power));
+                    t.op.sleep(500 * MS).await;
+                    cores.iter().for_each(|n| t.boot(n, false));
+                    let t0 = t.op.now();
+                    while t.on_duty().is_empty() {
+                        t.op.sleep(MS).await;
+                        assert!(t.op.now() < t0 + 10 * SEC, "nobody on duty\n{}", tell(&t));
+                    }
+                    let us = t.op.now() - t0;
+                    let is = t.at(&t.on_duty()[0]).unwrap().duty_term().unwrap();
+                    t.op.sleep(3 * SEC).await;
+                    watch.end();
+                    (us, (was, is))
+                })
+            });
+            println!("{} cores, power {power}: on duty {} ms after their start, terms {terms:?}", counts[0], us / MS);
+            assert!(terms.1 > terms.0, "{terms:?}");
+            worst = worst.max(us);
+        }
+    }
+    assert!(worst < 2500 * MS, "{worst}");
+}
+
+/// The holder freezes at any moment, often while it has read the list and not yet written it, and thaws later.
+#[test]
+fn a_holder_that_thaws_writes_nothing() {
+    let mut worst = 0;
+    for seed in 0..24u64 {
+        let (counts, lost) = SIZES[seed as usize % SIZES.len()];
+        let t = Tier::new(5400 + seed, counts, lost);
+        let gap = play(&t, |t| {
+            Box::pin(async move {
+                let platform = t.list_servers((0..20).map(|n| server(n, false)).collect()).await;
+                up(&t).await;
+                t.op.sleep(3 * SEC).await;
+                let watch = Watch::start(&t);
+                for n in 0..4 {
+                    let holder = t.on_duty().first().cloned().unwrap_or_else(|| panic!("nobody on duty\n{}", tell(&t)));
+                    let term = t.at(&holder).unwrap().duty_term().unwrap();
+                    watch.begin(t.op.now());
+                    platform.edit(|v| v[2 * n].leaving = true);
+                    t.op.sleep(t.op.rand() % (700 * MS)).await;
+                    t.sim.freeze(t.sim.find(&holder));
+                    t.op.sleep(t.op.rand() % (3 * SEC)).await;
+                    platform.edit(|v| v[2 * n + 1].leaving = true);
+                    t.op.sleep(2 * SEC).await;
+                    let now = t.on_duty().first().cloned().unwrap_or_else(|| panic!("nobody took over\n{}", tell(&t)));
+                    assert_ne!(now, holder);
+                    t.sim.thaw(t.sim.find(&holder));
+                    t.op.sleep(2 * SEC).await;
+                    assert_ne!(t.at(&holder).unwrap().duty_term(), Some(term));
+                    for name in t.names(Role::Front) {
+                        let held = t.front(&name).unwrap().book.list.load().1.servers.clone();
+                        assert_eq!(held, platform.list(), "{name}\n{}", tell(&t));
+                    }
+                }
+                watch.end()
+            })
+        });
+        worst = worst.max(gap);
+    }
+    println!("longest time without a holder: {} ms", worst / MS);
+    assert!(worst < TAKEOVER, "{worst}");
+}
+
+/// Cuts, freezes and kills of any cores in a row, with frames lost, doubled and late: never two holders.
+#[test]
+fn two_never_hold_the_lease_at_once() {
+    for seed in 0..30u64 {
+        let (counts, lost) = SIZES[seed as usize % SIZES.len()];
+        let t = Tier::new(5500 + seed, counts, lost);
+        play(&t, |t| {
+            Box::pin(async move {
+                t.list_servers(vec![server(1, false)]).await;
+                up(&t).await;
+                let watch = Watch::start(&t);
+                t.sim.weather(Weather { lose: 10, twice: 20, late: 20, jitter: 2000 });
+                for _ in 0..10 {
+                    let cores = t.names(Role::Core);
+                    let any = |t: &Tier| cores[t.op.rand() as usize % cores.len()].clone();
+                    let victim = t.on_duty().first().cloned().filter(|_| !t.op.rand().is_multiple_of(3)).unwrap_or_else(|| any(&t));
+                    match t.op.rand() % 5 {
+                        0 => t.sim.freeze(t.sim.find(&victim)),
+                        1 => t.kill(&victim, t.op.rand().is_multiple_of(2)),
+                        n => cut(&t, &victim, CUTS[n as usize - 2]),
+                    }
+                    t.op.sleep(t.op.rand() % (3 * SEC)).await;
+                    t.sim.heal();
+                    t.sim.thaw(t.sim.find(&victim));
+                    if t.at(&victim).is_none() {
+                        t.boot(&victim, false);
+                    }
+                    t.op.sleep(t.op.rand() % (2 * SEC)).await;
+                }
+                t.sim.weather(Weather::default());
+                t.op.sleep(4 * SEC).await;
+                assert_eq!(t.on_duty().len(), 1, "{}", tell(&t));
+                watch.end();
+            })
+        });
+    }
+}
