Make the registers a folder: pure acceptor, proposer and quorum, apart from disk and network

The names of before stay as aliases, `reg` too. Frames and files are as they were. Behaviour is meant to stay.

--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -246,10 +246,10 @@
 
     /// An asker that names no disk means whichever was at this address when it last looked. Only a disk that the layout it
     /// keeps gives a seat may be that one: a disk that has just been made here has none yet.
-    async fn unnamed_register_request(&self, request: RegAsk, blob: Vec<u8>) -> (Tell, Vec<u8>) {
+    async fn unnamed_register_request(&self, request: RegisterRequest, blob: Vec<u8>) -> (Tell, Vec<u8>) {
         let seated = self.book.layout.load().1.has_seat(&self.vault.id);
         if !seated {
-            return (Tell::Reg(RegTell::Away), vec![]);
+            return (Tell::Reg(RegisterReply::Away), vec![]);
         }
         let (reply, value) = self.replica.hear(request, blob).await;
         (Tell::Reg(reply), value)
--- a/yewcross-lab/tests/proof.rs
+++ b/yewcross-lab/tests/proof.rs
@@ -286,5 +286,10 @@
     assert_eq!(unnamed, ["calm"], "acts that no row names");
     let rows = text.lines().filter(|l| l.starts_with('|') && !l.starts_with("|---"));
     rows.for_each(|l| assert!(l.trim_matches('|').split('|').skip(1).all(|c| !c.trim().is_empty()), "an empty cell: {l}"));
-    assert!(missing("act:nothing") && missing("test:nothing") && missing("sin:Nothing") && missing("code:yewcross/src/reg.rs#nothing"));
+    assert!(
+        missing("act:nothing")
+            && missing("test:nothing")
+            && missing("sin:Nothing")
+            && missing("code:yewcross/src/register/client.rs#nothing")
+    );
 }
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -3,7 +3,7 @@
 use crate::code::Code;
 use crate::consts::*;
 use crate::member::Node;
-use crate::reg::{Epoch, RegAsk, RegTell};
+use crate::register::{Epoch, RegisterReply, RegisterRequest};
 use crate::tree::Rule;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -28,11 +28,11 @@
         nodes: Vec<Node>,
     },
     /// A register request that names no disk, as programs before `WIRE_NAMED_DISKS` send it.
-    Reg(RegAsk),
+    Reg(RegisterRequest),
     /// A register request meant for one disk. Any other answers `Tell::OtherDisk`.
     Register {
         disk: String,
-        request: RegAsk,
+        request: RegisterRequest,
     },
     /// A node tells which documents it holds and asks whether a core disk holds newer ones.
     Newer {
@@ -156,11 +156,11 @@
         nodes: Vec<Node>,
     },
     /// The answer to a register request that named no disk.
-    Reg(RegTell),
+    Reg(RegisterReply),
     /// The answer of one disk to a register request meant for it.
     Register {
         disk: String,
-        reply: RegTell,
+        reply: RegisterReply,
     },
     /// The question was meant for another disk than the one that is here now.
     OtherDisk {
--- a/yewcross/src/lib.rs
+++ b/yewcross/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod port;
 pub mod reactor;
 pub mod real;
-pub mod reg;
+pub mod register;
 pub mod route;
 pub mod startup;
 pub mod tree;
@@ -25,3 +25,6 @@
 pub mod web;
 pub mod wire;
 pub mod world;
+
+/// The name that other modules still use.
+pub use register as reg;
--- /dev/null
+++ b/yewcross/src/register/client.rs
@@ -0,0 +1,410 @@
+//! The client of the registers: takes a key as its proposer, reads and changes it, repairs its replicas.
+
+use super::message::{Ballot, RegisterReply, RegisterRequest};
+use super::proposer::{ChangeError, Proposer, Round, Vote};
+use super::quorum::{ReplicaSet, Seat};
+use super::replica::Replica;
+use super::{SHARDS, locate};
+use crate::ask::{Ask, Tell};
+use crate::consts::*;
+use crate::wire::Peers;
+use crate::world::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+
+/// us. Shortest pause before a change is tried again, and how much longer it may be by chance.
+const RETRY_PAUSE: u64 = 5 * MS;
+const RETRY_JITTER: u64 = 20 * MS;
+
+/// What a change makes of the value that it finds.
+pub enum Step<R> {
+    /// Nothing is written; the value found is proved to be the newest.
+    Keep(R),
+    /// The next version.
+    Write(Vec<u8>, R),
+}
+
+/// A decided value: its version, the ballot under which it stands, its bytes.
+pub type Decided = (u64, Ballot, Arc<Vec<u8>>);
+
+type Votes = async_channel::Receiver<Vote>;
+type Cell = Arc<futures_util::lock::Mutex<Held>>;
+type Place = Arc<dyn Fn(&str) -> ReplicaSet + Send + Sync>;
+
+/// A key's proposer, and when it was used last, us.
+#[derive(Default)]
+struct Held {
+    proposer: Proposer,
+    used: u64,
+}
+
+pub struct RegisterClient {
+    world: World,
+    peers: Arc<Peers>,
+    /// Drawn anew by each process; no two proposers of a tier share it.
+    pub me: u64,
+    replica: Arc<Replica>,
+    /// The replicas of a key, as the layout of now has them.
+    place: Place,
+    held: Vec<Mutex<BTreeMap<String, Cell>>>,
+    /// Ballots prepared so far.
+    pub takes: AtomicU64,
+}
+
+/// Puts a request to the disk that is believed to be at the address. The answer of any other disk is no vote: a disk that
+/// came back empty promises anything, and remembers nothing of what the lost one accepted.
+async fn ask_disk(peers: &Arc<Peers>, to: SocketAddr, disk: &str, request: RegisterRequest, blob: &[u8]) -> (RegisterReply, Vec<u8>) {
+    let named = peers.version(to) >= WIRE_NAMED_DISKS;
+    let question = if named { Ask::Register { disk: disk.into(), request } } else { Ask::Reg(request) };
+    match peers.ask(to, &question, blob, PEER_WAIT).await {
+        Ok((Tell::Register { disk: from, reply }, value)) if from == disk => (reply, value),
+        Ok((Tell::Register { .. } | Tell::OtherDisk { .. }, _)) => (RegisterReply::OtherDisk, vec![]),
+        Ok((Tell::Reg(reply), value)) if !named => (reply, value),
+        _ => (RegisterReply::Away, vec![]),
+    }
+}
+
+/// One request and what goes with it, as it is put to every replica.
+#[derive(Clone)]
+struct Poll {
+    request: RegisterRequest,
+    blob: Arc<Vec<u8>>,
+    /// Sent in place of the blob to replicas that may hold the version before.
+    delta: Option<Arc<Vec<u8>>>,
+}
+
+impl Poll {
+    fn bare(request: RegisterRequest) -> Poll {
+        Poll { request, blob: Arc::default(), delta: None }
+    }
+
+    async fn put_to(self, seat: Seat, peers: Arc<Peers>, own: Arc<Replica>) -> Vote {
+        let (reply, value) = if seat.disk == own.vault.id {
+            own.hear(self.request, self.blob.to_vec()).await
+        } else if let Some(to) = seat.addr {
+            self.send(to, &seat.disk, &peers).await
+        } else {
+            (RegisterReply::Away, vec![])
+        };
+        Vote { disk: seat.disk, reply, value }
+    }
+
+    async fn send(self, to: SocketAddr, disk: &str, peers: &Arc<Peers>) -> (RegisterReply, Vec<u8>) {
+        let speaks_deltas = peers.version(to) >= WIRE_DELTAS;
+        if let Some(delta) = self.delta.filter(|_| speaks_deltas) {
+            let answer = ask_disk(peers, to, disk, self.request.as_delta(), &delta).await;
+            if answer.0 != RegisterReply::NeedWhole {
+                return answer;
+            }
+        }
+        ask_disk(peers, to, disk, self.request, &self.blob).await
+    }
+}
+
+impl RegisterClient {
+    pub fn new(world: &World, peers: &Arc<Peers>, replica: &Arc<Replica>, place: Place) -> Arc<RegisterClient> {
+        Arc::new(RegisterClient {
+            world: world.clone(),
+            peers: peers.clone(),
+            me: world.rand() | 1,
+            replica: replica.clone(),
+            place,
+            held: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            takes: AtomicU64::new(0),
+        })
+    }
+
+    /// Puts the request to all replicas at once; their votes arrive as they come.
+    fn send(&self, replicas: &ReplicaSet, poll: &Poll) -> Votes {
+        let sends = replicas
+            .all()
+            .into_iter()
+            .map(|seat| -> Fut<'static, Vote> { Box::pin(poll.clone().put_to(seat, self.peers.clone(), self.replica.clone())) });
+        self.world.fan(sends.collect())
+    }
+
+    /// Puts one request to all replicas; `Ok` as soon as a quorum grants it.
+    async fn poll(&self, replicas: &ReplicaSet, poll: Poll) -> Result<Round, Round> {
+        let votes = self.send(replicas, &poll);
+        let mut round = Round::default();
+        while let Ok(vote) = votes.recv().await {
+            round.record(vote);
+            if round.has_quorum(replicas) {
+                return Ok(round);
+            }
+        }
+        Err(round)
+    }
+
+    /// Prepares a ballot and brings the newest value under it.
+    async fn take(&self, key: &str, proposer: &mut Proposer) -> Result<(), Round> {
+        let nth = self.takes.fetch_add(1, SeqCst);
+        let replicas = (self.place)(key);
+        // No two ballots are alike, whatever was forgotten between them.
+        let ballot = proposer.prepare(self.me.wrapping_add(2 * nth));
+        let request = RegisterRequest::Promise { key: key.into(), epoch: ballot, lay: replicas.lay };
+        let promises = self.poll(&replicas, Poll::bare(request)).await.inspect_err(|round| proposer.saw(round.highest_promised))?;
+        if proposer.promised(&replicas, &promises) {
+            let (seq, value) = (proposer.seq(), proposer.value().clone());
+            let written = self.write(key, &replicas, ballot, seq, &value, None).await;
+            written.inspect_err(|round| proposer.saw(round.highest_promised))?;
+        }
+        proposer.lead(ballot);
+        Ok(())
+    }
+
+    async fn write(
+        &self,
+        key: &str,
+        replicas: &ReplicaSet,
+        ballot: Ballot,
+        seq: u64,
+        value: &Arc<Vec<u8>>,
+        delta: Option<Arc<Vec<u8>>>,
+    ) -> Result<(), Round> {
+        let request = RegisterRequest::Accept { key: key.into(), epoch: ballot, seq, lay: replicas.lay, delta: false };
+        self.poll(replicas, Poll { request, blob: value.clone(), delta }).await.map(|_| ())
+    }
+
+    /// Changes a key within `us`. `decide` is told the version and the value; it must give the same result when it is run
+    /// again on a value that already has its change.
+    pub async fn change<R>(&self, key: &str, us: u64, mut decide: impl FnMut(u64, &[u8]) -> Step<R>) -> Result<R, ChangeError> {
+        let started = self.world.now();
+        let Some(mut held) = self.world.within(us, self.cell(key).lock_owned()).await else { return Err(ChangeError::NotDone) };
+        let mut error = ChangeError::NotDone;
+        loop {
+            held.used = self.world.now();
+            match self.try_change(key, &mut held.proposer, &mut decide).await {
+                Ok(result) => return Ok(result),
+                Err(ChangeError::Undecided) => error = ChangeError::Undecided,
+                Err(ChangeError::NotDone) => {}
+            }
+            if self.world.now() >= started + us {
+                return Err(error);
+            }
+            self.world.sleep(RETRY_PAUSE + self.world.rand() % RETRY_JITTER).await;
+        }
+    }
+
+    async fn try_change<R>(
+        &self,
+        key: &str,
+        proposer: &mut Proposer,
+        decide: &mut impl FnMut(u64, &[u8]) -> Step<R>,
+    ) -> Result<R, ChangeError> {
+        let prepared_now = proposer.leads(&(self.place)(key)).is_none();
+        if prepared_now {
+            self.take(key, proposer).await.map_err(|_| ChangeError::NotDone)?;
+        }
+        let replicas = (self.place)(key);
+        let Some(ballot) = proposer.ballot() else { return Err(ChangeError::NotDone) };
+        match decide(proposer.seq(), proposer.value()) {
+            Step::Keep(result) => {
+                if prepared_now || self.confirm(key, &replicas, ballot).await {
+                    return Ok(result);
+                }
+                proposer.resign();
+                Err(ChangeError::NotDone)
+            }
+            Step::Write(value, result) => {
+                self.propose(key, &replicas, ballot, proposer, Arc::new(value)).await?;
+                Ok(result)
+            }
+        }
+    }
+
+    async fn confirm(&self, key: &str, replicas: &ReplicaSet, ballot: Ballot) -> bool {
+        let request = RegisterRequest::Confirm { key: key.into(), epoch: ballot, lay: replicas.lay };
+        self.poll(replicas, Poll::bare(request)).await.is_ok()
+    }
+
+    async fn propose(
+        &self,
+        key: &str,
+        replicas: &ReplicaSet,
+        ballot: Ballot,
+        proposer: &mut Proposer,
+        value: Arc<Vec<u8>>,
+    ) -> Result<(), ChangeError> {
+        let delta = crate::delta::diff(proposer.value(), &value);
+        let worth_it = 2 * delta.len() < value.len();
+        let delta = worth_it.then(|| Arc::new(delta));
+        proposer.resign();
+        match self.write(key, replicas, ballot, proposer.seq() + 1, &value, delta).await {
+            Ok(()) => {
+                proposer.decided(ballot, value);
+                Ok(())
+            }
+            Err(round) => {
+                proposer.saw(round.highest_promised);
+                Err(round.failure())
+            }
+        }
+    }
+
+    /// The newest decided value, proved by a majority.
+    pub async fn read(&self, key: &str, us: u64) -> Result<Decided, ChangeError> {
+        let (seq, value) = self.change(key, us, |seq, value| Step::Keep((seq, Arc::new(value.to_vec())))).await?;
+        let ballot = self.cell(key).try_lock().and_then(|held| held.proposer.ballot()).unwrap_or_default();
+        Ok((seq, ballot, value))
+    }
+
+    /// Asks all replicas what they hold, and tells what the own one does.
+    async fn look_at_all(&self, key: &str) -> (ReplicaSet, super::acceptor::Record, Votes) {
+        let replicas = (self.place)(key);
+        let own = self.replica.peek(key).await.unwrap_or_default();
+        let request = RegisterRequest::Look { key: key.into(), lay: replicas.lay, have: (own.accepted, own.seq) };
+        let votes = self.send(&replicas, &Poll::bare(request));
+        (replicas, own, votes)
+    }
+
+    /// What a majority of the replicas holds alike, and none holds newer so far. Nothing is prepared or written.
+    async fn look(&self, key: &str) -> Option<Decided> {
+        let (replicas, own, votes) = self.look_at_all(key).await;
+        let mut held: Vec<(String, (Ballot, u64), Vec<u8>)> = vec![];
+        while let Ok(vote) = votes.recv().await {
+            if let RegisterReply::Looked { accepted, seq } = vote.reply {
+                held.push((vote.disk, (accepted, seq), vote.value));
+            }
+            let Some(newest) = held.iter().map(|copy| copy.1).max() else { continue };
+            if replicas.quorum(|disk| held.iter().any(|copy| copy.0 == disk && copy.1 == newest)) {
+                let value = if newest == (own.accepted, own.seq) {
+                    own.value.clone()
+                } else {
+                    Arc::new(held.into_iter().find(|copy| copy.1 == newest)?.2)
+                };
+                return Some((newest.1, newest.0, value));
+            }
+        }
+        None
+    }
+
+    /// The newest decided value, by the cheapest way that proves it: a key that all hold alike is not taken.
+    pub async fn newest(&self, key: &str, us: u64) -> Result<Decided, ChangeError> {
+        match self.world.within(us, self.look(key)).await.flatten() {
+            Some(decided) => Ok(decided),
+            None => self.read(key, us).await,
+        }
+    }
+
+    /// Whether all replicas, old and new, are there and hold the same.
+    pub async fn uniform(&self, key: &str) -> bool {
+        let (_, _, votes) = self.look_at_all(key).await;
+        let mut versions = vec![];
+        while let Ok(vote) = votes.recv().await {
+            let RegisterReply::Looked { accepted, seq } = vote.reply else { return false };
+            versions.push((accepted, seq));
+        }
+        versions.windows(2).all(|pair| pair[0] == pair[1])
+    }
+
+    /// The value last known here, without proof that it is the newest.
+    pub fn hint(&self, key: &str) -> Option<Arc<Vec<u8>>> {
+        let cell = self.held[locate(key).1].lock().unwrap().get(key).cloned()?;
+        let held = cell.try_lock()?;
+        held.proposer.ballot().map(|_| held.proposer.value().clone())
+    }
+
+    /// Empties a key for good: first on all replicas, and only then do they forget it. `over` tells whether a value may go.
+    pub async fn erase(&self, key: &str, over: impl Fn(&[u8]) -> bool) -> bool {
+        let emptied = self.change(key, PEER_WAIT, |_, value| {
+            if value.is_empty() || !over(value) { Step::Keep(value.is_empty()) } else { Step::Write(vec![], true) }
+        });
+        if emptied.await != Ok(true) || !self.tend(key).await {
+            return false;
+        }
+        let cell = self.cell(key);
+        let mut held = cell.lock().await;
+        let Some(epoch) = held.proposer.resign().filter(|_| held.proposer.value().is_empty()) else { return false };
+        let replicas = (self.place)(key);
+        let request = RegisterRequest::Drop { key: key.into(), epoch, seq: held.proposer.seq(), lay: replicas.lay };
+        self.poll(&replicas, Poll::bare(request)).await.is_ok()
+    }
+
+    /// Keys with the prefix that this client has to do with.
+    pub fn holding(&self, prefix: &str) -> Vec<String> {
+        let mut keys = vec![];
+        for shard in &self.held {
+            keys.extend(shard.lock().unwrap().keys().filter(|key| key.starts_with(prefix)).cloned());
+        }
+        keys
+    }
+
+    /// Brings every replica of the key to the newest value; true if all present seats have it on disk.
+    /// A seat that is being left need not: it may be gone for good.
+    pub async fn tend(&self, key: &str) -> bool {
+        let cell = self.cell(key);
+        let mut held = cell.lock().await;
+        let proposer = &mut held.proposer;
+        let replicas = (self.place)(key);
+        if proposer.leads(&replicas).is_none() && self.take(key, proposer).await.is_err() {
+            return false;
+        }
+        let Some(ballot) = proposer.ballot() else { return false };
+        if proposer.seq() == 0 {
+            return true;
+        }
+        let Some(round) = self.accept_everywhere(key, &replicas, ballot, proposer).await else { return false };
+        let filled = self.fill(key, &replicas, ballot, proposer, &round.damaged).await;
+        replicas.now.iter().all(|seat| round.has_granted(&seat.disk) || filled.contains(&seat.disk))
+    }
+
+    /// Waits for all replicas, not only for a quorum; none where there is no quorum.
+    async fn accept_everywhere(&self, key: &str, replicas: &ReplicaSet, ballot: Ballot, proposer: &mut Proposer) -> Option<Round> {
+        let request = RegisterRequest::Accept { key: key.into(), epoch: ballot, seq: proposer.seq(), lay: replicas.lay, delta: false };
+        // An empty delta: a replica that already has the version says so, any other asks for the whole.
+        let poll = Poll { request, blob: proposer.value().clone(), delta: Some(Arc::default()) };
+        let votes = self.send(replicas, &poll);
+        let mut round = Round::default();
+        while let Ok(vote) = votes.recv().await {
+            let refused = matches!(vote.reply, RegisterReply::Refused { .. });
+            round.record(vote);
+            if refused {
+                proposer.saw(round.highest_promised);
+                proposer.resign();
+            }
+        }
+        if !round.has_quorum(replicas) {
+            proposer.resign();
+            return None;
+        }
+        Some(round)
+    }
+
+    /// Fills damaged records with the value that a quorum holds; returns the disks that are whole again.
+    async fn fill(&self, key: &str, replicas: &ReplicaSet, ballot: Ballot, proposer: &Proposer, damaged: &[String]) -> Vec<String> {
+        if damaged.is_empty() {
+            return vec![];
+        }
+        let seats = replicas.all().into_iter().filter(|seat| damaged.contains(&seat.disk)).collect();
+        let some = ReplicaSet { lay: replicas.lay, now: seats, old: vec![] };
+        let request = RegisterRequest::Fill { key: key.into(), epoch: ballot, seq: proposer.seq(), lay: replicas.lay };
+        let votes = self.send(&some, &Poll { request, blob: proposer.value().clone(), delta: None });
+        let mut filled = vec![];
+        while let Ok(vote) = votes.recv().await {
+            if vote.reply == RegisterReply::Accepted {
+                filled.push(vote.disk);
+            }
+        }
+        filled
+    }
+
+    fn cell(&self, key: &str) -> Cell {
+        self.held[locate(key).1].lock().unwrap().entry(key.into()).or_default().clone()
+    }
+
+    /// Forgets keys unused for a while, so that memory stays bounded; returns how many are left.
+    pub fn prune(&self) -> usize {
+        let now = self.world.now();
+        let idle = |cell: &Cell| cell.try_lock().is_some_and(|held| now >= held.used + HELD_IDLE);
+        let mut left = 0;
+        for shard in &self.held {
+            let mut cells = shard.lock().unwrap();
+            cells.retain(|_, cell| Arc::strong_count(cell) > 1 || !idle(cell));
+            left += cells.len();
+        }
+        left
+    }
+}
--- /dev/null
+++ b/yewcross/src/register/proposer.rs
@@ -0,0 +1,158 @@
+//! The proposer: what follows from the replies of the replicas. Pure: it sends nothing and waits for nothing.
+
+use super::message::{Ballot, RegisterReply};
+use super::quorum::ReplicaSet;
+use std::sync::Arc;
+
+/// Why a change did not get through.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ChangeError {
+    /// Nothing of the change can be on any disk.
+    NotDone,
+    /// Some disk may hold it.
+    Undecided,
+}
+
+/// A reply of one disk.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Vote {
+    pub disk: String,
+    pub reply: RegisterReply,
+    pub value: Vec<u8>,
+}
+
+/// The replies to one request that is put to all replicas of a key.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Round {
+    /// Replies that grant the request, one a disk.
+    pub granted: Vec<Vote>,
+    /// Highest ballot number that a refusal told of.
+    pub highest_promised: u64,
+    /// Disks of which it is not known what they did.
+    pub unknown: usize,
+    /// Disks whose record is damaged.
+    pub damaged: Vec<String>,
+}
+
+impl Round {
+    pub fn record(&mut self, vote: Vote) {
+        match vote.reply {
+            RegisterReply::Promised { .. } | RegisterReply::Accepted | RegisterReply::Looked { .. } => self.grant(vote),
+            RegisterReply::Refused { promised } => self.highest_promised = self.highest_promised.max(promised.n),
+            RegisterReply::OldLayout | RegisterReply::OtherDisk => {}
+            RegisterReply::Away => self.unknown += 1,
+            RegisterReply::Damaged | RegisterReply::NeedWhole => self.damaged.push(vote.disk),
+        }
+    }
+
+    fn grant(&mut self, vote: Vote) {
+        if !self.has_granted(&vote.disk) {
+            self.granted.push(vote);
+        }
+    }
+
+    pub fn has_granted(&self, disk: &str) -> bool {
+        self.granted.iter().any(|vote| vote.disk == disk)
+    }
+
+    /// Whether a majority of each set in force granted the request.
+    pub fn has_quorum(&self, replicas: &ReplicaSet) -> bool {
+        replicas.quorum(|disk| self.has_granted(disk))
+    }
+
+    /// What a round without a quorum leaves behind.
+    pub fn failure(&self) -> ChangeError {
+        if self.granted.is_empty() && self.unknown == 0 { ChangeError::NotDone } else { ChangeError::Undecided }
+    }
+
+    /// The newest value that the promises tell of; the default where no replica ever accepted one.
+    fn newest(&self) -> Accepted {
+        let promises = self.granted.iter().filter_map(|vote| match vote.reply {
+            RegisterReply::Promised { accepted, seq } => Some((accepted, seq, &vote.value)),
+            _ => None,
+        });
+        let newest = promises.max_by_key(|(accepted, seq, _)| (*accepted, *seq));
+        newest.map(|(ballot, seq, value)| Accepted { ballot, seq, value: value.clone() }).unwrap_or_default()
+    }
+}
+
+/// A value as a replica accepted it.
+#[derive(Default)]
+struct Accepted {
+    ballot: Ballot,
+    seq: u64,
+    value: Vec<u8>,
+}
+
+/// What a proposer knows of one key.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Proposer {
+    /// The ballot that it leads with; none while it does not lead, or while a write under it is undecided.
+    ballot: Option<Ballot>,
+    /// Highest ballot number seen anywhere.
+    highest: u64,
+    /// The replicas that promised the ballot.
+    replicas: ReplicaSet,
+    /// The version decided last, as far as it is known.
+    seq: u64,
+    value: Arc<Vec<u8>>,
+}
+
+impl Proposer {
+    /// The ballot to go on with, where it was prepared at these replicas.
+    pub fn leads(&self, replicas: &ReplicaSet) -> Option<Ballot> {
+        self.ballot.filter(|_| self.replicas.same_disks(replicas))
+    }
+
+    pub fn ballot(&self) -> Option<Ballot> {
+        self.ballot
+    }
+
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
+    pub fn value(&self) -> &Arc<Vec<u8>> {
+        &self.value
+    }
+
+    /// Begins to prepare a ballot above all that were seen. `proposer` is never used twice.
+    pub fn prepare(&mut self, proposer: u64) -> Ballot {
+        self.highest += 1;
+        self.ballot = None;
+        Ballot { n: self.highest, by: proposer }
+    }
+
+    /// A quorum promised: the newest value that it tells of has to be accepted anew under the ballot before anything else
+    /// happens. Returns whether there is one.
+    pub fn promised(&mut self, replicas: &ReplicaSet, round: &Round) -> bool {
+        let newest = round.newest();
+        self.seq = newest.seq;
+        self.value = Arc::new(newest.value);
+        self.replicas = replicas.clone();
+        newest.ballot != Ballot::default()
+    }
+
+    /// The ballot is prepared, and the newest value stands under it.
+    pub fn lead(&mut self, ballot: Ballot) {
+        self.ballot = Some(ballot);
+    }
+
+    /// Gives the ballot up: the next change prepares a new one. So it does before a write, until that is decided: whoever
+    /// stops waiting leaves no ballot behind under which half a write may stand.
+    pub fn resign(&mut self) -> Option<Ballot> {
+        self.ballot.take()
+    }
+
+    /// A quorum accepted the next version.
+    pub fn decided(&mut self, ballot: Ballot, value: Arc<Vec<u8>>) {
+        self.ballot = Some(ballot);
+        self.seq += 1;
+        self.value = value;
+    }
+
+    /// Another proposer was promised this much.
+    pub fn saw(&mut self, number: u64) {
+        self.highest = self.highest.max(number);
+    }
+}
--- /dev/null
+++ b/yewcross/src/register/quorum.rs
@@ -0,0 +1,50 @@
+//! The replicas of a key, and which of them make a quorum.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// A replica: its disk, and the address where the disk's machine was last seen.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Seat {
+    pub disk: String,
+    pub addr: Option<SocketAddr>,
+}
+
+/// The replicas of a key under one layout. While they change, the old set stands beside the new one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ReplicaSet {
+    /// Number of the layout.
+    pub lay: u64,
+    pub now: Vec<Seat>,
+    /// Empty unless a change is under way.
+    pub old: Vec<Seat>,
+}
+
+/// The fewest of `n` that any other majority of them shares a member with.
+pub fn majority(n: usize) -> usize {
+    n / 2 + 1
+}
+
+impl ReplicaSet {
+    /// Every replica once, the new set first.
+    pub fn all(&self) -> Vec<Seat> {
+        let leaving = self.old.iter().filter(|seat| !self.now.contains(seat));
+        self.now.iter().chain(leaving).cloned().collect()
+    }
+
+    /// Whether both sets have the same disks: a ballot prepared at the one is prepared at the other, whatever the number of
+    /// the layout.
+    pub fn same_disks(&self, other: &ReplicaSet) -> bool {
+        disks(&self.now) == disks(&other.now) && disks(&self.old) == disks(&other.old)
+    }
+
+    /// Whether the disks that `granted` accepts are a majority of each set in force.
+    pub fn quorum(&self, granted: impl Fn(&str) -> bool) -> bool {
+        let most = |set: &[Seat]| set.iter().filter(|seat| granted(&seat.disk)).count() >= majority(set.len());
+        !self.now.is_empty() && most(&self.now) && (self.old.is_empty() || most(&self.old))
+    }
+}
+
+fn disks(seats: &[Seat]) -> BTreeSet<&str> {
+    seats.iter().map(|seat| seat.disk.as_str()).collect()
+}
