Draw what a look concludes out of the register client, and its requests into a module

`Survey` decides whether a quorum tells of one newest copy, purely, as `Round` does for votes; `poll` sends one request to every replica.

--- a/yewcross/src/register/client.rs
+++ b/yewcross/src/register/client.rs
@@ -1,16 +1,15 @@
 //! The client of the registers: takes a key as its proposer, reads and changes it, repairs its replicas.
 
 use super::message::{Ballot, RegisterReply, RegisterRequest};
-use super::proposer::{ChangeError, Proposer, Round, Vote};
-use super::quorum::{ReplicaSet, Seat};
+use super::poll::Poll;
+use super::proposer::{ChangeError, Proposer, Round, Survey, Vote};
+use super::quorum::ReplicaSet;
 use super::replica::Replica;
 use super::{SHARDS, locate};
-use crate::ask::{Ask, Tell};
 use crate::consts::*;
 use crate::wire::Peers;
 use crate::world::*;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 
@@ -53,56 +52,6 @@
     pub takes: AtomicU64,
 }
 
-/// Puts a request to the disk that is believed to be at the address. The answer of any other disk is no vote: a disk that
-/// came back empty promises anything, and remembers nothing of what the lost one accepted.
-async fn ask_disk(peers: &Arc<Peers>, to: SocketAddr, disk: &str, request: RegisterRequest, blob: &[u8]) -> (RegisterReply, Vec<u8>) {
-    let named = peers.version(to) >= WIRE_NAMED_DISKS;
-    let question = if named { Ask::Register { disk: disk.into(), request } } else { Ask::Reg(request) };
-    match peers.ask(to, &question, blob, PEER_WAIT).await {
-        Ok((Tell::Register { disk: from, reply }, value)) if from == disk => (reply, value),
-        Ok((Tell::Register { .. } | Tell::OtherDisk { .. }, _)) => (RegisterReply::OtherDisk, vec![]),
-        Ok((Tell::Reg(reply), value)) if !named => (reply, value),
-        _ => (RegisterReply::Away, vec![]),
-    }
-}
-
-/// One request and what goes with it, as it is put to every replica.
-#[derive(Clone)]
-struct Poll {
-    request: RegisterRequest,
-    blob: Arc<Vec<u8>>,
-    /// Sent in place of the blob to replicas that may hold the version before.
-    delta: Option<Arc<Vec<u8>>>,
-}
-
-impl Poll {
-    fn bare(request: RegisterRequest) -> Poll {
-        Poll { request, blob: Arc::default(), delta: None }
-    }
-
-    async fn put_to(self, seat: Seat, peers: Arc<Peers>, own: Arc<Replica>) -> Vote {
-        let (reply, value) = if seat.disk == own.vault.id {
-            own.hear(self.request, self.blob.to_vec()).await
-        } else if let Some(to) = seat.addr {
-            self.send(to, &seat.disk, &peers).await
-        } else {
-            (RegisterReply::Away, vec![])
-        };
-        Vote { disk: seat.disk, reply, value }
-    }
-
-    async fn send(self, to: SocketAddr, disk: &str, peers: &Arc<Peers>) -> (RegisterReply, Vec<u8>) {
-        let speaks_deltas = peers.version(to) >= WIRE_DELTAS;
-        if let Some(delta) = self.delta.filter(|_| speaks_deltas) {
-            let answer = ask_disk(peers, to, disk, self.request.as_delta(), &delta).await;
-            if answer.0 != RegisterReply::NeedWhole {
-                return answer;
-            }
-        }
-        ask_disk(peers, to, disk, self.request, &self.blob).await
-    }
-}
-
 impl RegisterClient {
     pub fn new(world: &World, peers: &Arc<Peers>, replica: &Arc<Replica>, place: Place) -> Arc<RegisterClient> {
         Arc::new(RegisterClient {
@@ -263,19 +212,13 @@
     /// What a majority of the replicas holds alike, and none holds newer so far. Nothing is prepared or written.
     async fn look(&self, key: &str) -> Option<Decided> {
         let (replicas, own, votes) = self.look_at_all(key).await;
-        let mut held: Vec<(String, (Ballot, u64), Vec<u8>)> = vec![];
+        let mut survey = Survey::default();
         while let Ok(vote) = votes.recv().await {
-            if let RegisterReply::Looked { accepted, seq } = vote.reply {
-                held.push((vote.disk, (accepted, seq), vote.value));
-            }
-            let Some(newest) = held.iter().map(|copy| copy.1).max() else { continue };
-            if replicas.quorum(|disk| held.iter().any(|copy| copy.0 == disk && copy.1 == newest)) {
-                let value = if newest == (own.accepted, own.seq) {
-                    own.value.clone()
-                } else {
-                    Arc::new(held.into_iter().find(|copy| copy.1 == newest)?.2)
-                };
-                return Some((newest.1, newest.0, value));
+            survey.record(vote);
+            if let Some((accepted, seq, value)) = survey.decided(&replicas) {
+                let is_own = (accepted, seq) == (own.accepted, own.seq);
+                let value = if is_own { own.value.clone() } else { Arc::new(value.clone()) };
+                return Some((seq, accepted, value));
             }
         }
         None
--- a/yewcross/src/register/mod.rs
+++ b/yewcross/src/register/mod.rs
@@ -10,13 +10,14 @@
 //! - [`quorum`]: the replicas of a key, and what a majority of them is;
 //! - [`proposer`]: what a proposer concludes from replies.
 //!
-//! The rest does the input and output: [`replica`] keeps an acceptor's records on disk, [`client`] sends the requests, and
+//! The rest does the input and output: [`replica`] keeps an acceptor's records on disk, [`client`] sends the requests (`poll`), and
 //! [`placement`] says which disks hold a key.
 
 pub mod acceptor;
 pub mod client;
 pub mod message;
 pub mod placement;
+mod poll;
 pub mod proposer;
 pub mod quorum;
 pub mod replica;
--- a/yewcross/src/register/proposer.rs
+++ b/yewcross/src/register/proposer.rs
@@ -84,6 +84,39 @@
     value: Vec<u8>,
 }
 
+/// What the replicas tell of their copies, without having promised anything.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Survey {
+    copies: Vec<Copy>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Copy {
+    disk: String,
+    accepted: Ballot,
+    seq: u64,
+    value: Vec<u8>,
+}
+
+impl Survey {
+    pub fn record(&mut self, vote: Vote) {
+        if let RegisterReply::Looked { accepted, seq } = vote.reply {
+            self.copies.push(Copy { disk: vote.disk, accepted, seq, value: vote.value });
+        }
+    }
+
+    /// The newest copy told of so far, once a quorum holds just that one: it was decided, under a ballot that the quorum
+    /// accepted, and nothing newer was decided before the replicas were asked.
+    pub fn decided(&self, replicas: &ReplicaSet) -> Option<(Ballot, u64, &Vec<u8>)> {
+        let newest = self.copies.iter().max_by_key(|copy| (copy.accepted, copy.seq))?;
+        let alike = |copy: &&Copy| (copy.accepted, copy.seq) == (newest.accepted, newest.seq);
+        let quorum = replicas.quorum(|disk| self.copies.iter().filter(alike).any(|copy| copy.disk == disk));
+        // A replica that already has the version sends no bytes; its own copy is then at hand for whoever asked.
+        let fullest = self.copies.iter().filter(alike).max_by_key(|copy| copy.value.len())?;
+        quorum.then_some((newest.accepted, newest.seq, &fullest.value))
+    }
+}
+
 /// What a proposer knows of one key.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Proposer {
