Use a ballot only at the replicas that promised it

A layout that changed while a ballot was being prepared let the next write go to the new replicas under it: `change` looked up the replicas again after `take`, and `tend` before it. Found by reading; no run is known in which it loses a value, since a replica accepts under the ballot it promised only and the change of replicas ends with a prepare under both sets. Now the ballot counts only where the set of disks is the one it was prepared at, and the change is tried again otherwise.

--- a/yewcross/src/register/client.rs
+++ b/yewcross/src/register/client.rs
@@ -148,7 +148,8 @@
             self.take(key, proposer).await.map_err(|_| ChangeError::NotDone)?;
         }
         let replicas = (self.place)(key);
-        let Some(ballot) = proposer.ballot() else { return Err(ChangeError::NotDone) };
+        // The layout may have changed while the ballot was prepared: it counts only where it was promised.
+        let Some(ballot) = proposer.leads(&replicas) else { return Err(ChangeError::NotDone) };
         match decide(proposer.seq(), proposer.value()) {
             Step::Keep(result) => {
                 if prepared_now || self.confirm(key, &replicas, ballot).await {
@@ -285,7 +286,7 @@
         if proposer.leads(&replicas).is_none() && self.take(key, proposer).await.is_err() {
             return false;
         }
-        let Some(ballot) = proposer.ballot() else { return false };
+        let Some(ballot) = proposer.leads(&replicas) else { return false };
         if proposer.seq() == 0 {
             return true;
         }
