Begin the ballots of a key at the calendar, so that leftovers of an erased life rank below

A key that was erased begins anew with nothing promised, and its ballots began from 1. A prepare now takes the calendar, ms, where that is above all it has seen. Within one life nothing rests on clocks. Documents are never erased; store keys are, long after their last change.

--- a/yewcross-lab/tests/votes.rs
+++ b/yewcross-lab/tests/votes.rs
@@ -103,3 +103,54 @@
 fn a_wiped_machine_does_not_vote_for_an_asker_that_names_no_disk() {
     the_decided_value_leads(true);
 }
+
+/// Stores that all hold a key of an earlier life, under ballots that rose with each fight over it.
+async fn an_earlier_life(lab: &Lab) {
+    for text in ["a", "b", "c", "d"] {
+        owner(lab, "store1").change(KEY, 2 * SEC, append(text)).await.unwrap();
+        owner(lab, "store2").change(KEY, 2 * SEC, append(text)).await.unwrap();
+    }
+    assert!(owner(lab, "store2").tend(KEY).await);
+}
+
+/// What each store reads once all of them are there.
+async fn read_by_all(lab: &Lab) -> Vec<String> {
+    let mut values = vec![];
+    for node in ["store3", "store1", "store2"] {
+        let (_, _, value) = owner(lab, node).read(KEY, 5 * SEC).await.unwrap();
+        values.push(String::from_utf8_lossy(&value).into_owned());
+    }
+    values
+}
+
+/// One copy of a key was never told that it is erased, or is back by itself: what began anew without it must lead.
+#[test]
+fn a_leftover_of_an_earlier_life_does_not_lead() {
+    for seed in 920..924 {
+        let values = on_fleet_of(
+            "small",
+            seed,
+            |_| (),
+            |lab| {
+                Box::pin(async move {
+                    an_earlier_life(&lab).await;
+                    lab.sim.kill(lab.sim.find("store3"), true);
+                    for node in ["store1", "store2"] {
+                        lab.control(node).unwrap().replica.forget(KEY).await;
+                    }
+                    // The proposers of the earlier life have forgotten it as well.
+                    for node in ["store1", "store2"] {
+                        lab.sim.kill(lab.sim.find(node), false);
+                        lab.boot(node);
+                    }
+                    lab.op.sleep(4 * SEC).await;
+                    owner(&lab, "store1").change(KEY, 5 * SEC, append("new")).await.unwrap();
+                    lab.boot("store3");
+                    lab.op.sleep(4 * SEC).await;
+                    read_by_all(&lab).await
+                })
+            },
+        );
+        assert_eq!(values, ["new", "new", "new"], "seed {seed}");
+    }
+}
--- a/yewcross/src/register/client.rs
+++ b/yewcross/src/register/client.rs
@@ -92,7 +92,7 @@
         let nth = self.takes.fetch_add(1, SeqCst);
         let replicas = (self.place)(key);
         // No two ballots are alike, whatever was forgotten between them.
-        let ballot = proposer.prepare(self.me.wrapping_add(2 * nth));
+        let ballot = proposer.prepare(self.me.wrapping_add(2 * nth), self.world.wall());
         let request = RegisterRequest::Promise { key: key.into(), epoch: ballot, lay: replicas.lay };
         let promises = self.poll(&replicas, Poll::bare(request)).await.inspect_err(|round| proposer.saw(round.highest_promised))?;
         if proposer.promised(&replicas, &promises) {
--- a/yewcross/src/register/proposer.rs
+++ b/yewcross/src/register/proposer.rs
@@ -149,9 +149,10 @@
         &self.value
     }
 
-    /// Begins to prepare a ballot above all that were seen. `proposer` is never used twice.
-    pub fn prepare(&mut self, proposer: u64) -> Ballot {
-        self.highest += 1;
+    /// Begins to prepare a ballot above all that were seen. `proposer` is never used twice. `clock` is the calendar, ms: a
+    /// key that was erased begins anew with nothing promised, and whatever is left of its earlier life must rank below.
+    pub fn prepare(&mut self, proposer: u64, clock: u64) -> Ballot {
+        self.highest = clock.max(self.highest + 1);
         self.ballot = None;
         Ballot { n: self.highest, by: proposer }
     }
