--- a/yewcross/src/register/client.rs
+++ b/yewcross/src/register/client.rs
@@ -225,12 +225,22 @@
         None
     }
 
-    /// The newest decided value, by the cheapest way that proves it: a key that all hold alike is not taken.
+    /// The newest decided value, by the cheapest way that proves it: a key that all hold alike is not taken. Replicas differ
+    /// for a moment while a proposer writes; they are looked at again first, so that readers do not take the key from it.
     pub async fn newest(&self, key: &str, us: u64) -> Result<Decided, ChangeError> {
-        match self.world.within(us, self.look(key)).await.flatten() {
-            Some(decided) => Ok(decided),
-            None => self.read(key, us).await,
+        let looks_end = self.world.now() + us / 4;
+        for nth in 0..READ_LOOKS {
+            if nth > 0 {
+                self.world.sleep(READ_LOOK_AGAIN + self.world.rand() % READ_LOOK_AGAIN).await;
+            }
+            if let Some(found) = self.world.within(us, self.look(key)).await.flatten() {
+                return Ok(found);
+            }
+            if self.world.now() >= looks_end {
+                break;
+            }
         }
+        self.read(key, us).await
     }
 
     /// Whether all replicas, old and new, are there and hold the same.
