Simulate folders, slow disks and torn writes with holes; move the disk into its own module

Cause: folders were not modelled, so that a folder made without a sync of its parent was never lost; a write after the last sync was torn only at its end; there was no slow disk.

Change: sim/disk.rs holds the disk: names of files and folders are kept or lost each by itself, a lost folder takes what is in it, an unsynced write may leave a hole before what is present, slowness multiplies every operation. Operations on a folder that is not there fail, as on a file system.

--- a/yewcross-lab/src/sim.rs
+++ b/yewcross-lab/src/sim.rs
@@ -11,6 +11,10 @@
 use yewcross::consts::*;
 use yewcross::world::*;
 
+mod disk;
+
+pub use disk::Disk;
+
 type Task = Pin<Box<dyn Future<Output = ()> + Send>>;
 
 #[derive(Default)]
@@ -36,28 +40,6 @@
     waker: Waker,
 }
 
-#[derive(Clone, Default)]
-struct File {
-    data: Arc<Vec<u8>>,
-    synced: bool,
-}
-
-#[derive(Default)]
-pub struct Disk {
-    live: BTreeMap<String, File>,
-    safe: BTreeMap<String, Arc<Vec<u8>>>,
-    pub stalled: bool,
-    pub full: bool,
-    pub failing: bool,
-    /// Says that it synced, and did not.
-    pub lies: bool,
-    /// Power goes so many us after so many more syncs.
-    pub trip: Option<(u64, u64)>,
-    /// Bytes that may yet be written.
-    pub room: Option<usize>,
-    pub syncs: u64,
-}
-
 /// What a machine charges. All 0, as in the shapes that came first: its processor is free and a sync takes 400 us.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -314,7 +296,7 @@
     }
     pub fn sizes(&self) -> (usize, usize, usize) {
         let g = self.i.lock().unwrap();
-        (g.tasks.len(), g.wires.len(), g.machines.iter().map(|m| m.disk.live.len()).sum())
+        (g.tasks.len(), g.wires.len(), g.machines.iter().map(|m| m.disk.files()).sum())
     }
 
     /// Ends the process; with `power`, the machine too: no farewell on the wire, unsynced bytes lost.
@@ -332,7 +314,7 @@
         if power {
             g.machines[m].powered = false;
             let mut r = fastrand::Rng::with_seed(g.rng.u64(..));
-            g.machines[m].disk.crash(&mut r);
+            g.machines[m].disk.lose_power(&mut r);
         }
         let ids: Vec<u64> = g.tasks.iter().filter(|t| t.1.who.0 == m).map(|t| *t.0).collect();
         let dead: Vec<Slot> = ids.iter().filter_map(|i| g.tasks.remove(i)).collect();
@@ -569,87 +551,6 @@
     }
 }
 
-impl Disk {
-    fn crash(&mut self, r: &mut fastrand::Rng) {
-        let names: BTreeSet<String> = self.live.keys().chain(self.safe.keys()).cloned().collect();
-        let mut now = BTreeMap::new();
-        for n in names {
-            let (l, s) = (self.live.get(&n), self.safe.get(&n));
-            let same = match (l, s) {
-                (Some(l), Some(s)) => Arc::ptr_eq(&l.data, s) || l.data == *s,
-                _ => false,
-            };
-            let lucky = same || r.bool();
-            let kept =
-                if lucky {
-                    // What an append had made safe stays, however much of the rest is torn.
-                    let base = l.zip(s).filter(|(l, s)| l.data.starts_with(s)).map_or(0, |x| x.1.len());
-                    l.map(|l| {
-                        if l.synced || same { l.data.clone() } else { Arc::new(l.data[..base + r.usize(0..=l.data.len() - base)].to_vec()) }
-                    })
-                } else {
-                    s.cloned()
-                };
-            kept.into_iter().for_each(|d| {
-                now.insert(n.clone(), d);
-            });
-        }
-        self.live = now.iter().map(|(k, d)| (k.clone(), File { data: d.clone(), synced: true })).collect();
-        self.safe = now;
-        self.stalled = false;
-    }
-
-    /// Turns one bit of some stored key file; returns its name.
-    pub fn corrupt(&mut self, r: u64) -> Option<String> {
-        self.spoil("keys/", r)
-    }
-
-    /// Bytes in a folder and those beneath it.
-    pub fn bytes(&self, dir: &str) -> u64 {
-        self.live.iter().filter(|x| x.0.starts_with(dir)).map(|x| x.1.data.len() as u64).sum()
-    }
-
-    /// Turns one bit of some file of the folder; returns its name.
-    pub fn spoil(&mut self, dir: &str, r: u64) -> Option<String> {
-        let v: Vec<String> = self.live.keys().filter(|k| k.starts_with(dir)).cloned().collect();
-        let n = v.get(r as usize % v.len().max(1))?.clone();
-        let mut d = self.live.get(&n)?.data.to_vec();
-        let i = (r >> 16) as usize % d.len().max(1);
-        *d.get_mut(i)? ^= 1 << (r % 8);
-        let d = Arc::new(d);
-        self.live.insert(n.clone(), File { data: d.clone(), synced: true });
-        self.safe.insert(n.clone(), d);
-        Some(n)
-    }
-
-    pub fn files(&self) -> usize {
-        self.live.len()
-    }
-
-    fn sync(&mut self, path: &str) {
-        self.syncs += 1;
-        if self.lies {
-            return;
-        }
-        if let Some(f) = self.live.get_mut(path) {
-            f.synced = true;
-            let d = f.data.clone();
-            self.safe.get_mut(path).into_iter().for_each(|s| *s = d.clone());
-            return;
-        }
-        let p = format!("{path}/");
-        let here = |k: &String| k.starts_with(&p) && !k[p.len()..].contains('/');
-        let add: Vec<(String, Arc<Vec<u8>>)> = self
-            .live
-            .iter()
-            .filter(|x| here(x.0))
-            .map(|(k, f)| (k.clone(), if f.synced { f.data.clone() } else { self.safe.get(k).cloned().unwrap_or_default() }))
-            .collect();
-        self.safe.retain(|k, _| !here(k));
-        self.safe.extend(add);
-    }
-}
-
 struct Nap {
     sim: Sim,
     at: u64,
@@ -846,7 +747,7 @@
     ) -> Fut<'static, io::Result<T>> {
         let (sim, m) = (self.sim.clone(), self.who.0);
         Box::pin(async move {
-            let at = sim.now() + us;
+            let at = sim.now() + us * sim.disk(m, |d| d.slowness.max(1));
             Nap { sim: sim.clone(), at, set: false }.await;
             while sim.disk(m, |d| d.stalled) {
                 let at = sim.now() + 50 * MS;
@@ -940,18 +841,7 @@
     }
     fn put(&self, path: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>> {
         let p = path.to_string();
-        self.on_disk(60, move |d| {
-            let short = d.room.as_mut().is_some_and(|r| {
-                let none = *r < data.len();
-                *r = r.saturating_sub(data.len());
-                none
-            });
-            if d.full || short {
-                return Err(io::ErrorKind::StorageFull.into());
-            }
-            d.live.insert(p, File { data: Arc::new(data), synced: false });
-            Ok(())
-        })
+        self.on_disk(60, move |d| d.write(p, data))
     }
     fn sync(&self, path: &str) -> Fut<'static, io::Result<()>> {
         let p = path.to_string();
@@ -971,6 +861,7 @@
             if each > 0 {
                 let at = {
                     let mut g = sim.i.lock().unwrap();
+                    let each = each * g.machines[m].disk.slowness.max(1);
                     let (now, c) = (g.now, &mut g.machines[m].cpu);
                     c.disk_until = c.disk_until.max(now) + each;
                     c.disk_until
@@ -987,11 +878,7 @@
     }
     fn rename(&self, a: &str, b: &str) -> Fut<'static, io::Result<()>> {
         let (a, b) = (a.to_string(), b.to_string());
-        self.on_disk(20, move |d| {
-            let f = d.live.remove(&a).ok_or(io::ErrorKind::NotFound)?;
-            d.live.insert(b, f);
-            Ok(())
-        })
+        self.on_disk(20, move |d| d.rename(&a, b))
     }
     fn keep(&self, aside: &str, at: &str, dir: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>> {
         let (me, aside, at, dir) = (self.clone(), aside.to_string(), at.to_string(), dir.to_string());
@@ -1004,25 +891,11 @@
     }
     fn remove(&self, path: &str) -> Fut<'static, io::Result<()>> {
         let p = path.to_string();
-        self.on_disk(20, move |d| d.live.remove(&p).map(|_| ()).ok_or(io::ErrorKind::NotFound.into()))
+        self.on_disk(20, move |d| d.remove(&p))
     }
     fn append(&self, path: &str, data: Vec<u8>) -> Fut<'static, io::Result<()>> {
         let (p, dir) = (path.to_string(), path.rsplit_once('/').map_or("", |x| x.0).to_string());
-        let write = self.on_disk(60, move |d| {
-            let short = d.room.as_mut().is_some_and(|r| {
-                let none = *r < data.len();
-                *r = r.saturating_sub(data.len());
-                none
-            });
-            if d.full || short {
-                return Err(io::ErrorKind::StorageFull.into());
-            }
-            let new = !d.live.contains_key(&p);
-            let f = d.live.entry(p).or_default();
-            f.synced = false;
-            Arc::make_mut(&mut f.data).extend(data);
-            Ok(new)
-        });
+        let write = self.on_disk(60, move |d| d.append(p, data));
         let (safe, named) = (self.sync(path), self.sync(&dir));
         Box::pin(async move {
             let new = write.await?;
@@ -1032,16 +905,18 @@
     }
     fn get(&self, path: &str) -> Fut<'static, io::Result<Vec<u8>>> {
         let p = path.to_string();
-        self.on_disk(60, move |d| d.live.get(&p).map(|f| f.data.to_vec()).ok_or(io::ErrorKind::NotFound.into()))
+        self.on_disk(60, move |d| d.read(&p))
     }
     fn list(&self, dir: &str) -> Fut<'static, io::Result<Vec<String>>> {
-        let p = format!("{dir}/");
-        self.on_disk(60, move |d| {
-            Ok(d.live.keys().filter_map(|k| k.strip_prefix(&p)).filter(|k| !k.contains('/')).map(|k| k.to_string()).collect())
-        })
+        let dir = dir.to_string();
+        self.on_disk(60, move |d| d.list(&dir))
     }
-    fn mkdir(&self, _: &str) -> Fut<'static, io::Result<()>> {
-        Box::pin(async { Ok(()) })
+    fn mkdir(&self, dir: &str) -> Fut<'static, io::Result<()>> {
+        let dir = dir.to_string();
+        self.on_disk_for(0, move |d| {
+            d.make_folder(&dir);
+            Ok(())
+        })
     }
     fn log(&self, line: &str) {
         let mut g = self.sim.i.lock().unwrap();
