Make names on disk safe before they are vouched for, and bring a failed disk back

Cause 1, names: folders were made and their parents never synced, so that a loss of power could take the votes of a disk and leave its identity; files that a killed process had renamed or appended, and not yet synced, were read and answered for, and went with the power; an erased register was removed without a sync, so that an older version came back and outranked the key's next life; a removed segment could come back without the later one that marks its torn end.

Change 1: all folders are made and their names synced before an identity is written; an identity whose folders are gone is void; what is read at a start is synced first; erasing syncs the removal of older versions before the newest goes, and that before it answers; older versions met in a scan go only after a sync; a removed segment's name is synced.

Change 2: a failed disk is tried every 200 ms. Once it takes writes and bears the same identity, the register copies are read again and put right from what was answered for, the log is read anew and replaces what is in memory, torn ends are marked, and the node takes part again. A disk with another identity is left alone until a restart.

A core is back within a second of its disk.

--- a/yewcross-control/src/chain.rs
+++ b/yewcross-control/src/chain.rs
@@ -79,6 +79,15 @@
 }
 
 impl Shelf {
+    /// All that the disk's log holds.
+    pub async fn read(w: &World) -> io::Result<(Shelf, chain_log::Found)> {
+        let mut shelf = Shelf::default();
+        let found = chain_log::read(w, |item, segment| shelf.apply(item, segment)).await?;
+        let ends: Vec<(String, u64)> = shelf.turns.values().map(|k| (k.row.turn.prev.clone(), k.until)).collect();
+        ends.iter().for_each(|(p, u)| shelf.lengthen(p, *u));
+        Ok((shelf, found))
+    }
+
     pub fn get(&self, id: &str) -> Option<&Kept> {
         self.turns.get(&wide(id.as_bytes())).filter(|k| k.row.turn.id == id)
     }
@@ -217,10 +226,7 @@
 impl Engine {
     /// Reads what the disk holds, and runs the upkeep. Errors are those of the disk.
     pub async fn start(w: &World, st: &Startup, members: &Arc<Members>, book: &Arc<Book>, vault: &Arc<Vault>) -> io::Result<Arc<Engine>> {
-        let mut shelf = Shelf::default();
-        let f = chain_log::read(w, |i, s| shelf.apply(i, s)).await?;
-        let ends: Vec<(String, u64)> = shelf.turns.values().map(|k| (k.row.turn.prev.clone(), k.until)).collect();
-        ends.iter().for_each(|(p, u)| shelf.lengthen(p, *u));
+        let (shelf, f) = Shelf::read(w).await?;
         f.hurt.iter().for_each(|s| w.log(&format!("damaged segment {s:x} of the log; asking the other disks")));
         let seg = f.sizes.keys().last().map_or(1, |s| s + 1);
         let max = if st.bounds.memory_mb == 0 { CHAIN_HELD } else { (st.bounds.memory_mb as usize) * (3 << 17) };
--- a/yewcross-control/src/chain_log.rs
+++ b/yewcross-control/src/chain_log.rs
@@ -46,9 +46,21 @@
     pub fn new(seg: u64, sizes: BTreeMap<u64, u64>) -> Log {
         Log { seg, sizes, ..Default::default() }
     }
+
+    /// Whether a batch is on its way to the disk.
+    pub fn is_busy(&self) -> bool {
+        self.busy
+    }
+
+    /// After a failed write: what waits is never answered.
+    fn abandon(&mut self) {
+        self.line.clear();
+        self.waiting = 0;
+        self.busy = false;
+    }
 }
 
-pub const DIR: &str = "chain";
+pub const DIR: &str = CHAIN_FOLDER;
 
 pub fn path(seg: u64) -> String {
     format!("{DIR}/s-{seg:016x}")
@@ -78,9 +90,13 @@
 
 /// Hands over each item with its segment, one segment in memory at a time.
 pub async fn read(w: &yewcross::world::World, mut take: impl FnMut(&Item, u64)) -> io::Result<Found> {
-    w.mkdir(DIR).await?;
     let mut segs: Vec<u64> = w.list(DIR).await?.iter().filter_map(|f| u64::from_str_radix(f.strip_prefix("s-")?, 16).ok()).collect();
     segs.sort();
+    if let Some(newest) = segs.last() {
+        // A killed process may have left a batch unsynced: what is read here is answered for, so it must outlast the power.
+        w.sync(&path(*newest)).await?;
+        w.sync(DIR).await?;
+    }
     let mut f = Found::default();
     let (mut broken, mut known, mut last) = (vec![], vec![], None);
     for s in segs {
@@ -158,8 +174,8 @@
             };
             let items: Vec<&Item> = line.iter().flat_map(|x| &x.0).collect();
             let size: usize = items.iter().map(|i| i.bytes()).sum();
-            let ok = if items.is_empty() {
-                true
+            let written = if items.is_empty() {
+                Ok(())
             } else {
                 let b = seal(&encode(&items));
                 let n = b.len() as u64;
@@ -174,13 +190,13 @@
                 self.vault.bytes.fetch_add(n, Relaxed);
                 self.counts.batches.fetch_add(1, Relaxed);
                 self.counts.items.fetch_add(items.len() as u64, Relaxed);
-                *self.log.lock().unwrap().sizes.entry(seg).or_default() += n;
-                r.is_ok()
+                r.map(|()| {
+                    *self.log.lock().unwrap().sizes.entry(seg).or_default() += n;
+                })
             };
-            if !ok {
-                self.vault.failed.store(true, SeqCst);
-                self.w.log("disk failed; it takes no part until restart");
-                self.log.lock().unwrap().line.clear();
+            if let Err(e) = written {
+                self.vault.mark_failed(&e);
+                self.log.lock().unwrap().abandon();
                 return;
             }
             {
@@ -220,9 +236,13 @@
                     size = 0;
                 }
             }
+            // Segments go for good in their order: the mark of a torn end stands in a later one than the end itself.
             if !ok || self.w.remove(&path(s)).await.is_err() {
                 return;
             }
+            if let Err(e) = self.w.sync(DIR).await {
+                return self.vault.mark_failed(&e);
+            }
             self.log.lock().unwrap().sizes.remove(&s);
             self.counts.compacted.fetch_add(1, Relaxed);
         }
--- /dev/null
+++ b/yewcross-control/src/disk_recovery.rs
@@ -0,0 +1,66 @@
+//! Brings a node back whose disk failed and works again: full, unreachable or in error for a while.
+//!
+//! The outcome of the write that failed is unknown. The node answers for nothing meanwhile; before it takes part again, the
+//! disk must take writes, bear the same identity, and hold what this process has answered for.
+
+use crate::Control;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use yewcross::consts::*;
+
+enum Outcome {
+    Restored {
+        rewritten: usize,
+    },
+    /// The disk bears another identity or none: nothing that this process vouched for may be there.
+    OtherDisk,
+}
+
+/// Waits for failures and tries the disk until it is restored.
+pub async fn run(c: Arc<Control>) {
+    loop {
+        let failure = c.vault.failure.listen();
+        if !c.vault.failed.load(SeqCst) {
+            failure.await;
+            continue;
+        }
+        let since = c.w.now();
+        if !restore_until_done(&c).await {
+            c.w.log("the disk is not the one that was opened; it takes no part until restart");
+            return;
+        }
+        c.w.log(&format!("disk works again after {} ms", (c.w.now() - since) / MS));
+        c.book.moved.notify(usize::MAX);
+    }
+}
+
+/// `false` where only a restart helps.
+async fn restore_until_done(c: &Arc<Control>) -> bool {
+    loop {
+        c.w.sleep(DISK_RETRY).await;
+        let failures = c.vault.failures.load(SeqCst);
+        match restore(c).await {
+            Ok(Outcome::OtherDisk) => return false,
+            // A write that was under way may have failed meanwhile.
+            Ok(Outcome::Restored { rewritten }) if c.vault.failures.load(SeqCst) == failures => {
+                c.vault.failed.store(false, SeqCst);
+                if rewritten > 0 {
+                    c.w.log(&format!("{rewritten} files of unknown outcome put right"));
+                }
+                return true;
+            }
+            Ok(Outcome::Restored { .. }) | Err(_) => {}
+        }
+    }
+}
+
+async fn restore(c: &Arc<Control>) -> io::Result<Outcome> {
+    c.vault.probe().await?;
+    if !c.vault.bears_identity().await? {
+        return Ok(Outcome::OtherDisk);
+    }
+    let rewritten = c.replica.restore().await?;
+    c.chain.restore().await?;
+    Ok(Outcome::Restored { rewritten })
+}
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -1,8 +1,10 @@
 pub mod api;
 pub mod chain;
 pub mod chain_log;
+mod chain_restore;
 pub mod chain_sweep;
 pub mod config;
+mod disk_recovery;
 pub mod duty;
 pub mod layout;
 pub mod operator;
@@ -190,6 +192,7 @@
         }
         w.go(layout::sweep(c.clone()));
         w.go(tidy(c.clone()));
+        w.go(disk_recovery::run(c.clone()));
         if c.st.role == Role::Core {
             w.go(duty::run(c.clone()));
         }
--- /dev/null
+++ b/yewcross-lab/tests/disk.rs
@@ -0,0 +1,433 @@
+//! What a disk keeps over a kill and a loss of power, and how a node comes back whose disk failed for a while.
+
+use std::net::IpAddr;
+use std::sync::atomic::Ordering::SeqCst;
+use std::sync::{Arc, Mutex};
+use yewcross::chain_wire::{LedgerRow, encode};
+use yewcross::consts::*;
+use yewcross::reg::{Epoch, RegAsk, RegTell, Replica};
+use yewcross::startup::Role;
+use yewcross::vault::{Vault, seal};
+use yewcross::world::{Fut, World};
+use yewcross_control::api::{PutAnswer, ReadAnswer};
+use yewcross_control::chain_log::{self, Item};
+use yewcross_lab::sim::Sim;
+use yewcross_lab::tier::{Tier, play, tell, up};
+
+const KEY: &str = "session/a";
+
+/// One machine with a disk; its processes come and go.
+struct Bench {
+    sim: Sim,
+    machine: usize,
+    random: fastrand::Rng,
+}
+
+impl Bench {
+    fn new(seed: u64) -> Bench {
+        let sim = Sim::new(seed, 900);
+        let machine = sim.machine("m", "z1", IpAddr::from([10, 1, 0, 1]));
+        Bench { sim, machine, random: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// Starts a process that runs the task; it is left running for so many us at most.
+    fn run<T: Send + 'static>(&self, us: u64, task: impl FnOnce(World) -> Fut<'static, T>) -> Option<T> {
+        let world = self.sim.boot(self.machine);
+        let done: Arc<Mutex<Option<T>>> = Default::default();
+        let (result, task) = (done.clone(), task(world.clone()));
+        world.go(async move {
+            let outcome = task.await;
+            *result.lock().unwrap() = Some(outcome);
+        });
+        self.sim.run(self.sim.now() + us, || done.lock().unwrap().is_some());
+        done.lock().unwrap().take()
+    }
+
+    fn kill(&self) {
+        self.sim.kill(self.machine, false);
+    }
+
+    fn lose_power(&self) {
+        self.sim.kill(self.machine, true);
+        self.sim.power_on(self.machine);
+    }
+}
+
+fn epoch(n: u64) -> Epoch {
+    Epoch { n, by: 1 }
+}
+
+fn promise(n: u64) -> RegAsk {
+    RegAsk::Promise { key: KEY.into(), epoch: epoch(n), lay: 0 }
+}
+
+fn accept(n: u64, seq: u64) -> RegAsk {
+    RegAsk::Accept { key: KEY.into(), epoch: epoch(n), seq, lay: 0, delta: false }
+}
+
+async fn open(w: &World) -> Arc<Replica> {
+    let vault = Vault::open(w).await.unwrap();
+    Replica::open(&vault).await.unwrap()
+}
+
+/// Invariant D1: a disk that bears its identity holds every vote that was given under it.
+#[test]
+fn an_identity_never_outlives_its_votes() {
+    let (mut same, mut new) = (0, 0);
+    for seed in 0..300 {
+        let bench = Bench::new(seed);
+        let vote = |w: World| -> Fut<'static, String> {
+            Box::pin(async move {
+                let replica = open(&w).await;
+                assert!(matches!(replica.hear(promise(5), vec![]).await.0, RegTell::Promised { .. }));
+                replica.vault.id.clone()
+            })
+        };
+        let before = bench.run(SEC, vote).unwrap();
+        bench.lose_power();
+        let look = |w: World| -> Fut<'static, (String, u64)> {
+            Box::pin(async move {
+                let replica = open(&w).await;
+                (replica.vault.id.clone(), replica.peek(KEY).await.map_or(0, |slot| slot.promised.n))
+            })
+        };
+        let (after, promised) = bench.run(SEC, look).unwrap();
+        if after == before {
+            same += 1;
+            assert_eq!(promised, 5, "seed {seed}: {after} forgot its vote and keeps its name");
+        } else {
+            new += 1;
+        }
+    }
+    println!("identity kept {same} times, new {new} times");
+    assert_eq!(new, 0, "an identity that was answered with must outlast the power");
+}
+
+/// The process dies at any moment of its first start, by a kill or a loss of power, and then power goes once more.
+#[test]
+fn a_first_start_cut_short_leaves_no_forgetful_disk() {
+    for seed in 0..400 {
+        let mut bench = Bench::new(seed);
+        let us = bench.random.u64(0..60 * MS);
+        let names: Arc<Mutex<Vec<(String, u64)>>> = Default::default();
+        for round in 0..3u64 {
+            let told = names.clone();
+            bench.run(if round < 2 { us / (round + 1) } else { SEC }, move |w| {
+                Box::pin(async move {
+                    let replica = open(&w).await;
+                    let id = replica.vault.id.clone();
+                    let known = replica.peek(KEY).await.map_or(0, |slot| slot.promised.n);
+                    let vouched = told.lock().unwrap().iter().filter(|x| x.0 == id).map(|x| x.1).max().unwrap_or(0);
+                    assert!(known >= vouched, "seed {seed}: {id} promised {vouched} and knows {known}");
+                    if matches!(replica.hear(promise(known + 1), vec![]).await.0, RegTell::Promised { .. }) {
+                        told.lock().unwrap().push((id, known + 1));
+                    }
+                })
+            });
+            if bench.random.bool() { bench.kill() } else { bench.lose_power() }
+        }
+    }
+}
+
+/// Invariant D2: what a process read of its disk and answered for outlasts a later loss of power.
+#[test]
+fn a_vote_read_after_a_kill_outlasts_the_power() {
+    let mut read_after_a_kill = 0;
+    for seed in 0..400 {
+        let mut bench = Bench::new(1000 + seed);
+        let us = 20 * MS + bench.random.u64(0..20 * MS);
+        bench.run(us, |w| {
+            Box::pin(async move {
+                let replica = open(&w).await;
+                for n in 1.. {
+                    replica.hear(promise(n), vec![]).await;
+                }
+            })
+        });
+        bench.kill();
+        let known =
+            |w: World| -> Fut<'static, u64> { Box::pin(async move { open(&w).await.peek(KEY).await.map_or(0, |slot| slot.promised.n) }) };
+        let read = bench.run(SEC, known).unwrap();
+        bench.lose_power();
+        let left = bench.run(SEC, known).unwrap();
+        read_after_a_kill += read.min(1);
+        assert!(left >= read, "seed {seed}: {read} was read after the kill, {left} after the loss of power");
+    }
+    assert!(read_after_a_kill > 100, "{read_after_a_kill}");
+}
+
+/// Invariant D3: a key's next life is not outranked by a file of the one before.
+#[test]
+fn an_erased_key_never_comes_back_over_its_next_life() {
+    for (seed, dropped) in (0..200).flat_map(|seed| [(seed, true), (seed, false)]) {
+        let bench = Bench::new(2000 + seed);
+        let lives = move |w: World| -> Fut<'static, ()> {
+            Box::pin(async move {
+                let replica = open(&w).await;
+                for (n, value) in [(1, "old"), (2, "older"), (3, "")] {
+                    assert!(matches!(replica.hear(promise(n), vec![]).await.0, RegTell::Promised { .. }));
+                    assert_eq!(replica.hear(accept(n, n), value.into()).await.0, RegTell::Accepted);
+                }
+                if dropped {
+                    let drop = RegAsk::Drop { key: KEY.into(), epoch: epoch(3), seq: 3, lay: 0 };
+                    assert_eq!(replica.hear(drop, vec![]).await.0, RegTell::Accepted);
+                } else {
+                    replica.forget(KEY).await;
+                }
+                assert!(matches!(replica.hear(promise(1), vec![]).await.0, RegTell::Promised { .. }));
+                assert_eq!(replica.hear(accept(1, 1), b"new".to_vec()).await.0, RegTell::Accepted);
+            })
+        };
+        bench.run(SEC, lives).unwrap();
+        bench.lose_power();
+        let value = bench.run(SEC, |w| Box::pin(async move { open(&w).await.peek(KEY).await.unwrap().value.to_vec() })).unwrap();
+        assert_eq!(String::from_utf8_lossy(&value), "new", "seed {seed}, dropped {dropped}");
+    }
+}
+
+fn ledger(n: u64) -> Item {
+    Item::Ledger(LedgerRow { program: format!("p{n}"), ..Default::default() }, n)
+}
+
+/// Segments are appended to, the process is killed at any moment, another reads and goes on, and power goes: nothing that
+/// was read is gone, and no torn end passes for damage.
+#[test]
+fn a_log_read_after_a_kill_outlasts_the_power() {
+    // What the log holds, and which of its segments are damaged.
+    let read = |w: World| -> Fut<'static, (Vec<u64>, Vec<u64>)> {
+        Box::pin(async move {
+            Vault::open(&w).await.unwrap();
+            let mut items = vec![];
+            let note = |item: &Item, _| {
+                if let Item::Ledger(_, at) = item {
+                    items.push(*at);
+                }
+            };
+            let found = chain_log::read(&w, note).await.unwrap();
+            let next = found.sizes.keys().last().map_or(1, |s| s + 1);
+            let mut batch: Vec<Item> = found.torn.iter().map(|(s, n)| Item::Torn(*s, *n)).collect();
+            batch.push(ledger(1_000_000 + next));
+            w.append(&chain_log::path(next), seal(&encode(&batch))).await.unwrap();
+            (items, found.hurt)
+        })
+    };
+    for seed in 0..400 {
+        let mut bench = Bench::new(3000 + seed);
+        let us = 20 * MS + bench.random.u64(0..20 * MS);
+        bench.run(us, |w| {
+            Box::pin(async move {
+                Vault::open(&w).await.unwrap();
+                chain_log::read(&w, |_, _| {}).await.unwrap();
+                for n in 1u64.. {
+                    let segment = 1 + n / 6;
+                    let _ = w.append(&chain_log::path(segment), seal(&encode(&vec![ledger(n)]))).await;
+                }
+            })
+        });
+        if bench.random.bool() {
+            bench.kill()
+        } else {
+            bench.lose_power()
+        }
+        let (mut known, _) = bench.run(SEC, read).unwrap();
+        for round in 0..2 {
+            bench.lose_power();
+            let (items, hurt) = bench.run(SEC, read).unwrap();
+            assert!(hurt.is_empty(), "seed {seed}, round {round}: damage in {hurt:?}");
+            assert!(known.iter().all(|n| items.contains(n)), "seed {seed}, round {round}: {known:?} became {items:?}");
+            known = items;
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trouble {
+    Full,
+    Errors,
+}
+
+fn set(tier: &Tier, name: &str, trouble: Trouble, on: bool) {
+    let machine = tier.sim.find(name);
+    tier.sim.disk(machine, |disk| match trouble {
+        Trouble::Full => disk.full = on,
+        Trouble::Errors => disk.failing = on,
+    });
+}
+
+/// us until the node takes part again.
+async fn until_restored(tier: &Tier, name: &str, us: u64) -> Option<u64> {
+    let since = tier.op.now();
+    while tier.op.now() < since + us {
+        if tier.at(name).is_some_and(|c| !c.vault.failed.load(SeqCst)) {
+            return Some(tier.op.now() - since);
+        }
+        tier.op.sleep(5 * MS).await;
+    }
+    None
+}
+
+/// A core disk fails for 4 s while configurations are put, and works again. The node is back without a restart, so that the
+/// next loss is not one too many.
+#[test]
+fn a_core_disk_that_works_again_bears_the_next_loss() {
+    let mut worst = 0;
+    for (seed, trouble) in (0..6).flat_map(|seed| [(seed, Trouble::Full), (seed, Trouble::Errors)]) {
+        let tier = Tier::new(4000 + seed, [4, 4, 3], 1);
+        let us = play(&tier, move |t| {
+            Box::pin(async move {
+                up(&t).await;
+                t.put_surely(0, "1 a").await;
+                let id = t.at("core2").unwrap().vault.id.clone();
+                set(&t, "core2", trouble, true);
+                for (base, text) in [(1, "2 b"), (2, "3 c"), (3, "4 d")] {
+                    t.put_surely(base, text).await;
+                    t.op.sleep(SEC).await;
+                }
+                assert!(t.at("core2").unwrap().vault.failed.load(SeqCst), "{trouble:?} is not noticed\n{}", tell(&t));
+                set(&t, "core2", trouble, false);
+                let us = until_restored(&t, "core2", 10 * SEC).await;
+                let us = us.unwrap_or_else(|| panic!("{trouble:?}: not back\n{}", tell(&t)));
+                assert_eq!(t.at("core2").unwrap().vault.id, id);
+                t.op.sleep(4 * SEC).await;
+                t.kill("core3", true);
+                t.put_surely(4, "5 e").await;
+                t.kill("core2", true);
+                t.boot("core2", false);
+                t.put_surely(5, "6 f").await;
+                us
+            })
+        });
+        worst = worst.max(us);
+    }
+    println!("back after {} ms at most", worst / MS);
+    assert!(worst < SEC, "{worst}");
+}
+
+/// A store's log after a disk that failed: what was answered is there, what was not is believed neither way, and the store
+/// answers again.
+#[test]
+fn a_store_disk_that_works_again_answers_again() {
+    for (seed, trouble) in (0..6).flat_map(|seed| [(seed, Trouble::Full), (seed, Trouble::Errors)]) {
+        let tier = Tier::new(5000 + seed, [4, 4, 1], 1);
+        play(&tier, move |t| {
+            Box::pin(async move {
+                up(&t).await;
+                let store = t.at("store1").unwrap();
+                let keep = |n: u64| {
+                    let store = store.clone();
+                    async move { store.chain.keep(vec![ledger(n)]).recv().await == Ok(true) }
+                };
+                assert!(keep(1).await);
+                set(&t, "store1", trouble, true);
+                assert!(!keep(2).await);
+                assert!(store.vault.failed.load(SeqCst));
+                t.op.sleep(4 * SEC).await;
+                assert!(store.vault.failed.load(SeqCst), "{trouble:?}: took part while its disk did not work");
+                set(&t, "store1", trouble, false);
+                until_restored(&t, "store1", SEC).await.unwrap_or_else(|| panic!("{trouble:?}: not back\n{}", tell(&t)));
+                let programs = |c: &yewcross_control::Control| {
+                    let shelf = c.chain.st.lock().unwrap();
+                    let mut names: Vec<String> = shelf.ledgers.keys().cloned().collect();
+                    names.sort();
+                    names
+                };
+                assert_eq!(programs(&store), ["p1"], "{trouble:?}");
+                assert!(!store.chain.doubt.load(SeqCst), "{trouble:?}: nothing was lost");
+                assert!(keep(3).await, "{trouble:?}: keeps nothing any more");
+                t.kill("store1", true);
+                t.boot("store1", false);
+                t.op.sleep(2 * SEC).await;
+                assert_eq!(programs(&t.at("store1").unwrap()), ["p1", "p3"], "{trouble:?}");
+            })
+        });
+    }
+}
+
+/// A disk that bears no identity any more is not taken for the one that was opened.
+#[test]
+fn a_disk_that_was_changed_is_not_restored() {
+    let tier = Tier::new(6000, [4, 4, 1], 1);
+    play(&tier, |t| {
+        Box::pin(async move {
+            up(&t).await;
+            t.put_surely(0, "1 a").await;
+            set(&t, "core2", Trouble::Errors, true);
+            t.put_surely(1, "2 b").await;
+            t.op.sleep(SEC).await;
+            assert!(t.at("core2").unwrap().vault.failed.load(SeqCst));
+            t.sim.wipe(t.sim.find("core2"));
+            assert_eq!(until_restored(&t, "core2", 5 * SEC).await, None, "{}", tell(&t));
+        })
+    });
+}
+
+/// A disk that stalls or is 30 times as slow is never believed for what it did not sync, and needs no restoring.
+#[test]
+fn a_stalled_or_slow_core_disk_only_loses_its_vote_meanwhile() {
+    for (seed, stalled) in (0..4).flat_map(|seed| [(seed, true), (seed, false)]) {
+        let tier = Tier::new(7000 + seed, [4, 4, 1], 1);
+        play(&tier, move |t| {
+            Box::pin(async move {
+                up(&t).await;
+                t.put_surely(0, "1 a").await;
+                let machine = t.sim.find("core2");
+                t.sim.disk(machine, |d| if stalled { d.stalled = true } else { d.slowness = 30 });
+                let mut worst = 0;
+                for n in 1..4 {
+                    worst = worst.max(t.put_surely(n, &format!("{} x", n + 1)).await);
+                    t.op.sleep(SEC).await;
+                }
+                t.sim.disk(machine, |d| (d.stalled, d.slowness) = (false, 1));
+                t.op.sleep(SEC).await;
+                assert!(!t.at("core2").unwrap().vault.failed.load(SeqCst));
+                t.kill("core3", true);
+                let after = t.put_surely(4, "5 e").await;
+                println!("stalled {stalled}: puts took {} ms at most meanwhile, {} ms after", worst / MS, after / MS);
+                assert!(worst < 4 * SEC && after < 4 * SEC, "{worst} {after}");
+            })
+        });
+    }
+}
+
+/// The newest configuration as a majority has it.
+async fn newest(tier: &Tier) -> Option<String> {
+    for name in tier.names(Role::Core) {
+        if let Some(ReadAnswer::Text(_, text)) = tier.read(&name).await {
+            return Some(text.to_string());
+        }
+    }
+    None
+}
+
+/// All machines lose power at any moment of a row of orders: what was acknowledged is there when they are back.
+#[test]
+fn acknowledged_configurations_outlast_a_loss_of_power_of_all() {
+    for (seed, counts, lost) in (0..8).flat_map(|s| [(s, [4, 4, 2], 1), (s, [5, 5, 2], 2), (s, [8, 8, 2], 2)]) {
+        let tier = Tier::new(8000 + seed, counts, lost);
+        play(&tier, move |t| {
+            Box::pin(async move {
+                up(&t).await;
+                let (cores, stores) = (t.names(Role::Core), t.names(Role::Store));
+                let all: Vec<String> = cores.iter().chain(&stores).cloned().collect();
+                for base in 0..4 {
+                    // Power goes at a moment of an order that is under way.
+                    let (tier, moment, machines) = (t.clone(), t.op.rand() % (30 * MS), all.clone());
+                    t.op.go(async move {
+                        tier.op.sleep(moment).await;
+                        machines.iter().for_each(|n| tier.kill(n, true));
+                    });
+                    let text = format!("{} r", base + 1);
+                    let answer = t.put(&cores[base as usize % cores.len()], base, &text).await;
+                    t.op.sleep(SEC).await;
+                    all.iter().for_each(|n| t.boot(n, false));
+                    t.op.sleep(3 * SEC).await;
+                    if matches!(answer, Some(PutAnswer::InForce(_))) {
+                        assert_eq!(newest(&t).await, Some(text.clone()), "acknowledged and gone\n{}", tell(&t));
+                    }
+                    t.put_surely(base, &text).await;
+                }
+                t.seated(&cores, &stores, 10 * SEC).await.unwrap_or_else(|| panic!("not whole\n{}", tell(&t)));
+            })
+        });
+    }
+}
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -38,6 +38,8 @@
 /// us. A process this young outbids a node of its name that seems younger: that is its own last life, under a clock
 /// that was ahead.
 pub const YOUNG: u64 = 10 * SEC;
+/// us. A node that starts does not log each member that it meets this long; it then logs how many it knows.
+pub const MEMBERS_QUIET: u64 = 3 * SEC;
 /// us. A removed or departed node is remembered this long, so that old gossip cannot revive it.
 pub const GONE_KEPT: u64 = 120 * SEC;
 
@@ -67,6 +69,12 @@
 pub const STORE_COPIES: usize = 3;
 /// us. A disk that has not synced within this is treated as stalled for that exchange.
 pub const SYNC_WAIT: u64 = 600 * MS;
+/// count. Folders that the register copies of a disk are spread over, by the hash of their key.
+pub const KEY_SHARDS: usize = 64;
+/// us. A failed disk is tried this often: five tries a second cost little, and a loss that ends is soon over.
+pub const DISK_RETRY: u64 = 200 * MS;
+/// bytes. Written to try a failed disk: more than a register's or a document's usual file.
+pub const DISK_PROBE: usize = 64 << 10;
 /// us. An idle key's owner forgets its value after this, to bound memory.
 pub const HELD_IDLE: u64 = 120 * SEC;
 /// us. Pause between keys of the repair sweep.
--- a/yewcross/src/reg.rs
+++ b/yewcross/src/reg.rs
@@ -3,7 +3,7 @@
 use crate::ask::{Ask, Group, Layout, Tell};
 use crate::book::DOCS;
 use crate::consts::*;
-use crate::vault::Vault;
+use crate::vault::{Vault, shard_folder};
 use crate::wire::Peers;
 use crate::world::*;
 use serde::{Deserialize, Serialize};
@@ -13,6 +13,8 @@
 use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 
+mod restore;
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Epoch {
     pub n: u64,
@@ -111,7 +113,7 @@
     seq: u64,
 }
 
-const SHARDS: usize = 64;
+const SHARDS: usize = KEY_SHARDS;
 
 /// Slots by the hash of their key.
 type Shelf = BTreeMap<u128, (String, Slot)>;
@@ -130,7 +132,17 @@
 }
 
 fn dir(shard: usize) -> String {
-    format!("keys/{shard:02x}")
+    shard_folder(shard)
+}
+
+/// A slot as it stands on the disk.
+fn encode_slot(key: &str, slot: &Slot) -> Vec<u8> {
+    let head = Head { key: key.into(), promised: slot.promised, accepted: slot.accepted, seq: slot.seq };
+    let head = serde_json::to_vec(&head).unwrap_or_default();
+    let mut body = (head.len() as u32).to_le_bytes().to_vec();
+    body.extend(head);
+    body.extend(slot.value.iter());
+    body
 }
 
 impl Replica {
@@ -138,7 +150,6 @@
         let w = vault.w.clone();
         let mut shards = vec![];
         for s in 0..SHARDS {
-            w.mkdir(&dir(s)).await?;
             let mut m = BTreeMap::new();
             for (n, ver, b) in vault.scan(&dir(s)).await? {
                 let Ok(h) = u128::from_str_radix(&n, 16) else { continue };
@@ -176,11 +187,18 @@
         (v, hurt)
     }
 
+    /// Whether the key's files are gone for good: an older version that came back would outrank the key's next life.
+    async fn erase_files(&self, hash: u128, shard: usize) -> bool {
+        let erased = self.vault.erase(&dir(shard), &format!("{hash:032x}")).await;
+        erased.inspect_err(|e| self.vault.mark_failed(e)).is_ok()
+    }
+
+    /// Removes this disk's copy of a key.
     pub async fn forget(&self, key: &str) {
         let (h, s) = at(key);
         let mut g = self.shards[s].lock().await;
-        if let Some((_, x)) = g.remove(&h) {
-            let _ = self.w.remove(&format!("{}/{h:032x}-{:016x}", dir(s), x.ver)).await;
+        if g.contains_key(&h) && self.erase_files(h, s).await {
+            g.remove(&h);
         }
     }
 
@@ -262,17 +280,16 @@
             }
             RegAsk::Drop { epoch, seq, .. } => {
                 if x.promised == epoch && x.seq == seq && x.value.is_empty() && !x.damaged {
+                    if !self.erase_files(h, s).await {
+                        return (RegTell::Away, vec![]);
+                    }
                     g.remove(&h);
-                    let _ = self.w.remove(&format!("{}/{h:032x}-{:016x}", dir(s), x.ver)).await;
                 }
                 return (RegTell::Accepted, vec![]);
             }
         }
         n.ver = x.ver + 1;
-        let hd = serde_json::to_vec(&Head { key: key.clone(), promised: n.promised, accepted: n.accepted, seq: n.seq }).unwrap_or_default();
-        let mut b = (hd.len() as u32).to_le_bytes().to_vec();
-        b.extend(hd);
-        b.extend(n.value.iter());
+        let b = encode_slot(&key, &n);
         if self.vault.keep(&dir(s), &format!("{h:032x}"), n.ver, &b).await.is_err() {
             return (RegTell::Away, vec![]);
         }
