Log one line of counts at a start in place of one a member

Cause: a node that starts at a large deployment wrote a line for each of 78 members.

Change: members first met alive in the first 3 s are not logged one by one; then one line tells how many of each role are known. Changes of state are logged as before, also in those 3 s.

--- a/yewcross/src/member.rs
+++ b/yewcross/src/member.rs
@@ -168,7 +168,8 @@
             let newer = g.get(&n.name).is_none_or(|(o, _)| n.rank() > o.rank());
             if newer {
                 let was = g.get(&n.name).map(|x| x.0.state);
-                if was != Some(n.state) {
+                let met_at_start = was.is_none() && n.state == State::Alive && t < self.started + MEMBERS_QUIET;
+                if was != Some(n.state) && !met_at_start {
                     self.w.log(&format!("member {} {:?}", n.name, n.state));
                 }
                 self.peers.learn(n.peer, &n.site, n.wire);
@@ -283,7 +284,15 @@
         }
     }
 
+    /// One line for all that a starting node has met, in place of one for each.
+    async fn log_known(self: Arc<Self>) {
+        self.w.sleep((self.started + MEMBERS_QUIET).saturating_sub(self.w.now())).await;
+        let [cores, stores, fronts] = [Role::Core, Role::Store, Role::Front].map(|role| self.alive(role).len());
+        self.w.log(&format!("members known: {cores} core, {stores} store, {fronts} front"));
+    }
+
     pub async fn run(self: Arc<Self>) {
+        self.w.go(self.clone().log_known());
         let (me, disk) = {
             let g = self.me.lock().unwrap();
             (g.name.clone(), !g.disk.is_empty())
