--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -27,7 +27,13 @@
     Table {
         nodes: Vec<Node>,
     },
+    /// A register request that names no disk, as programs before `WIRE_NAMED_DISKS` send it.
     Reg(RegAsk),
+    /// A register request meant for one disk. Any other answers `Tell::OtherDisk`.
+    Register {
+        disk: String,
+        request: RegAsk,
+    },
     /// A node tells which documents it holds and asks whether a core disk holds newer ones.
     Newer {
         have: Vec<(String, u64)>,
@@ -53,6 +59,9 @@
         seq: u64,
         epoch: Epoch,
         base: u64,
+        /// `hash::mark` of the version named; empty from nodes that don't tell it.
+        #[serde(default)]
+        base_digest: String,
     },
     Grants {
         name: String,
@@ -120,8 +129,12 @@
         same: Vec<String>,
         relay: bool,
     },
+    /// How far the disk named is with the change that layout number `layout` began.
     SweepDone {
         layout: u64,
+        /// The disk asked about; empty where an older program asks. Any other answers `Tell::OtherDisk`.
+        #[serde(default)]
+        disk: String,
     },
     /// A disk found damaged files: whoever holds the same keys should mend it now.
     SweepNow,
@@ -146,7 +159,17 @@
     Table {
         nodes: Vec<Node>,
     },
+    /// The answer to a register request that named no disk.
     Reg(RegTell),
+    /// The answer of one disk to a register request meant for it.
+    Register {
+        disk: String,
+        reply: RegTell,
+    },
+    /// The question was meant for another disk than the one that is here now.
+    OtherDisk {
+        disk: String,
+    },
     Newer {
         newest: Vec<(String, u64)>,
         sure: bool,
@@ -187,6 +210,9 @@
         /// Newest layout that the disk keeps; it refuses older ones.
         #[serde(default)]
         kept: u64,
+        /// The disk that says so; empty where an older program answers.
+        #[serde(default)]
+        disk: String,
     },
     /// The answer is the blob.
     Chain,
@@ -310,6 +336,23 @@
     pub now: Vec<String>,
     /// Set while a change is under way; both sets must then agree.
     pub old: Vec<String>,
+    /// Layout number that wrote these sets: progress of the group's change is counted by it, whatever the other group does
+    /// meanwhile. 0 where an older process wrote the layout.
+    #[serde(default)]
+    pub since: u64,
+}
+
+impl Group {
+    pub fn changing(&self) -> bool {
+        !self.old.is_empty()
+    }
+}
+
+impl Layout {
+    /// Layout number that wrote the group's sets, of a layout with this number.
+    pub fn since(&self, group: &Group, number: u64) -> u64 {
+        if group.since == 0 { number } else { group.since }
+    }
 }
 
 /// Which disks carry what. `names` tells the machine behind a disk.
@@ -328,18 +371,66 @@
     pub retired: std::collections::BTreeSet<String>,
 }
 
+/// An operator's order that was taken, by the digest of its text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TakenOrder {
+    /// The operator's number of it.
+    pub number: u64,
+    /// `hash::mark` of the text.
+    pub digest: String,
+    /// ms since 1970 by the middle of the known clocks; never below that of an order taken before.
+    pub taken_ms: u64,
+}
+
 /// What the configuration register holds.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ConfigDoc {
     pub text: String,
     pub put: String,
     pub note: String,
-    /// Newest first: version, put id and text of what was in force before. Where the operator numbers the versions, the
-    /// operator's number, the text's mark and nothing.
+    /// Newest first: version, put id and text of what was in force before, where the tier numbers the versions. Documents
+    /// written before `orders` was added hold the operator's number, the text's digest and nothing.
     pub past: Vec<(u64, String, String)>,
     /// The operator's own number; 0 where the tier numbers the versions.
     #[serde(default)]
     pub number: u64,
+    /// The highest number among the taken orders that are no longer in `orders`; 0 while all are.
+    #[serde(default)]
+    pub forgotten: u64,
+    /// The operator's orders taken before the one in force, newest first; bounded by age, count and so in bytes.
+    #[serde(default)]
+    pub orders: Vec<TakenOrder>,
+}
+
+impl ConfigDoc {
+    /// The document in a register's value; an empty value is the document before the first order.
+    pub fn decode(value: &[u8]) -> Result<ConfigDoc, serde_json::Error> {
+        if value.is_empty() {
+            return Ok(ConfigDoc::default());
+        }
+        serde_json::from_slice(value)
+    }
+
+    /// JSON with a line for each taken order, so that only the new ones travel in a delta.
+    pub fn encode(&self) -> Result<Vec<u8>, serde_json::Error> {
+        let mut head = self.clone();
+        let orders = std::mem::take(&mut head.orders);
+        let mut json = serde_json::to_vec(&head)?;
+        if orders.is_empty() {
+            return Ok(json);
+        }
+        let empty_list = b"[]}";
+        json.truncate(json.len() - empty_list.len());
+        json.extend_from_slice(b"[\n");
+        for (index, order) in orders.iter().enumerate() {
+            if index > 0 {
+                json.extend_from_slice(b",\n");
+            }
+            json.extend(serde_json::to_vec(order)?);
+        }
+        json.extend_from_slice(b"\n]}");
+        Ok(json)
+    }
 }
 
 /// A key on a disk, as a checkpoint tells it.
