--- a/yewcross/src/startup.rs
+++ b/yewcross/src/startup.rs
@@ -48,6 +48,10 @@
 pub struct Bounds {
     /// Disk machines that may be lost at the same time.
     pub lost: usize,
+    /// Zones that may be lost at the same time; each counts as one disk machine of a class.
+    pub lost_zones: usize,
+    /// Regions that may be lost at the same time; each counts as one disk machine of a class.
+    pub lost_regions: usize,
     /// How often nodes ought to hear of each other.
     pub beat: u64,
     /// A node in touch this long is bound by the timed rules.
@@ -74,6 +78,8 @@
     fn default() -> Self {
         Bounds {
             lost: 1,
+            lost_zones: 0,
+            lost_regions: 0,
             beat: 400,
             contact: 3_000,
             apply: 2_000,
