Leave files that are being written aside to their writer

Cause: a scan of a folder removed every file written aside, also those of writes under way (the scan of kept documents runs beside founding and the keeping of peers): the rename then failed, and the disk counted as failed. Read in the code, not seen.

Change: a scan removes only files that no write of this process is about to rename.

--- a/yewcross/src/vault.rs
+++ b/yewcross/src/vault.rs
@@ -6,10 +6,10 @@
 use crate::consts::*;
 use crate::world::*;
 use event_listener::Event;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
 
 /// Folder of what a node keeps for itself: its identity, adopted documents, known peers.
 pub const LOCAL_FOLDER: &str = "local";
@@ -53,6 +53,8 @@
     pub syncs: AtomicU64,
     pub bytes: AtomicU64,
     aside: AtomicU64,
+    /// Files being written aside; a scan leaves them alone.
+    writing: Mutex<BTreeSet<String>>,
 }
 
 /// Adds format, length and checksum to a body.
@@ -94,6 +96,7 @@
             syncs: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
             aside: AtomicU64::new(0),
+            writing: Mutex::default(),
         };
         let complete = vault.prepare_folders().await?;
         let (version, known) = match vault.load(LOCAL_FOLDER, IDENTITY).await? {
@@ -148,7 +151,10 @@
     /// Writes a version whatever is known of the disk; the version before it is removed.
     pub async fn write(&self, dir: &str, name: &str, ver: u64, body: &[u8]) -> io::Result<()> {
         let aside = format!("{dir}/.{name}-{}", self.aside.fetch_add(1, SeqCst));
-        self.w.keep(&aside, &version_path(dir, name, ver), dir, seal(body)).await?;
+        self.writing.lock().unwrap().insert(aside.clone());
+        let written = self.w.keep(&aside, &version_path(dir, name, ver), dir, seal(body)).await;
+        self.writing.lock().unwrap().remove(&aside);
+        written?;
         self.syncs.fetch_add(2, SeqCst);
         self.bytes.fetch_add(body.len() as u64, SeqCst);
         if ver > 1 {
@@ -183,7 +189,11 @@
         let files = self.w.list(dir).await?;
         for file in &files {
             if file.starts_with('.') {
-                let _ = self.w.remove(&format!("{dir}/{file}")).await;
+                let aside = format!("{dir}/{file}");
+                let abandoned = !self.writing.lock().unwrap().contains(&aside);
+                if abandoned {
+                    let _ = self.w.remove(&aside).await;
+                }
                 continue;
             }
             let Some((name, version)) = split_version(file) else { continue };
