--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -5,7 +5,7 @@
 use crate::scan::Scan;
 use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
-use http::{HeaderMap, HeaderName, Method, Request, Response, StatusCode, header, request, response};
+use http::{HeaderMap, HeaderName, Method, Request, Response, StatusCode, Version, header, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use std::io;
@@ -37,7 +37,7 @@
     };
 }
 
-counts!(taken, sent, passed, not_run, unsent, lost, strangers, refused, expired, second, broken, unkept);
+counts!(taken, sent, passed, not_run, unsent, withdrawn, lost, strangers, refused, expired, second, broken, unkept);
 
 pub struct Relay {
     pub w: World,
@@ -71,9 +71,29 @@
     /// It says that it did not run it.
     NotRun,
     Unsent,
+    /// Nothing was sent, since the choice of the server no longer holds.
+    Withdrawn,
     Lost,
 }
 
+impl Sent {
+    /// Not a byte of the request left for this server.
+    fn nothing(&self) -> bool {
+        matches!(self, Sent::Unsent | Sent::Withdrawn)
+    }
+
+    /// What two servers asked the same come to: the answer of either, else what says least about a run.
+    fn or(self, other: Sent) -> Sent {
+        match (self, other) {
+            (Sent::Answer(a), _) | (_, Sent::Answer(a)) => Sent::Answer(a),
+            (Sent::Lost, _) | (_, Sent::Lost) => Sent::Lost,
+            (Sent::NotRun, _) | (_, Sent::NotRun) => Sent::NotRun,
+            (Sent::Unsent, _) | (_, Sent::Unsent) => Sent::Unsent,
+            (Sent::Withdrawn, Sent::Withdrawn) => Sent::Withdrawn,
+        }
+    }
+}
+
 struct Answer {
     head: response::Parts,
     body: Rest,
@@ -137,6 +157,27 @@
     });
 }
 
+/// A body ends where its length or its last chunk says; one that ends with its connection may as well have been cut off.
+/// Source: RFC 9112, 6.3 "Message Body Length".
+fn tells_its_end(h: &HeaderMap) -> bool {
+    let last_coding = |v: &http::HeaderValue| v.to_str().ok().and_then(|t| t.rsplit(',').next().map(|c| c.trim().to_ascii_lowercase()));
+    match h.get_all(header::TRANSFER_ENCODING).iter().next_back() {
+        Some(v) => last_coding(v).as_deref() == Some("chunked"),
+        None => h.contains_key(header::CONTENT_LENGTH),
+    }
+}
+
+/// A caller that names no content coding gets the server's bytes themselves.
+fn coding_asked_for(request: &HeaderMap, answer: &HeaderMap) -> bool {
+    let names = |h: &HeaderMap, k: HeaderName| -> Vec<String> {
+        let texts = h.get_all(k).iter().filter_map(|v| v.to_str().ok());
+        let items = texts.flat_map(|t| t.split(','));
+        items.filter_map(|i| i.split(';').next()).map(|n| n.trim().to_ascii_lowercase()).filter(|n| !n.is_empty()).collect()
+    };
+    let asked = names(request, header::ACCEPT_ENCODING);
+    names(answer, header::CONTENT_ENCODING).iter().all(|n| n == "identity" || asked.contains(n))
+}
+
 fn safe(m: Mode) -> bool {
     m == Mode::Pure
 }
@@ -192,7 +233,7 @@
                     Refusal::Unknown => End(Code::UnknownTurn, "no such turn", 0),
                     Refusal::Away => End(Code::StoreAway, "the stores cannot be asked", self.soon(&route)),
                 })?;
-                let each = up.engine.as_ref().map_or(1, |e| e.tokens_per_event.max(1));
+                let each = self.tokens_per_event(&up.name).unwrap_or(1);
                 if route.retained {
                     shot.body = prompt(&o.chain, &input);
                     name_parts(&mut shot.meta, &o.chain);
@@ -205,6 +246,9 @@
 
         let answer = self.send_on(&shot, &route, prev.as_deref()).await?;
         let (route, a) = answer;
+        if let (Some(opened), Some(each)) = (&mut turn, self.tokens_per_event(&a.claim.to.service)) {
+            opened.each = each;
+        }
         let room = self.room(&a.claim.to.service);
         a.claim.read(&shot.meta.parts, room);
         let keep = route.retained.then(|| Turn {
@@ -263,6 +307,13 @@
         (r.target_ms / 4).clamp(20, 1_000)
     }
 
+    /// None where the newest configuration does not name the service.
+    fn tokens_per_event(&self, service: &str) -> Option<u64> {
+        let c = self.book.config.load();
+        let upstream = c.1.routing.upstreams.get(service)?;
+        Some(upstream.engine.as_ref().map_or(1, |e| e.tokens_per_event.max(1)))
+    }
+
     fn room(&self, service: &str) -> u64 {
         let c = self.book.config.load();
         c.1.routing.upstreams.get(service).and_then(|u| u.engine.as_ref()).map_or(0, |e| e.cache_tokens)
@@ -278,13 +329,11 @@
                 Err(e) => return last.map(|a| (first.clone(), a)).ok_or(if lost { self.gave_up(s) } else { e }),
             };
             let again = safe(route.mode) && sent + 1 < route.max_tries;
-            tried.push(claim.to.server.clone());
-            let got = if again {
-                self.send_twice(s, &route, claim, &mut tried, &mut sent).await
-            } else {
-                self.send(s, claim, route.mode == Mode::Stream).await
-            };
-            sent += !matches!(got, Sent::Unsent) as u32;
+            let server = claim.to.server.clone();
+            tried.push(server.clone());
+            let got =
+                if again { self.send_twice(s, &route, claim, &mut tried, &mut sent).await } else { self.send(s, claim, &route).await };
+            sent += !got.nothing() as u32;
             let more = sent < route.max_tries && self.w.now() < s.until;
             match got {
                 Sent::Answer(a) => {
@@ -294,6 +343,8 @@
                     }
                     last = Some(*a);
                 }
+                // It may be chosen again by what holds now; where no time is left, that is told there.
+                Sent::Withdrawn => tried.retain(|x| *x != server),
                 Sent::NotRun | Sent::Unsent if more => {}
                 Sent::NotRun | Sent::Unsent if lost => return Err(self.gave_up(s)),
                 Sent::NotRun | Sent::Unsent => {
@@ -322,7 +373,8 @@
                 let c = self.book.config.load();
                 self.route(&c.1.routing, c.0, &s.host, &s.head, &s.meta)?
             };
-            if route.retained != first.retained {
+            // What was sent as repeatable, or opened as a turn, is not sent again as anything else.
+            if route.retained != first.retained || route.mode != first.mode {
                 return Err(End(Code::NotServing, "the route has changed", 20));
             }
             if now >= s.until {
@@ -373,32 +425,33 @@
     async fn send_twice(self: &Arc<Self>, s: &Shot, r: &Route, c: Claim, tried: &mut Vec<String>, sent: &mut u32) -> Sent {
         let usual = self.balance.usual(&c.to.service);
         let pause = (3 * usual).max(r.target_ms * MS * 6 / 10).max(50 * MS);
-        let mut one = std::pin::pin!(self.send(s, c, false));
+        let mut one = std::pin::pin!(self.send(s, c, r));
         if let Some(x) = self.w.within(pause, one.as_mut()).await {
             return x;
         }
         let Ok((route, c)) = self.seat(s, r, None, tried).await else { return one.await };
-        if !safe(route.mode) {
-            return one.await;
-        }
         self.counts.second.fetch_add(1, SeqCst);
         tried.push(c.to.server.clone());
         *sent += 1;
-        let mut two = std::pin::pin!(self.send(s, c, false));
+        let mut two = std::pin::pin!(self.send(s, c, &route));
         // The first good answer of the two; a bad one leaves the other to be waited for.
         let (x, first) = async { (one.as_mut().await, true) }.or(async { (two.as_mut().await, false) }).await;
         match x {
             Sent::Answer(_) => x,
-            _ if first => two.await,
-            _ => one.await,
+            _ if first => x.or(two.await),
+            _ => x.or(one.await),
         }
     }
 
-    async fn send(self: &Arc<Self>, s: &Shot, mut c: Claim, streamed: bool) -> Sent {
+    async fn send(self: &Arc<Self>, s: &Shot, mut c: Claim, route: &Route) -> Sent {
         let left = s.until.saturating_sub(self.w.now());
-        let got = self.w.within(left, self.exchange(s, &c)).await.unwrap_or(Err(Failed::Lost));
+        let got = self.w.within(left, self.exchange(s, &c, route)).await.unwrap_or(Err(Failed::Lost));
         let (r, link) = match got {
             Ok(x) => x,
+            Err(Failed::Withdrawn) => {
+                self.counts.withdrawn.fetch_add(1, SeqCst);
+                return Sent::Withdrawn;
+            }
             Err(Failed::Unsent) => {
                 self.counts.unsent.fetch_add(1, SeqCst);
                 c.failed();
@@ -414,7 +467,8 @@
         let (ok, code) = (r.status().is_success(), r.status());
         // On a connection of its own nothing late can arrive: there a "not run" needs no id.
         let ours = meta.attempt == s.meta.attempt || (meta.attempt.is_empty() && meta.not_run && link.fresh);
-        if !ours || (ok && !meta.stamped) || code.is_informational() {
+        let foreign = ok && (!meta.stamped || !coding_asked_for(&s.head.headers, r.headers()));
+        if !ours || foreign || code.is_informational() {
             self.counts.strangers.fetch_add(1, SeqCst);
             c.failed();
             return Sent::Lost;
@@ -441,7 +495,7 @@
         if code.is_server_error() {
             c.failed();
         }
-        match self.whole(s, r, link, &meta, &c, streamed).await {
+        match self.whole(s, r, link, &meta, &c, route.mode == Mode::Stream).await {
             Some((head, body)) => Sent::Answer(Box::new(Answer { head, body, meta, claim: c })),
             None => {
                 self.counts.broken.fetch_add(1, SeqCst);
@@ -463,8 +517,7 @@
     ) -> Option<(response::Parts, Rest)> {
         let (head, body) = r.into_parts();
         let bare = s.head.method == Method::HEAD || matches!(head.status.as_u16(), 204 | 304);
-        let told = head.headers.contains_key(header::CONTENT_LENGTH) || head.headers.contains_key(header::TRANSFER_ENCODING);
-        if !bare && !told {
+        if !bare && !tells_its_end(&head.headers) {
             return None;
         }
         let small = body.size_hint().upper().is_some_and(|n| n <= ANSWER_WHOLE);
@@ -496,16 +549,20 @@
         }
     }
 
-    async fn exchange(&self, s: &Shot, c: &Claim) -> Result<(Response<Incoming>, Link), Failed> {
+    async fn exchange(&self, s: &Shot, c: &Claim, route: &Route) -> Result<(Response<Incoming>, Link), Failed> {
         let mut stale = 0;
         loop {
             let mut link = match self.pool.take(&c.to.server, self.w.now(), stale > 0) {
                 Some(l) => l,
                 None => self.pool.dial(&self.w, &c.to, DIAL_WAIT).await.map_err(|_| Failed::Unsent)?,
             };
+            let now = self.w.now();
+            if now >= s.until || !self.still_holds(s, &c.to, route) {
+                return Err(Failed::Withdrawn);
+            }
             let fresh = link.fresh;
             self.counts.sent.fetch_add(1, SeqCst);
-            match link.ask(self.request(s, &c.to)).await {
+            match link.ask(&self.w, self.request(s, &c.to), s.until.min(now + SEND_WITHIN)).await {
                 Ok(r) => return Ok((r, link)),
                 Err(Failed::Unsent) if !fresh && stale < 3 => stale += 1,
                 Err(e) => return Err(e),
@@ -513,6 +570,17 @@
         }
     }
 
+    /// Whether the newest configuration and list would still let the request go to this server: a process may stand
+    /// still, or wait for a connection, after it has chosen.
+    fn still_holds(&self, s: &Shot, to: &Listed, route: &Route) -> bool {
+        let config = self.book.config.load();
+        let routed = config.1.routing.find(&s.host, s.head.uri.path()).is_some_and(|now| {
+            let same_kind = now.mode == route.mode && now.retained == route.retained;
+            same_kind && now.variants.iter().any(|(service, weight)| *service == to.service && *weight > 0)
+        });
+        routed && self.book.list.load().1.servers.iter().any(|l| l == to)
+    }
+
     fn request(&self, s: &Shot, to: &Listed) -> Request<Full<Bytes>> {
         let mut q = Request::new(Full::new(s.body.clone()));
         *q.method_mut() = s.head.method.clone();
@@ -531,6 +599,12 @@
         self.counts.passed.fetch_add(1, SeqCst);
         let mut head = a.head;
         strip(&mut head.headers);
+        // The version is a connection's own: under an older one a body that breaks off would look complete.
+        head.version = Version::HTTP_11;
+        if keep.is_some() {
+            // Whoever is told a length takes the last byte for the end, and the end waits until the turn is kept.
+            head.headers.remove(header::CONTENT_LENGTH);
+        }
         let (body, link) = match a.body {
             Rest::Whole(b) => return Response::from_parts(head, full(b)),
             Rest::Coming(b, l) => (b, l),
