--- /dev/null
+++ b/yewcross-lab/tests/second_loss.rs
@@ -0,0 +1,66 @@
+//! A second loss in the middle of a change of seats, with turns and budgets on the disks.
+
+use std::sync::Arc;
+use yewcross::chain::{Chains, OpenTurn, Turn};
+use yewcross::chain_client::Client;
+use yewcross::consts::*;
+use yewcross::startup::Role;
+use yewcross_control::api::*;
+use yewcross_lab::tier::{Tier, play, tell, up};
+
+const PROGRAMS: usize = 20;
+
+/// One turn of the program, as a front keeps it.
+fn first_turn(program: usize) -> (OpenTurn, Turn) {
+    let id = format!("turn-{program}");
+    let open = OpenTurn {
+        turn: id.clone(),
+        program: format!("program-{program}"),
+        prev: String::new(),
+        max_output_tokens: 10,
+        budget: Some(1_000),
+    };
+    let turn = Turn { id, input: "question".into(), output: "answer\n".into(), tokens: 20, retain_ms: 60_000, ..Turn::default() };
+    (open, turn)
+}
+
+/// Keeps a turn of each program on the stores, through the first front.
+async fn keep_turns(tier: &Arc<Tier>) {
+    let front = tier.front("front1").expect("the front runs");
+    let startup = tier.specs.lock().unwrap()["front1"].clone();
+    let client = Client::new(&front.members, &front.book, &startup);
+    for program in 0..PROGRAMS {
+        let (open, turn) = first_turn(program);
+        let until = tier.op.now() + 2 * SEC;
+        client.open(open.clone(), until).await.expect("the turn is opened");
+        client.finish(open, turn, 10, until).await.expect("the turn is kept");
+    }
+}
+
+/// Begins to retire one store, and at some moment of that change another store, which stays, loses its disk and comes back
+/// empty. Returns the time from its return until no change is under way and it holds a seat again, us.
+async fn wiped_while_another_retires(tier: &Arc<Tier>, wipe_after: u64) -> u64 {
+    up(tier).await;
+    tier.put_surely(0, "5 a").await;
+    keep_turns(tier).await;
+    let begun = tier.on("core2", |c| Box::pin(async move { c.retire_begin("store2").await })).await;
+    assert_eq!(begun, Some(RetireBegin::Begun));
+    tier.op.sleep(wipe_after).await;
+    tier.kill("store3", true);
+    tier.sim.wipe(tier.sim.find("store3"));
+    tier.op.sleep(900 * MS).await;
+    tier.boot("store3", false);
+    let (core, stay) = (tier.names(Role::Core), ["store1", "store3", "store4"].map(String::from));
+    tier.seated(&core, &stay, 10 * SEC).await.unwrap_or_else(|| panic!("wiped {} ms later\n{}", wipe_after / MS, tell(tier)))
+}
+
+/// A store that keeps its seat loses its disk while another one retires, at each moment of that change.
+#[test]
+fn a_disk_lost_while_a_store_retires_holds_nothing_up() {
+    for step in 0..25 {
+        let tier = Tier::new(360 + step, [4, 4, 3], 1);
+        let us = play(&tier, |tier| Box::pin(async move { wiped_while_another_retires(&tier, step * 10 * MS).await }));
+        println!("wiped {} ms after the order to retire: whole after {} ms", step * 10, us / MS);
+        assert!(us < 1_400 * MS, "{us}\n{}", tell(&tier));
+    }
+}
