Read what a node keeps of its own before any task writes there

Addresses, and since the last change documents, were read by tasks that run while others write the same folder. Reading a folder removes files that are not yet renamed, so a write under way could lose its file, and the disk would count as failed. It was not seen to happen. The folder is read once now, before the tasks start.

--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -107,13 +107,11 @@
         let members = Members::new(w, &st, &peers, &vault.id);
         members.stays.store(options.stays, SeqCst);
         let book = Book::of(w, options.dialect.clone());
-        for d in DOCS {
-            if let Some((_, b)) = vault.load("local", d).await.map_err(disk)?
-                && let Ok((seq, epoch, raw)) = serde_json::from_slice::<(u64, Epoch, String)>(&b)
-            {
-                book.adopt(d, seq, epoch, raw.into_bytes());
-            }
-        }
+        // Read before any task writes there: a scan removes files that are not yet renamed.
+        let local = vault.scan("local").await.map_err(disk)?;
+        let kept_pages = load_pages(&book, &local);
+        let kept_peers = load_peers(&local);
+        *members.known.lock().unwrap() = kept_peers.addresses.clone();
         let proved = vault.load("local", "proved").await.map_err(disk)?.map(|x| x.0).unwrap_or(0);
         replica.lay.store(book.layout.load().0, SeqCst);
         let (b, m) = (book.clone(), members.clone());
@@ -184,9 +182,9 @@
         w.go(c.peers.clone().serve(door, Arc::new(Ear(c.clone()))));
         w.go(c.members.clone().run());
         w.go(c.follow.clone().run());
-        w.go(keep_pages(c.clone()));
+        w.go(keep_pages(c.clone(), kept_pages));
         if c.options.tends {
-            w.go(keep_peers(c.clone()));
+            w.go(keep_peers(c.clone(), kept_peers));
         }
         w.go(layout::sweep(c.clone()));
         w.go(tidy(c.clone()));
@@ -293,15 +291,27 @@
     seq: u64,
 }
 
-/// Documents a control node adopts are kept on its own disk, so that a restart begins from them. One that is adopted and
-/// not yet kept is asked for again: a node believes no more than what its disk held, and is told of the rest as news.
-async fn keep_pages(c: Arc<Control>) {
-    let mut kept: BTreeMap<&str, KeptPage> = BTreeMap::new();
-    for (name, file_version, _) in c.vault.scan("local").await.unwrap_or_default() {
-        if let Some(d) = DOCS.into_iter().find(|d| *d == name) {
-            kept.insert(d, KeptPage { file_version, seq: c.book.page(d).seq });
+/// A file of a folder: its name, its version, and its body unless that is damaged.
+type StoredFile = (String, u64, Option<Vec<u8>>);
+
+/// Takes the documents of a folder into the book; which files they stand in. A damaged file counts with its version, so that the
+/// next one is newer.
+fn load_pages(book: &Book, folder: &[StoredFile]) -> BTreeMap<&'static str, KeptPage> {
+    let mut kept = BTreeMap::new();
+    for (name, file_version, body) in folder {
+        let Some(document) = DOCS.into_iter().find(|d| d == name) else { continue };
+        let body = body.as_ref().and_then(|b| serde_json::from_slice::<(u64, Epoch, String)>(b).ok());
+        if let Some((seq, epoch, raw)) = body {
+            book.adopt(document, seq, epoch, raw.into_bytes());
         }
+        kept.insert(document, KeptPage { file_version: *file_version, seq: book.page(document).seq });
     }
+    kept
+}
+
+/// Documents a control node adopts are kept on its own disk, so that a restart begins from them. One that is adopted and
+/// not yet kept is asked for again: a node believes no more than what its disk held, and is told of the rest as news.
+async fn keep_pages(c: Arc<Control>, mut kept: BTreeMap<&'static str, KeptPage>) {
     loop {
         let moved = c.book.moved.listen();
         // Where cores are asked for all else, only the layout must be known again before anybody answers.
@@ -325,22 +335,30 @@
     }
 }
 
+/// Addresses of machines with disks, as this node's own disk holds them.
+#[derive(Default)]
+struct KeptPeers {
+    file_version: u64,
+    addresses: Vec<std::net::SocketAddr>,
+}
+
+fn load_peers(folder: &[StoredFile]) -> KeptPeers {
+    let Some((_, file_version, body)) = folder.iter().find(|f| f.0 == "peers") else { return KeptPeers::default() };
+    let addresses = body.as_ref().and_then(|b| serde_json::from_slice(b).ok()).unwrap_or_default();
+    KeptPeers { file_version: *file_version, addresses }
+}
+
 /// Addresses of machines with disks are kept, so that a restart finds them where its seeds are down.
-async fn keep_peers(c: Arc<Control>) {
-    let was = c.vault.load("local", "peers").await.ok().flatten();
-    let (mut ver, mut kept) =
-        was.and_then(|(v, b)| Some((v, serde_json::from_slice::<Vec<std::net::SocketAddr>>(&b).ok()?))).unwrap_or_default();
-    *c.members.known.lock().unwrap() = kept.clone();
+async fn keep_peers(c: Arc<Control>, mut kept: KeptPeers) {
     loop {
         let moved = c.members.moved.listen();
         let mut now: Vec<_> = c.members.view.load().values().filter(|n| !n.disk.is_empty()).map(|n| n.peer).collect();
         now.sort();
-        if now != kept
+        if now != kept.addresses
             && now.len() > 1
-            && c.vault.keep("local", "peers", ver + 1, &serde_json::to_vec(&now).unwrap_or_default()).await.is_ok()
+            && c.vault.keep("local", "peers", kept.file_version + 1, &serde_json::to_vec(&now).unwrap_or_default()).await.is_ok()
         {
-            ver += 1;
-            kept = now;
+            kept = KeptPeers { file_version: kept.file_version + 1, addresses: now };
         }
         c.w.sleep(PEERS_KEPT).await;
         moved.await;
