Erase and restore a replica's records in the registers' new folder

Change: the restoring of records stands in register/restore.rs; a record is dropped only once its files are erased for good.

--- a/yewcross-lab/tests/disk.rs
+++ b/yewcross-lab/tests/disk.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use yewcross::chain_wire::{LedgerRow, encode};
 use yewcross::consts::*;
-use yewcross::reg::{Epoch, RegAsk, RegTell, Replica};
+use yewcross::register::{Epoch, RegisterReply, RegisterRequest, Replica};
 use yewcross::startup::Role;
 use yewcross::vault::{Vault, seal};
 use yewcross::world::{Fut, World};
@@ -57,12 +57,12 @@
     Epoch { n, by: 1 }
 }
 
-fn promise(n: u64) -> RegAsk {
-    RegAsk::Promise { key: KEY.into(), epoch: epoch(n), lay: 0 }
+fn promise(n: u64) -> RegisterRequest {
+    RegisterRequest::Promise { key: KEY.into(), epoch: epoch(n), lay: 0 }
 }
 
-fn accept(n: u64, seq: u64) -> RegAsk {
-    RegAsk::Accept { key: KEY.into(), epoch: epoch(n), seq, lay: 0, delta: false }
+fn accept(n: u64, seq: u64) -> RegisterRequest {
+    RegisterRequest::Accept { key: KEY.into(), epoch: epoch(n), seq, lay: 0, delta: false }
 }
 
 async fn open(w: &World) -> Arc<Replica> {
@@ -79,7 +79,7 @@
         let vote = |w: World| -> Fut<'static, String> {
             Box::pin(async move {
                 let replica = open(&w).await;
-                assert!(matches!(replica.hear(promise(5), vec![]).await.0, RegTell::Promised { .. }));
+                assert!(matches!(replica.hear(promise(5), vec![]).await.0, RegisterReply::Promised { .. }));
                 replica.vault.id.clone()
             })
         };
@@ -119,7 +119,7 @@
                     let known = replica.peek(KEY).await.map_or(0, |slot| slot.promised.n);
                     let vouched = told.lock().unwrap().iter().filter(|x| x.0 == id).map(|x| x.1).max().unwrap_or(0);
                     assert!(known >= vouched, "seed {seed}: {id} promised {vouched} and knows {known}");
-                    if matches!(replica.hear(promise(known + 1), vec![]).await.0, RegTell::Promised { .. }) {
+                    if matches!(replica.hear(promise(known + 1), vec![]).await.0, RegisterReply::Promised { .. }) {
                         told.lock().unwrap().push((id, known + 1));
                     }
                 })
@@ -165,17 +165,17 @@
             Box::pin(async move {
                 let replica = open(&w).await;
                 for (n, value) in [(1, "old"), (2, "older"), (3, "")] {
-                    assert!(matches!(replica.hear(promise(n), vec![]).await.0, RegTell::Promised { .. }));
-                    assert_eq!(replica.hear(accept(n, n), value.into()).await.0, RegTell::Accepted);
+                    assert!(matches!(replica.hear(promise(n), vec![]).await.0, RegisterReply::Promised { .. }));
+                    assert_eq!(replica.hear(accept(n, n), value.into()).await.0, RegisterReply::Accepted);
                 }
                 if dropped {
-                    let drop = RegAsk::Drop { key: KEY.into(), epoch: epoch(3), seq: 3, lay: 0 };
-                    assert_eq!(replica.hear(drop, vec![]).await.0, RegTell::Accepted);
+                    let drop = RegisterRequest::Drop { key: KEY.into(), epoch: epoch(3), seq: 3, lay: 0 };
+                    assert_eq!(replica.hear(drop, vec![]).await.0, RegisterReply::Accepted);
                 } else {
                     replica.forget(KEY).await;
                 }
-                assert!(matches!(replica.hear(promise(1), vec![]).await.0, RegTell::Promised { .. }));
-                assert_eq!(replica.hear(accept(1, 1), b"new".to_vec()).await.0, RegTell::Accepted);
+                assert!(matches!(replica.hear(promise(1), vec![]).await.0, RegisterReply::Promised { .. }));
+                assert_eq!(replica.hear(accept(1, 1), b"new".to_vec()).await.0, RegisterReply::Accepted);
             })
         };
         bench.run(SEC, lives).unwrap();
--- a/yewcross/src/register/mod.rs
+++ b/yewcross/src/register/mod.rs
@@ -10,7 +10,8 @@
 //! - [`quorum`]: the replicas of a key, and what a majority of them is;
 //! - [`proposer`]: what a proposer concludes from replies.
 //!
-//! The rest does the input and output: [`replica`] keeps an acceptor's records on disk, [`client`] sends the requests (`poll`), and
+//! The rest does the input and output: [`replica`] keeps an acceptor's records on disk (`restore` puts them right after a
+//! failed write), [`client`] sends the requests (`poll`), and
 //! [`placement`] says which disks hold a key.
 
 pub mod acceptor;
@@ -21,6 +22,7 @@
 pub mod proposer;
 pub mod quorum;
 pub mod replica;
+mod restore;
 
 pub use client::{RegisterClient, RegisterClient as Owner, Step};
 pub use message::{Ballot, Ballot as Epoch, RegisterReply, RegisterRequest};
@@ -29,7 +31,7 @@
 pub use replica::Replica;
 
 /// Number of independent locks over the keys of a replica or a client.
-const SHARDS: usize = 64;
+const SHARDS: usize = crate::consts::KEY_SHARDS;
 
 /// The hash of a key, and the shard that it belongs to.
 fn locate(key: &str) -> (u128, usize) {
--- a/yewcross/src/register/replica.rs
+++ b/yewcross/src/register/replica.rs
@@ -4,7 +4,7 @@
 use super::message::{Ballot, RegisterReply, RegisterRequest};
 use super::{SHARDS, locate};
 use crate::consts::SYNC_WAIT;
-use crate::vault::Vault;
+use crate::vault::{Vault, shard_folder as folder};
 use crate::world::*;
 use futures_util::lock::Mutex;
 use serde::{Deserialize, Serialize};
@@ -24,33 +24,29 @@
 
 /// A record and the version of its file.
 #[derive(Clone, Default)]
-struct Entry {
+pub(super) struct Entry {
     key: String,
-    record: Record,
-    file: u64,
+    pub(super) record: Record,
+    pub(super) file: u64,
 }
 
 /// Records by the hash of their key.
-type Shard = BTreeMap<u128, Entry>;
+pub(super) type Shard = BTreeMap<u128, Entry>;
 
 pub struct Replica {
-    world: World,
+    pub(super) world: World,
     pub vault: Arc<Vault>,
-    shards: Vec<Mutex<Shard>>,
+    pub(super) shards: Vec<Mutex<Shard>>,
     /// Layouts older than this are refused.
     pub lay: AtomicU64,
 }
 
-fn folder(shard: usize) -> String {
-    format!("keys/{shard:02x}")
-}
-
-fn file_name(hash: u128) -> String {
+pub(super) fn file_name(hash: u128) -> String {
     format!("{hash:032x}")
 }
 
 impl Entry {
-    fn encode(&self) -> Vec<u8> {
+    pub(super) fn encode(&self) -> Vec<u8> {
         let record = &self.record;
         let head = Head { key: self.key.clone(), promised: record.promised, accepted: record.accepted, seq: record.seq };
         let head = serde_json::to_vec(&head).unwrap_or_default();
@@ -80,7 +76,6 @@
         let world = vault.w.clone();
         let mut shards = vec![];
         for number in 0..SHARDS {
-            world.mkdir(&folder(number)).await?;
             let mut shard = Shard::new();
             for (name, file, body) in vault.scan(&folder(number)).await? {
                 let Ok(hash) = u128::from_str_radix(&name, 16) else { continue };
@@ -118,13 +113,17 @@
         self.remove(&mut shard, hash, number).await;
     }
 
-    async fn remove(&self, shard: &mut Shard, hash: u128, number: usize) {
-        if let Some(entry) = shard.remove(&hash) {
-            let path = format!("{}/{}-{:016x}", folder(number), file_name(hash), entry.file);
-            let _ = self.world.remove(&path).await;
-            // A name that is removed without this may be there again after a loss of power.
-            let _ = self.world.sync(&folder(number)).await;
+    /// Whether the key's files are gone for good: an older version that came back would outrank the key's next life.
+    async fn remove(&self, shard: &mut Shard, hash: u128, number: usize) -> bool {
+        if !shard.contains_key(&hash) {
+            return true;
+        }
+        let erased = self.vault.erase(&folder(number), &file_name(hash)).await;
+        let erased = erased.inspect_err(|e| self.vault.mark_failed(e)).is_ok();
+        if erased {
+            shard.remove(&hash);
         }
+        erased
     }
 
     /// A write under way is never abandoned halfway: it runs on its own, and a slow disk only loses its vote.
@@ -150,7 +149,11 @@
         let Transition { effect, reply, value } = acceptor::handle(&entry.record, self.lay.load(SeqCst), &request, blob);
         match effect {
             Effect::None => {}
-            Effect::Erase => self.remove(&mut shard, hash, number).await,
+            Effect::Erase => {
+                if !self.remove(&mut shard, hash, number).await {
+                    return (RegisterReply::Away, vec![]);
+                }
+            }
             Effect::Write(record) => {
                 let next = Entry { key: request.key().into(), record, file: entry.file + 1 };
                 if self.vault.keep(&folder(number), &file_name(hash), next.file, &next.encode()).await.is_err() {
--- a/yewcross/src/reg/restore.rs
+++ b/yewcross/src/register/restore.rs
@@ -1,6 +1,8 @@
 //! Brings a disk back to what this process has answered for, after a write of unknown outcome.
 
-use super::{Replica, SHARDS, Shelf, dir, encode_slot};
+use super::SHARDS;
+use super::replica::{Replica, Shard, file_name};
+use crate::vault::shard_folder as folder;
 use std::collections::BTreeMap;
 use std::io;
 
@@ -20,37 +22,37 @@
 
     /// Waits for a write under way, which holds the shard.
     async fn restore_shard(&self, shard: usize) -> io::Result<usize> {
-        let mut slots = self.shards[shard].lock().await;
+        let mut entries = self.shards[shard].lock().await;
         let found = self.read_shard(shard).await?;
-        let rewritten = self.rewrite_changed(shard, &mut slots, &found).await?;
-        let unanswered: Vec<u128> = found.into_keys().filter(|hash| !slots.contains_key(hash)).collect();
+        let rewritten = self.rewrite_changed(shard, &mut entries, &found).await?;
+        let unanswered: Vec<u128> = found.into_keys().filter(|hash| !entries.contains_key(hash)).collect();
         for hash in &unanswered {
-            self.vault.erase(&dir(shard), &format!("{hash:032x}")).await?;
+            self.vault.erase(&folder(shard), &file_name(*hash)).await?;
         }
         Ok(rewritten + unanswered.len())
     }
 
     async fn read_shard(&self, shard: usize) -> io::Result<Found> {
-        let files = self.vault.scan(&dir(shard)).await?;
+        let files = self.vault.scan(&folder(shard)).await?;
         let hashed = files.into_iter().filter_map(|(name, version, body)| Some((u128::from_str_radix(&name, 16).ok()?, (version, body))));
         Ok(hashed.collect())
     }
 
-    async fn rewrite_changed(&self, shard: usize, slots: &mut Shelf, found: &Found) -> io::Result<usize> {
+    async fn rewrite_changed(&self, shard: usize, entries: &mut Shard, found: &Found) -> io::Result<usize> {
         let mut rewritten = 0;
-        for (hash, (key, slot)) in slots.iter_mut().filter(|x| !x.1.1.damaged) {
-            let body = encode_slot(key, slot);
+        for (hash, entry) in entries.iter_mut().filter(|(_, entry)| !entry.record.damaged) {
+            let body = entry.encode();
             let on_disk = found.get(hash);
-            if on_disk.is_some_and(|(version, b)| *version == slot.ver && b.as_ref() == Some(&body)) {
+            if on_disk.is_some_and(|(version, bytes)| *version == entry.file && bytes.as_ref() == Some(&body)) {
                 continue;
             }
-            let name = format!("{hash:032x}");
-            let answered = slot.ver;
+            let name = file_name(*hash);
+            let answered = entry.file;
             let version = on_disk.map_or(answered, |x| x.0.max(answered)) + 1;
-            self.vault.write(&dir(shard), &name, version, &body).await?;
-            slot.ver = version;
+            self.vault.write(&folder(shard), &name, version, &body).await?;
+            entry.file = version;
             // One that was damaged on the way may be gone already.
-            let _ = self.w.remove(&format!("{}/{name}-{answered:016x}", dir(shard))).await;
+            let _ = self.world.remove(&format!("{}/{name}-{answered:016x}", folder(shard))).await;
             rewritten += 1;
         }
         Ok(rewritten)
