--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -232,6 +232,24 @@
     }
 }
 
+/// Whether a majority of the core seats answers this process; asked anew where it didn't lately. Takes `QUORUM_WAIT` at most.
+pub async fn reach_quorum(c: &Arc<Control>) -> bool {
+    if c.has_quorum_contact() {
+        return true;
+    }
+    let seats = all_seats(&c.book.layout.load().1.core);
+    let (asked, answers) = (seats.len(), ask_seats(c, seats, LeaseCall::Look));
+    let met = async {
+        for _ in 0..asked {
+            if answers.recv().await.is_err() || c.has_quorum_contact() {
+                return;
+            }
+        }
+    };
+    c.w.within(QUORUM_WAIT, met).await;
+    c.has_quorum_contact()
+}
+
 /// Asks a majority of the core seats, in turns, often enough for the bound.
 async fn keep_contact(c: Arc<Control>) {
     let every = contact_bound(c.st.bounds.apply) / 3;
@@ -268,7 +286,7 @@
     if others.is_empty() || !contact || !g.old.is_empty() {
         return others;
     }
-    let needed = yewcross::reg::majority(g.now.len()) - g.now.iter().any(|d| d == own) as usize;
+    let needed = yewcross::register::majority(g.now.len()) - g.now.iter().any(|d| d == own) as usize;
     let n = others.len();
     others.rotate_left(turn % n);
     others.truncate(needed);
--- a/yewcross-control/src/layout/change.rs
+++ b/yewcross-control/src/layout/change.rs
@@ -14,8 +14,8 @@
 use yewcross::book::DOCS;
 use yewcross::consts::*;
 use yewcross::member::{Node, State};
-use yewcross::reg::Epoch;
-use yewcross::reg::Step;
+use yewcross::register::Epoch;
+use yewcross::register::Step;
 use yewcross::startup::Role;
 
 /// Layout and its version.
--- a/yewcross-control/src/platform_list.rs
+++ b/yewcross-control/src/platform_list.rs
@@ -8,7 +8,7 @@
 use yewcross::consts::*;
 use yewcross::http;
 use yewcross::port::Catalogue;
-use yewcross::reg::*;
+use yewcross::register::*;
 use yewcross::web;
 
 /// Asks the platform, in its own time, and decides a list that differs. Returns how long to wait.
