--- a/yewcross-plan/src/capacity/cost.rs
+++ b/yewcross-plan/src/capacity/cost.rs
@@ -12,9 +12,11 @@
     pub messages_s: f64,
     /// Bytes in and out a second.
     pub bytes_s: f64,
+    /// MB that it holds.
     pub memory_mb: f64,
     /// Percent of a core.
     pub core_pct: f64,
+    /// Syncs of the disk a second.
     pub syncs_s: f64,
     /// s until it has done its work after a failure or a change.
     pub recovery_s: f64,
@@ -48,10 +50,15 @@
     Weighed,
 }
 
+/// A mechanism of the design, with its arithmetic.
 pub struct Mechanism {
+    /// As the table names it.
     pub name: &'static str,
+    /// Where it stands in the design.
     pub stand: Stand,
+    /// What it is held to.
     pub held: Held,
+    /// Its cost at a size.
     pub cost: fn(&Inputs, &Messages) -> Cost,
 }
 
--- a/yewcross-plan/src/capacity/inputs.rs
+++ b/yewcross-plan/src/capacity/inputs.rs
@@ -10,7 +10,7 @@
         $(#[$m])*
         #[derive(Clone, Debug, Serialize, Deserialize)]
         #[serde(deny_unknown_fields)]
-        pub struct $name { $(pub $f: f64,)* }
+        pub struct $name { $(#[doc = concat!("`", stringify!($f), "` of the inputs; the suffix is its unit, capacity.toml explains it.")] pub $f: f64,)* }
         impl $name {
             fn faults(&self, at: &str, v: &mut Vec<String>) {
                 $(if !self.$f.is_finite() || self.$f < 0.0 { v.push(format!("{at}.{}: must be 0 or more", stringify!($f))); })*
@@ -58,13 +58,19 @@
     Costs { message_us, digest_us_node, parse_us_kb, link_kb }
 );
 
+/// All that the arithmetic starts from.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Inputs {
+    /// How much there is of everything.
     pub size: Size,
+    /// What happens in a day.
     pub day: Day,
+    /// What control may cost.
     pub limits: Limits,
+    /// Choices of the design.
     pub ours: Ours,
+    /// Measured costs.
     pub costs: Costs,
 }
 
--- a/yewcross-plan/src/capacity/mechanisms.rs
+++ b/yewcross-plan/src/capacity/mechanisms.rs
@@ -10,6 +10,7 @@
     groups_disk, hand_by_bytes, hand_by_count, ledger_folded, ledger_whole, one_group_disk, one_group_memory, registers,
 };
 
+/// In the order of the table.
 pub const MECHANISMS: &[Mechanism] = &[
     Mechanism { name: "membership: probes, whole tables on a change", stand: Stand::Weighed, held: Held::Control, cost: whole_tables },
     Mechanism { name: "membership: probes, the latest changes", stand: Stand::Kept, held: Held::Control, cost: recent_changes },
--- a/yewcross-plan/src/capacity/messages.rs
+++ b/yewcross-plan/src/capacity/messages.rs
@@ -16,12 +16,19 @@
 pub struct Messages {
     /// A frame with nothing in it.
     pub frame: f64,
+    /// A probe of membership and its answer.
     pub probe: f64,
+    /// A question for newer documents and its answer.
     pub newer: f64,
+    /// A node in the table of members.
     pub node: f64,
+    /// A server's load report.
     pub report: f64,
+    /// A server in the platform's list.
     pub listed: f64,
+    /// A route of the configuration.
     pub route: f64,
+    /// The heads of one poll of a server, without its report.
     pub poll: f64,
 }
 
@@ -39,6 +46,7 @@
 }
 
 impl Messages {
+    /// Puts one of each together and measures it.
     pub fn now() -> Messages {
         let dig = 0x9c41_d07b_e2a3_5f68u64;
         let have = json!([["config", 5600], ["layout", 40], ["list", 90_000]]);
--- a/yewcross-plan/src/capacity/table.rs
+++ b/yewcross-plan/src/capacity/table.rs
@@ -7,11 +7,16 @@
 use serde::Serialize;
 use std::fmt::Write;
 
+/// A mechanism at one size.
 #[derive(Clone, Debug, Serialize)]
 pub struct Line {
+    /// As the table names it.
     pub name: &'static str,
+    /// Where it stands in the design.
     pub stand: Stand,
+    /// What it is held to.
     pub held: Held,
+    /// What it costs at the given size.
     pub cost: Cost,
     /// What is passed, in words; empty where it fits.
     pub passes: Vec<String>,
@@ -81,6 +86,7 @@
     lo
 }
 
+/// Every mechanism at the given size.
 pub fn table(i: &Inputs) -> Vec<Line> {
     let msg = Messages::now();
     let line = |m: &Mechanism| {
--- a/yewcross-plan/src/lib.rs
+++ b/yewcross-plan/src/lib.rs
@@ -1,5 +1,7 @@
 //! What a change would move. Every rule is the daemons' own: settings, copies, spill targets, home nodes.
 
+#![deny(missing_docs)]
+
 pub mod capacity;
 
 use serde::{Deserialize, Serialize};
@@ -19,11 +21,16 @@
 use yewcross_front::judge::{self, Home, Weights};
 use yewcross_front::server_table::{Server, home_of};
 
+/// Why the tier's state could not be read.
 #[derive(Debug, Snafu)]
 pub enum Fault {
+    /// A file that cannot be read, or holds something else.
     #[snafu(display("{path}: {why}"))]
+    #[allow(missing_docs)]
     File { path: String, why: String },
+    /// A machine that did not answer as it should.
     #[snafu(display("{at}: {why}"))]
+    #[allow(missing_docs)]
     Live { at: SocketAddr, why: String },
 }
 
@@ -44,13 +51,21 @@
 /// The tier at a moment, as its machines told it.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Checkpoint {
+    /// Version of the configuration.
     pub config_seq: u64,
+    /// Its text.
     pub config: String,
+    /// Version of the layout.
     pub layout_seq: u64,
+    /// Which disks hold which seats.
     pub layout: Layout,
+    /// The platform's list of servers.
     pub list: List,
+    /// The members.
     pub nodes: Vec<Node>,
+    /// Servers by service, as a front sees them.
     pub servers: BTreeMap<String, Vec<Server>>,
+    /// Duties, and who holds each.
     pub duties: Vec<(String, Option<String>)>,
     /// Keys by the disk that holds them.
     pub held: BTreeMap<String, Vec<HeldKey>>,
@@ -101,60 +116,93 @@
     Ok(c)
 }
 
+/// Reads a checkpoint that was saved before.
 pub fn load(path: &str) -> Result<Checkpoint, Fault> {
     let bad = |why: String| Fault::File { path: path.into(), why };
     let b = std::fs::read(path).map_err(|e| bad(e.to_string()))?;
     serde_json::from_slice(&b).map_err(|e| bad(e.to_string()))
 }
 
+/// A change whose effect is to be shown.
 #[derive(Clone, Debug)]
 pub enum Change {
+    /// This configuration is put.
     Config(String),
+    /// Disks are admitted, emptied or replaced.
     Disks(Move),
     /// A machine or server goes away without notice.
     Without(String),
 }
 
+/// A setting that a configuration changes.
 #[derive(Clone, Debug, Serialize, PartialEq)]
 pub struct Setting {
+    /// The program whose setting it is.
     pub family: String,
+    /// Its name.
     pub key: String,
+    /// Its value before.
     pub was: serde_json::Value,
+    /// Its value after.
     pub is: serde_json::Value,
+    /// The part of the configuration that the new value comes from.
     pub from: String,
 }
 
+/// Something that changes its place.
 #[derive(Clone, Debug, Serialize, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Moved {
+    /// The session, duty or service.
     pub what: String,
+    /// Where it was.
     pub was: String,
+    /// Where it will be.
     pub is: String,
 }
 
+/// A copy of a key that is to be made.
 #[derive(Clone, Debug, Default, Serialize, PartialEq)]
 pub struct Copying {
+    /// The key that is copied.
     pub key: String,
+    /// The disk that gets it.
     pub to: String,
+    /// Its size.
     pub bytes: u64,
+    /// No disk of the same site holds it yet.
     pub across: bool,
 }
 
+/// All that a change would move.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Plan {
+    /// Why the change would be refused; then nothing else is filled.
     pub refused: Vec<Bad>,
+    /// Settings that change.
     pub settings: Vec<Setting>,
+    /// Programs whose turns would be refused.
     pub families_gone: Vec<String>,
+    /// Programs that are added.
     pub families_new: Vec<String>,
     /// Sessions whose home may no longer take their turns; `is` names the replica they can resume from.
     pub homes: Vec<Moved>,
+    /// Sessions whose spill target changes.
     pub spills: Vec<Moved>,
+    /// Duties that change their holder.
     pub duties: Vec<Moved>,
+    /// Fronts that take over polling a service's servers in a site.
     pub news: Vec<Moved>,
+    /// How many keys change their usual owner.
     pub owners: u64,
+    /// Copies to be made.
     pub copies: Vec<Copying>,
+    /// Bytes copied within sites.
     pub bytes_within: u64,
+    /// Bytes copied between sites.
     pub bytes_across: u64,
+    /// Bytes of KV caches to be pushed to new spill targets.
     pub replica_bytes: u64,
+    /// Machines that did not answer.
     pub silent: Vec<String>,
 }
 
@@ -294,6 +342,7 @@
     p.owners = keys.iter().filter(|k| Copies::of(k, &c.layout, 0, |_| None).now.first().is_some_and(|s| s.disk == disk)).count() as u64;
 }
 
+/// What the change would move. Nothing is changed.
 pub fn plan(c: &Checkpoint, ch: &Change) -> Plan {
     let mut p = Plan { silent: c.silent.clone(), ..Default::default() };
     let now = Tree::read(c.config.as_bytes()).unwrap_or_default();
@@ -314,6 +363,7 @@
 }
 
 impl Plan {
+    /// The plan as lines for an operator.
     pub fn text(&self) -> String {
         let mut s = String::new();
         let mut say = |l: String| writeln!(s, "{l}").unwrap_or_default();
