--- a/yewcross-control/src/config.rs
+++ b/yewcross-control/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration in force: telling nodes whether a newer one may be, and handing documents out.
 //!
 //! [`orders`] decides operators' numbered orders by a majority, [`proved`] puts a configuration in force under leases of the
-//! fronts, [`read`] reads the newest one back, and [`distribution`] sends decided documents to every node.
+//! fronts, `read` reads the newest one back, and `distribution` sends decided documents to every node.
 
 mod distribution;
 pub mod orders;
