--- a/yewcross-lab/tests/votes.rs
+++ b/yewcross-lab/tests/votes.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use yewcross::consts::*;
-use yewcross::reg::{Owner, Step};
+use yewcross::register::{Owner, Step};
 use yewcross_lab::proof::Lab;
 use yewcross_lab::script::on_fleet_of;
 
@@ -74,7 +74,7 @@
                 lab.sim.power_on(machine("store1"));
                 lab.boot("store1");
                 lab.op.sleep(6 * SEC).await;
-                let mut value = Err(yewcross::reg::Trouble::NotDone);
+                let mut value = Err(yewcross::register::Trouble::NotDone);
                 while value.is_err() {
                     value = owner(&lab, "store1").read(KEY, 2 * SEC).await;
                 }
@@ -103,3 +103,83 @@
 fn a_wiped_machine_does_not_vote_for_an_asker_that_names_no_disk() {
     the_decided_value_leads(true);
 }
+
+/// Stores that all hold a key of an earlier life, under ballots that rose with each fight over it.
+async fn an_earlier_life(lab: &Lab) {
+    for text in ["a", "b", "c", "d"] {
+        owner(lab, "store1").change(KEY, 2 * SEC, append(text)).await.unwrap();
+        owner(lab, "store2").change(KEY, 2 * SEC, append(text)).await.unwrap();
+    }
+    assert!(owner(lab, "store2").tend(KEY).await);
+}
+
+/// What each store reads once all of them are there.
+async fn read_by_all(lab: &Lab) -> Vec<String> {
+    let mut values = vec![];
+    for node in ["store3", "store1", "store2"] {
+        let (_, _, value) = owner(lab, node).read(KEY, 5 * SEC).await.unwrap();
+        values.push(String::from_utf8_lossy(&value).into_owned());
+    }
+    values
+}
+
+/// Power goes right after a key was erased: the disk must not hold a record of the earlier life when it is back.
+#[test]
+fn a_record_erased_right_before_power_goes_does_not_come_back() {
+    for seed in 910..926 {
+        let held = on_fleet_of(
+            "small",
+            seed,
+            |_| (),
+            |lab| {
+                Box::pin(async move {
+                    let third = lab.sim.find("store3");
+                    an_earlier_life(&lab).await;
+                    while !owner(&lab, "store2").erase(KEY, |_| true).await {}
+                    // The erase returns at a majority.
+                    while lab.control("store3").unwrap().replica.peek(KEY).await.is_some() {
+                        lab.op.sleep(MS).await;
+                    }
+                    lab.op.sleep(5 * MS).await;
+                    lab.sim.kill(third, true);
+                    lab.boot("store3");
+                    lab.op.sleep(200 * MS).await;
+                    lab.control("store3").unwrap().replica.peek(KEY).await.map(|record| (record.seq, record.value.len()))
+                })
+            },
+        );
+        assert_eq!(held, None, "seed {seed}");
+    }
+}
+
+/// One copy of a key was never told that it is erased, or is back by itself: what began anew without it must lead.
+#[test]
+fn a_leftover_of_an_earlier_life_does_not_lead() {
+    for seed in 920..924 {
+        let values = on_fleet_of(
+            "small",
+            seed,
+            |_| (),
+            |lab| {
+                Box::pin(async move {
+                    an_earlier_life(&lab).await;
+                    lab.sim.kill(lab.sim.find("store3"), true);
+                    for node in ["store1", "store2"] {
+                        lab.control(node).unwrap().replica.forget(KEY).await;
+                    }
+                    // The proposers of the earlier life have forgotten it as well.
+                    for node in ["store1", "store2"] {
+                        lab.sim.kill(lab.sim.find(node), false);
+                        lab.boot(node);
+                    }
+                    lab.op.sleep(4 * SEC).await;
+                    owner(&lab, "store1").change(KEY, 5 * SEC, append("new")).await.unwrap();
+                    lab.boot("store3");
+                    lab.op.sleep(4 * SEC).await;
+                    read_by_all(&lab).await
+                })
+            },
+        );
+        assert_eq!(values, ["new", "new", "new"], "seed {seed}");
+    }
+}
