--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -268,7 +268,7 @@
     if others.is_empty() || !contact || !g.old.is_empty() {
         return others;
     }
-    let needed = yewcross::reg::majority(g.now.len()) - g.now.iter().any(|d| d == own) as usize;
+    let needed = yewcross::register::majority(g.now.len()) - g.now.iter().any(|d| d == own) as usize;
     let n = others.len();
     others.rotate_left(turn % n);
     others.truncate(needed);
--- a/yewcross-control/src/layout/manual.rs
+++ b/yewcross-control/src/layout/manual.rs
@@ -7,7 +7,7 @@
 use yewcross::code::Code;
 use yewcross::consts::*;
 use yewcross::member::Node;
-use yewcross::reg::*;
+use yewcross::register::*;
 use yewcross::startup::Role;
 
 #[derive(Clone, Debug, PartialEq)]
--- a/yewcross-control/src/lease.rs
+++ b/yewcross-control/src/lease.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use yewcross::ask::{Group, Layout};
 use yewcross::lease::*;
-use yewcross::reg::majority;
+use yewcross::register::majority;
 
 /// Rounds that a holder may ask for beyond the last one it saw confirmed.
 pub const UNCONFIRMED_ROUNDS: u64 = 2;
--- a/yewcross-control/src/lease_holder.rs
+++ b/yewcross-control/src/lease_holder.rs
@@ -9,7 +9,7 @@
 use yewcross::consts::*;
 use yewcross::lease::*;
 use yewcross::member::State;
-use yewcross::reg::Step;
+use yewcross::register::Step;
 
 /// Documents that only the holder of the lease writes by itself.
 const FENCED: [&str; 2] = ["layout", "list"];
--- a/yewcross/src/follow.rs
+++ b/yewcross/src/follow.rs
@@ -4,7 +4,7 @@
 use crate::book::Book;
 use crate::consts::*;
 use crate::member::{Members, Node, State};
-use crate::reg::majority;
+use crate::register::majority;
 use crate::startup::Role;
 use crate::world::*;
 use std::collections::BTreeMap;
