--- a/yewcross-control/src/layout/mod.rs
+++ b/yewcross-control/src/layout/mod.rs
@@ -21,6 +21,9 @@
 
 /// Reads the newest layout under a majority and tells every node.
 async fn spread(c: &Arc<Control>) {
+    if !c.has_quorum_contact() {
+        return;
+    }
     if let Ok((seq, epoch, v)) = c.owner.read("layout", PEER_WAIT).await {
         if c.options.tends {
             return config::push(c, "layout", seq, v.to_vec());
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -4,10 +4,14 @@
 mod chain_restore;
 pub mod chain_sweep;
 pub mod config;
+pub mod contact;
 mod disk_recovery;
 pub mod duty;
 pub mod layout;
+pub mod lease;
+pub mod lease_holder;
 pub mod operator;
+pub mod platform_list;
 pub mod store;
 
 use event_listener::Event;
@@ -22,7 +26,7 @@
 use yewcross::follow::Follow;
 use yewcross::http::Gate;
 use yewcross::member::Members;
-use yewcross::reg::*;
+use yewcross::register::*;
 use yewcross::startup::{Role, Startup};
 use yewcross::vault::Vault;
 use yewcross::wire::*;
@@ -145,6 +149,7 @@
             api::Rollout::Proved => Follow::new(&members, &book, &st.name, false),
             api::Rollout::Majority => Follow::unleased(&members, &book, &st.name, false, st.bounds.apply * MS),
         };
+        let duties = duty::Duties::open(w, &vault, &book, owner.me).await.map_err(disk)?;
         let chain = chain::Engine::start(w, &st, &members, &book, &vault).await.map_err(disk)?;
         let c = Arc::new(Control {
             w: w.clone(),
@@ -157,7 +162,7 @@
             store,
             chain,
             follow,
-            duties: Default::default(),
+            duties,
             gate: Default::default(),
             grants: Default::default(),
             proved: AtomicU64::new(proved),
@@ -211,7 +216,7 @@
             Ask::Newer { have, front } => (config::newer(self, have, front, from).await, vec![]),
             Ask::Page { name, more_than } => {
                 let p = self.book.page(&name);
-                if p.seq > more_than {
+                if p.seq > more_than && (!self.options.tends || self.has_quorum_contact()) {
                     return (Tell::Doc { seq: p.seq, epoch: p.epoch }, p.raw.to_vec());
                 }
                 config::doc(self, &name).await
@@ -228,7 +233,7 @@
             Ask::Grants { name, seq } => (config::grants(self, &name, seq).await, vec![]),
             Ask::Proved { seq } => (config::proved(self, seq).await, vec![]),
             Ask::Found => (layout::found_here(self, blob).await, vec![]),
-            Ask::Duty { name, holder } => (duty::grant(self, &name, &holder), vec![]),
+            Ask::Lease(ask) => (Tell::Lease(duty::answer(self, &ask).await), vec![]),
             Ask::SweepNow => {
                 self.sweep_now.store(true, SeqCst);
                 self.sweep_call.notify(usize::MAX);
@@ -252,7 +257,8 @@
     }
 
     /// A planned stop: operators' requests under way are answered, then the others are told.
-    pub async fn stop(&self) {
+    pub async fn stop(self: &Arc<Self>) {
+        lease_holder::resign(self).await;
         self.members.leave().await;
         self.gate.closing.set();
         self.w.sleep(200 * MS).await;
