Play calls with every trouble at once, and check what callers got against what servers gave

Change: tests/calls.rs: four rows of troubles go on at once (faults of servers and bursts; fronts frozen, killed, stopped, cut from power; addresses passed on, releases, crashes; configurations, lost frames, cuts, a list that is away), with fronts slowed in between.

--- /dev/null
+++ b/yewcross-lab/tests/calls.rs
@@ -0,0 +1,151 @@
+//! Calls under everything at once: servers with every fault, fronts that are killed, frozen, slow and stopped in order,
+//! addresses passed on, callers that leave. Each answer is compared with what its server gave, each run counted by its id.
+//! `CALLS=from..to` plays other seeds.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::Ordering::SeqCst;
+use std::sync::{Arc, Mutex};
+use yewcross::consts::*;
+use yewcross::route::Mode;
+use yewcross::startup::Role;
+use yewcross_lab::routed::TRIES;
+use yewcross_lab::routed::tier::{Act, Tier};
+use yewcross_lab::routed::verdict::{Evidence, judge};
+
+/// Troubles that follow each other; the rows go on side by side.
+const ROWS: [&[Act]; 4] = [
+    &[Act::Faults, Act::Burst, Act::Faults],
+    &[Act::FreezeFront, Act::KillFront, Act::FreezeFront, Act::StopFront, Act::PowerFront],
+    &[Act::ReuseAddress, Act::KillServer, Act::Release, Act::ReuseAddress, Act::LeaveServer],
+    &[Act::PutConfig, Act::Storm, Act::CutFront, Act::PutConfig, Act::RosterAway],
+];
+
+/// us. A front's processor is slowed for this long, to a fifth of its share.
+const SLOW_FOR: u64 = 2 * SEC;
+const SLOW_TO: u64 = 5;
+
+async fn slow_a_front(t: &Tier) {
+    let fronts = t.names(Role::Front);
+    let machine = t.sim.find(&fronts[t.op.pick(fronts.len())]);
+    let usual = t.sh.charges.of(Role::Front);
+    let mut slow = usual;
+    slow.share = (usual.share / SLOW_TO).max(1);
+    t.sim.charge(machine, slow);
+    t.op.sleep(SLOW_FOR).await;
+    t.sim.charge(machine, usual);
+}
+
+fn play(seed: u64) -> (Arc<Tier>, Evidence) {
+    let t = Tier::new(seed, "metered");
+    let over: Arc<Mutex<usize>> = Default::default();
+    let (me, o) = (t.clone(), over.clone());
+    t.op.go(async move {
+        me.rise().await;
+        me.traffic(10, 6);
+        me.op.sleep(2 * SEC).await;
+        let mut rows = vec![];
+        for row in ROWS {
+            let (t, ended) = (me.clone(), async_channel::bounded::<()>(1));
+            rows.push(ended.1);
+            me.op.go(async move {
+                for a in row {
+                    let pause = t.op.rand() % SEC;
+                    t.op.sleep(pause).await;
+                    t.act(*a).await;
+                    slow_a_front(&t).await;
+                }
+                ended.0.close();
+            });
+        }
+        for r in rows {
+            let _ = r.recv().await;
+        }
+        me.op.sleep(4 * SEC).await;
+        me.callers.stop.store(true, SeqCst);
+        // What was refused and runs later is seen to run.
+        me.op.sleep(12 * SEC).await;
+        *o.lock().unwrap() = 1;
+    });
+    t.sim.run(600 * SEC, || *over.lock().unwrap() > 0);
+    if *over.lock().unwrap() == 0 {
+        t.wrong.lock().unwrap().push("STUCK the plan did not end".into());
+    }
+    let e = t.evidence();
+    (t, e)
+}
+
+/// One try is sent to no more servers than its route allows, run or not.
+fn spread(e: &Evidence) -> Vec<String> {
+    let mut servers: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    e.reached.iter().for_each(|(_, server, attempt)| {
+        servers.entry(attempt).or_default().insert(server);
+    });
+    servers.iter().filter(|(_, s)| s.len() > TRIES).map(|(a, s)| format!("TRIES {a} reached {s:?}")).collect()
+}
+
+/// An answer is not older than its request, and a run is not older than the try that asked for it.
+fn in_time(e: &Evidence) -> Vec<String> {
+    let begun: BTreeMap<&str, u64> = e.tries.iter().map(|t| (t.attempt.as_str(), t.at)).collect();
+    let early = e.runs.iter().filter(|r| begun.get(r.attempt.as_str()).is_some_and(|at| r.at < *at));
+    early.map(|r| format!("EARLY {} ran at {} us", r.attempt, r.at)).collect()
+}
+
+/// A stream that looks complete has every event of its run.
+fn ends(e: &Evidence) -> Vec<String> {
+    let count = |b: &[u8]| String::from_utf8_lossy(b).matches("\n\n").count();
+    let whole = e.tries.iter().filter(|t| t.route.mode == Mode::Stream && t.good());
+    whole
+        .filter(|t| e.runs.iter().find(|r| r.attempt == t.attempt).is_none_or(|r| count(&r.out) != count(&t.heard)))
+        .map(|t| format!("END {} looks complete with {} events", t.attempt, count(&t.heard)))
+        .collect()
+}
+
+fn wrongs(e: &Evidence) -> Vec<String> {
+    [judge(e), spread(e), in_time(e), ends(e)].concat()
+}
+
+fn check(seed: u64) -> bool {
+    let (t, e) = play(seed);
+    let v = wrongs(&e);
+    let served = e.tries.iter().filter(|t| t.good()).count();
+    let faults: u64 = t.ground.faults.lock().unwrap().values().sum();
+    let refused = e.tries.iter().filter(|t| t.promised()).count();
+    println!(
+        "seed {seed}: {} tries, {served} good, {refused} refused, {} runs, {faults} faults of servers, {} s, {} wrong",
+        e.tries.len(),
+        e.runs.len(),
+        e.end / SEC,
+        v.len()
+    );
+    v.iter().take(20).for_each(|l| println!("  {l}"));
+    v.is_empty() && served > 500 && faults > 50 && refused > 10
+}
+
+#[test]
+fn calls_hold_with_every_trouble_at_once() {
+    let bad = yewcross_lab::proof::each((1..=2).collect(), check);
+    assert_eq!(bad, 0, "seeds that broke a rule or showed too little");
+}
+
+#[test]
+fn calls_of_other_seeds() {
+    let Ok(r) = std::env::var("CALLS") else { return };
+    let (a, b) = r.split_once("..").map(|(a, b)| (a.parse::<u64>().unwrap(), b.parse::<u64>().unwrap())).unwrap();
+    assert_eq!(yewcross_lab::proof::each((a..b).collect(), check), 0, "seeds that broke a rule or showed too little");
+}
+
+/// The checks of this file can fail: each sees its own wrong, put into good evidence.
+#[test]
+fn every_check_of_calls_sees_its_own_wrong() {
+    let (_, mut e) = play(9);
+    assert_eq!(wrongs(&e), Vec::<String>::new());
+    let attempt = e.reached[0].2.clone();
+    (0..=TRIES).for_each(|i| e.reached.push((1, format!("server {i}"), attempt.clone())));
+    assert!(spread(&e).iter().any(|l| l.contains(&attempt)));
+    e.runs[0].at = 0;
+    assert!(in_time(&e).iter().any(|l| l.contains(&e.runs[0].attempt)));
+    let i = e.tries.iter().position(|t| t.route.mode == Mode::Stream && t.good()).unwrap();
+    let cut = e.tries[i].heard.len() / 2;
+    e.tries[i].heard.truncate(cut);
+    assert!(ends(&e).iter().any(|l| l.contains(&e.tries[i].attempt)));
+}
