Take a newer layout from whoever has adopted it when a step of a change cannot be decided

A core that has adopted a layout refuses whatever is asked by an older one, the layout itself too.

After a step that could not be decided the layout is asked of all cores at once as they have adopted it, and a step is waited for 300 ms in place of a second.

--- a/yewcross-control/src/layout/change.rs
+++ b/yewcross-control/src/layout/change.rs
@@ -100,14 +100,14 @@
     }
     let raw = serde_json::to_vec(next).unwrap_or_default();
     let step = |seq, _: &[u8]| if seq == at { Step::Write(raw.clone(), true) } else { Step::Keep(false) };
-    let decided = c.owner.change("layout", SEC, step).await;
+    let decided = c.owner.change("layout", STEP_WAIT, step).await;
     match decided {
         Ok(true) => {
             c.w.log(&format!("seats change: core {:?} store {:?}", machines(next, &next.core), machines(next, &next.store)));
             config::push(c, "layout", at + 1, raw);
         }
         // Another's version, or one of ours whose answers were lost.
-        _ => super::spread(c).await,
+        _ => learn(c).await,
     }
     decided == Ok(true)
 }
@@ -167,6 +167,13 @@
     }
 }
 
+/// Learns the newest layout after a step that could not be done.
+async fn learn(c: &Arc<Control>) {
+    if !super::catch_up(c).await {
+        super::spread(c).await;
+    }
+}
+
 /// Ends the change that layout number `since` began, whatever the other group did meanwhile.
 async fn end_change(c: &Arc<Control>, role: Role, since: u64) -> bool {
     if !c.on_duty(1) {
@@ -174,7 +181,7 @@
     }
     let ended = c
         .owner
-        .change("layout", SEC, |seq, v| {
+        .change("layout", STEP_WAIT, |seq, v| {
             let Ok(mut layout) = serde_json::from_slice::<Layout>(v) else { return Step::Keep(None) };
             let seats = group(&layout, role);
             if !seats.changing() || layout.since(seats, seq) != since {
@@ -192,7 +199,7 @@
             true
         }
         _ => {
-            super::spread(c).await;
+            learn(c).await;
             false
         }
     }
--- a/yewcross-control/src/layout/mod.rs
+++ b/yewcross-control/src/layout/mod.rs
@@ -17,7 +17,10 @@
 
 use crate::{Control, config};
 use std::sync::Arc;
+use yewcross::ask::{Ask, Tell};
 use yewcross::consts::PEER_WAIT;
+use yewcross::startup::Role;
+use yewcross::world::Fut;
 
 /// Reads the newest layout under a majority and tells every node.
 async fn spread(c: &Arc<Control>) {
@@ -31,3 +34,32 @@
         });
     }
 }
+
+/// Takes a newer layout from any core process that has adopted it. Those refuse whatever is asked by an older layout, the
+/// layout itself too: who missed one cannot read it from the disks where their votes are needed.
+async fn catch_up(c: &Arc<Control>) -> bool {
+    let more_than = c.book.page("layout").seq;
+    let questions: Vec<Fut<'static, bool>> = c
+        .members
+        .alive(Role::Core)
+        .into_iter()
+        .filter(|node| node.name != c.st.name)
+        .map(|node| {
+            let (me, question) = (c.clone(), Ask::Page { name: "layout".into(), more_than });
+            let asked: Fut<'static, bool> = Box::pin(async move {
+                match me.peers.ask(node.peer, &question, &[], PEER_WAIT).await {
+                    Ok((Tell::Doc { seq, epoch }, raw)) if seq > more_than => me.book.adopt("layout", seq, epoch, raw),
+                    _ => false,
+                }
+            });
+            asked
+        })
+        .collect();
+    let (asked, answers) = (questions.len(), c.w.fan(questions));
+    for _ in 0..asked {
+        if answers.recv().await == Ok(true) {
+            break;
+        }
+    }
+    c.book.page("layout").seq > more_than
+}
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -118,6 +118,8 @@
 pub const SEATS_LOOK: u64 = 200 * MS;
 /// us. A step of a change that could not be done is tried again after this.
 pub const STEP_AGAIN: u64 = 100 * MS;
+/// us. Longest time to decide one step of a change: a newer layout is then looked for.
+pub const STEP_WAIT: u64 = 300 * MS;
 /// us. Longest wait for a disk's report of a change: the dead are not waited for longer.
 pub const SEAT_REPORT_WAIT: u64 = 350 * MS;
 /// us. Length of a duty lease as the granter counts it.
