End a change of core seats without taking the documents from the operators' orders

While operators race for the configuration a change of core seats did not end: it took each document under both sets, and the orders under way took it back.

A document that majorities of both sets hold alike is on the incoming set already. Of the outgoing set only disks count that had kept the joint layout before they were asked: what was decided without the incoming set, each majority of them includes one that had accepted it by then, and reports it. Nothing is prepared, so orders go on.

--- a/yewcross-control/src/layout/change.rs
+++ b/yewcross-control/src/layout/change.rs
@@ -125,24 +125,43 @@
     core || store
 }
 
-/// Once whoever decides does so in both sets, the documents are taken under both: then they are on majorities of the
-/// incoming one.
+/// Once whoever decides does so in both sets, a document that majorities of both hold alike needs no more; any other is taken,
+/// and so written to both.
 async fn end_core(c: &Arc<Control>, l: &Versioned) -> bool {
     let (seats, since) = (&l.1.core, l.1.since(&l.1.core, l.0));
+    let known = seats.old.iter().filter(|d| c.members.by_disk(d).is_some()).count();
     let is_joint = |reports: &[SeatReport]| planning::core_is_joint(seats, since, reports);
-    let reports = survey(c, &seats.old, since, SEAT_REPORT_WAIT, is_joint).await;
+    let reports = survey(c, &seats.old, since, SEAT_REPORT_WAIT, |r| r.len() == known && is_joint(r)).await;
     if !is_joint(&reports) {
         tell_again(c, &reports, since);
         return false;
     }
     for document in DOCS {
-        if c.owner.change(document, SEC, |_, _| Step::Keep(())).await.is_err() {
+        if !is_on_both(c, document, seats, since, &reports).await && c.owner.change(document, SEC, |_, _| Step::Keep(())).await.is_err() {
             return false;
         }
     }
     end_change(c, Role::Core, since).await
 }
 
+/// Whether majorities of both sets hold the document alike. Of the outgoing set only disks count that had kept the joint layout
+/// before: what was decided without the incoming set, they had accepted by then. So operators' orders go on undisturbed.
+async fn is_on_both(c: &Arc<Control>, document: &str, seats: &Group, since: u64, reports: &[SeatReport]) -> bool {
+    let may_vote = |disk: &str| {
+        let has_kept = reports.iter().any(|r| r.disk == disk && r.kept >= since);
+        has_kept || !seats.old.iter().any(|d| d == disk)
+    };
+    for look in 0..READ_LOOKS {
+        if look > 0 {
+            c.w.sleep(READ_LOOK_AGAIN).await;
+        }
+        if c.w.within(SEAT_REPORT_WAIT, c.owner.is_settled(document, may_vote)).await == Some(true) {
+            return true;
+        }
+    }
+    false
+}
+
 async fn end_store(c: &Arc<Control>, l: &Versioned) -> bool {
     let (seats, since) = (&l.1.store, l.1.since(&l.1.store, l.0));
     let both: Vec<String> = seats.old.iter().chain(seats.now.iter().filter(|d| !seats.old.contains(d))).cloned().collect();
--- a/yewcross-lab/tests/seats.rs
+++ b/yewcross-lab/tests/seats.rs
@@ -192,6 +192,53 @@
     }
 }
 
+/// Operators race for the configuration through every core: eight orders at a time, a long text.
+fn race(t: &Arc<Tier>, end: u64) {
+    for nth in 0..8 {
+        let t = t.clone();
+        t.op.clone().go(async move {
+            let cores = t.names(Role::Core);
+            while t.op.now() < end {
+                let core = &cores[t.op.rand() as usize % cores.len()];
+                if let Some(ReadAnswer::Text(base, _)) = t.read(core).await {
+                    let text = format!("{} by {nth} {}", base + 1, "x".repeat(30_000));
+                    t.put(core, base, &text).await;
+                }
+                t.op.sleep(t.op.rand() % (200 * MS)).await;
+            }
+        });
+    }
+}
+
+#[test]
+fn a_core_seat_is_whole_while_operators_race() {
+    for (i, (counts, lost)) in SIZES.into_iter().enumerate() {
+        let t = Tier::new(970 + i as u64, counts, lost);
+        let us = play(&t, |t| {
+            Box::pin(async move {
+                up(&t).await;
+                burden(&t);
+                t.put_surely(0, "1 a").await;
+                race(&t, t.op.now() + 20 * SEC);
+                let mut worst = 0;
+                for round in 0..4 {
+                    let mut cores = t.names(Role::Core);
+                    cores.rotate_left(round % counts[0]);
+                    let core = cores.into_iter().find(|n| t.at(n).is_some_and(|c| !c.on_duty(1))).unwrap();
+                    lose(&t, &core);
+                    t.op.sleep(1_200 * MS).await;
+                    t.boot(&core, false);
+                    worst = worst.max(whole(&t, &core, CORE_WHOLE).await);
+                    t.op.sleep(2 * SEC).await;
+                }
+                worst
+            })
+        });
+        println!("{counts:?}: whole after {} ms at most", us / MS);
+        assert!(us < CORE_WHOLE, "{us}");
+    }
+}
+
 /// A second loss at any moment of a change: before it is decided, joint, swept, just finished.
 #[test]
 fn a_second_loss_at_any_moment_leaves_all_that_was_kept() {
--- a/yewcross/src/register/client.rs
+++ b/yewcross/src/register/client.rs
@@ -243,6 +243,22 @@
         self.read(key, us).await
     }
 
+    /// Whether a majority of each set holds the same version, counting only disks that may vote. Nothing is prepared: whoever
+    /// writes the key is not disturbed.
+    pub async fn is_settled(&self, key: &str, may_vote: impl Fn(&str) -> bool) -> bool {
+        let (replicas, _, votes) = self.look_at_all(key).await;
+        let mut survey = Survey::default();
+        while let Ok(vote) = votes.recv().await {
+            if may_vote(&vote.disk) {
+                survey.record(vote);
+            }
+            if survey.decided(&replicas).is_some() {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Whether all replicas, old and new, are there and hold the same.
     pub async fn uniform(&self, key: &str) -> bool {
         let (_, _, votes) = self.look_at_all(key).await;
