--- a/yewcross-lab/tests/catching_up.rs
+++ b/yewcross-lab/tests/catching_up.rs
@@ -155,8 +155,7 @@
             for (name, count) in files(&tier) {
                 assert!(count <= before[&name] + 4, "{name} had {} files and has {count}", before[&name]);
             }
-            let times = times.lock().unwrap().clone();
-            times
+            times.lock().unwrap().clone()
         })
     })
 }
