--- a/yewcross/src/register/client.rs
+++ b/yewcross/src/register/client.rs
@@ -74,8 +74,10 @@
         self.world.fan(sends.collect())
     }
 
-    /// Puts one request to all replicas; `Ok` as soon as a quorum grants it.
+    /// Puts one request to all replicas; `Ok` as soon as a quorum grants it. A refused request that leaves nothing behind ends
+    /// at once: silent replicas are not waited for.
     async fn poll(&self, replicas: &ReplicaSet, poll: Poll) -> Result<Round, Round> {
+        let leaves_nothing = matches!(poll.request, RegisterRequest::Promise { .. } | RegisterRequest::Confirm { .. });
         let votes = self.send(replicas, &poll);
         let mut round = Round::default();
         while let Ok(vote) = votes.recv().await {
@@ -83,6 +85,9 @@
             if round.has_quorum(replicas) {
                 return Ok(round);
             }
+            if leaves_nothing && round.is_hopeless(replicas) {
+                break;
+            }
         }
         Err(round)
     }
