--- a/yewcross-control/src/layout/change.rs
+++ b/yewcross-control/src/layout/change.rs
@@ -100,14 +100,9 @@
     let written = next.term;
     let next = &Layout { term, ..next.clone() };
     let raw = serde_json::to_vec(next).unwrap_or_default();
-<<<<<<< HEAD
     let may = |seq| seq == at && c.may_write(term, written);
     let step = |seq, _: &[u8]| if may(seq) { Step::Write(raw.clone(), true) } else { Step::Keep(false) };
-    let decided = c.owner.change("layout", SEC, step).await;
-=======
-    let step = |seq, _: &[u8]| if seq == at { Step::Write(raw.clone(), true) } else { Step::Keep(false) };
     let decided = c.owner.change("layout", STEP_WAIT, step).await;
->>>>>>> h/seats
     match decided {
         Ok(true) => {
             c.w.log(&format!("seats change: core {:?} store {:?}", machines(next, &next.core), machines(next, &next.store)));
@@ -144,11 +139,10 @@
         return false;
     }
     for document in DOCS {
-<<<<<<< HEAD
+        if is_on_both(c, document, seats, since, &reports).await {
+            continue;
+        }
         if c.duty_term().is_none() || c.owner.change(document, SEC, |_, _| Step::Keep(())).await.is_err() {
-=======
-        if !is_on_both(c, document, seats, since, &reports).await && c.owner.change(document, SEC, |_, _| Step::Keep(())).await.is_err() {
->>>>>>> h/seats
             return false;
         }
     }
