Ask for contact on demand, and go on where a core lacks what it told of

A core that has just begun said that no majority answers it until its next round, up to 166 ms: founding waited for it, and numbers_and_bases_are_held_to found a core without a layout 98 ms after the start (NotFounded for Conflict). Operators' calls and founding now ask all core seats themselves, for 0.3 s at most. A follower that is told of a version and handed an older one asks the next core, and one that nobody could tell anything asks again soon: machines_may_be_added found a new front with the version before 100 ms after the machine had its seat. Both tests pass now, with all others of control, duty and documents.

--- a/yewcross-control/src/api.rs
+++ b/yewcross-control/src/api.rs
@@ -1,6 +1,6 @@
 //! What another interface starts a control node with, and asks of it.
 
-use crate::{Control, config, layout};
+use crate::{Control, config, duty, layout};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross::port::{Catalogue, Dialect, Native};
@@ -92,7 +92,7 @@
     /// Puts an operator's text in force on top of version `base` (0: the first). Any core node may be asked; answers
     /// within `Bounds::ack`.
     pub async fn put(self: &Arc<Self>, base: u64, text: Vec<u8>) -> PutAnswer {
-        if !self.has_quorum_contact() {
+        if !duty::reach_quorum(self).await {
             return if self.book.layout.load().0 == 0 { PutAnswer::NotFounded } else { PutAnswer::NoMajority };
         }
         config::order(self, base, text).await
@@ -100,7 +100,7 @@
 
     /// The newest decided configuration, by a majority of core disks.
     pub async fn read_config(self: &Arc<Self>) -> ReadAnswer {
-        if !self.has_quorum_contact() {
+        if !duty::reach_quorum(self).await {
             return ReadAnswer::Away;
         }
         config::newest(self).await
@@ -108,14 +108,14 @@
 
     /// Orders a store machine to be emptied for good. Any core node may be asked, and again.
     pub async fn retire_begin(self: &Arc<Self>, node: &str) -> RetireBegin {
-        if !self.has_quorum_contact() {
+        if !duty::reach_quorum(self).await {
             return RetireBegin::Away;
         }
         layout::retire(self, node).await
     }
 
     pub async fn retire_state(self: &Arc<Self>, node: &str) -> RetireState {
-        if !self.has_quorum_contact() {
+        if !duty::reach_quorum(self).await {
             return RetireState::Away;
         }
         layout::retired(self, node).await
--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -232,6 +232,24 @@
     }
 }
 
+/// Whether a majority of the core seats answers this process; asked anew where it didn't lately. Takes `QUORUM_WAIT` at most.
+pub async fn reach_quorum(c: &Arc<Control>) -> bool {
+    if c.has_quorum_contact() {
+        return true;
+    }
+    let seats = all_seats(&c.book.layout.load().1.core);
+    let (asked, answers) = (seats.len(), ask_seats(c, seats, LeaseCall::Look));
+    let met = async {
+        for _ in 0..asked {
+            if answers.recv().await.is_err() || c.has_quorum_contact() {
+                return;
+            }
+        }
+    };
+    c.w.within(QUORUM_WAIT, met).await;
+    c.has_quorum_contact()
+}
+
 /// Asks a majority of the core seats, in turns, often enough for the bound.
 async fn keep_contact(c: Arc<Control>) {
     let every = contact_bound(c.st.bounds.apply) / 3;
--- a/yewcross-control/src/layout/founding.rs
+++ b/yewcross-control/src/layout/founding.rs
@@ -108,7 +108,7 @@
             if let Some(raw) = nth.filter(|_| founds).and_then(|_| first(&c, &seeds)) {
                 propose_first(&c, &seeds, raw).await;
             }
-        } else if seat.is_none() || (c.has_quorum_contact() && settle_first(&c, seat.unwrap_or(0)).await) {
+        } else if seat.is_none() || (crate::duty::reach_quorum(&c).await && settle_first(&c, seat.unwrap_or(0)).await) {
             c.duties.since.store(c.w.now(), SeqCst);
             c.founded.store(true, SeqCst);
             c.book.moved.notify(usize::MAX);
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -130,6 +130,8 @@
 pub const LEASE_RENEW: u64 = 200 * MS;
 /// us. Waiting for one granter. With `UNCONFIRMED_ROUNDS` rounds under way, no slower answer could count.
 pub const LEASE_WAIT: u64 = 400 * MS;
+/// us. An operator at a core that no majority answers is told so within this, well before it goes on by itself.
+pub const QUORUM_WAIT: u64 = 300 * MS;
 /// us. Candidates step forward one after another, so far apart that the first has its majority before the second asks.
 pub const LEASE_STAGGER: u64 = 40 * MS;
 /// us. A candidate that got no majority waits at least this long, and up to as much again by chance.
--- a/yewcross/src/follow.rs
+++ b/yewcross/src/follow.rs
@@ -102,14 +102,19 @@
             let cores = self.cores_in_turn();
             match cores.is_empty() {
                 false => {
+                    let mut told = false;
                     for n in cores.iter().take(3) {
-                        if self.ask_one(n).await {
+                        told = self.ask_one(n).await;
+                        if told {
                             break;
                         }
                     }
-                    let none = self.book.config.load().0 == 0;
+                    let none = self.book.config.load().0 == 0 || self.book.layout.load().0 == 0;
                     let us = if none { eager } else { self.every * 9 / 10 + self.w.rand() % (self.every / 5) };
-                    eager = (2 * eager).min(self.every);
+                    // Cores that have just begun know in a moment whether a majority answers them.
+                    if told {
+                        eager = (2 * eager).min(self.every);
+                    }
                     self.w.sleep(us).await;
                 }
                 true => {
@@ -131,8 +136,8 @@
         all
     }
 
-    /// Whether the core answered, and a majority of core seats had answered it lately. What any other core holds may be old:
-    /// nothing is taken over from it.
+    /// Whether the core answered, and a majority of core seats had answered it lately, and this node now holds what it told of. What
+    /// any other core holds may be old: nothing is taken over from it.
     async fn ask_one(self: &Arc<Self>, n: &Node) -> bool {
         let have = self.book.have();
         let a = Ask::Newer { have: have.clone(), front: false };
@@ -142,17 +147,18 @@
             return false;
         }
         self.told_at.fetch_max(sent, SeqCst);
-        for (d, s) in newest {
-            let more_than = have.iter().find(|h| h.0 == d).map_or(0, |h| h.1);
-            if s <= more_than {
+        for (d, s) in &newest {
+            let more_than = have.iter().find(|h| h.0 == *d).map_or(0, |h| h.1);
+            if *s <= more_than {
                 continue;
             }
             let a = Ask::Page { name: d.clone(), more_than };
             if let Ok((Tell::Doc { seq, epoch }, raw)) = self.members.peers.ask(n.peer, &a, &[], PEER_WAIT).await {
-                self.book.adopt(&d, seq, epoch, raw);
+                self.book.adopt(d, seq, epoch, raw);
             }
         }
-        true
+        // A core may know of a version that it does not hold itself.
+        newest.iter().all(|(d, s)| self.book.page(d).seq >= *s)
     }
 
     pub async fn run(self: Arc<Self>) {
