--- a/yewcross-control/src/layout/sweep.rs
+++ b/yewcross-control/src/layout/sweep.rs
@@ -44,6 +44,10 @@
                 c.replica.forget(&k).await;
                 continue;
             }
+            if DOCS.contains(&k.as_str()) && !c.has_quorum_contact() {
+                whole = false;
+                continue;
+            }
             if c.options.tends && DOCS.contains(&k.as_str()) && c.owner.uniform(&k).await {
                 continue;
             }
--- a/yewcross-lab/tests/documents.rs
+++ b/yewcross-lab/tests/documents.rs
@@ -14,7 +14,7 @@
 }
 
 fn list(rev: u64) -> Vec<u8> {
-    serde_json::to_vec(&List { rev, servers: vec![] }).unwrap()
+    serde_json::to_vec(&List { rev, term: 0, servers: vec![] }).unwrap()
 }
 
 #[test]
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -118,14 +118,22 @@
 pub const SEATS_LOOK: u64 = 200 * MS;
 /// us. A step of a change that could not be done is tried again after this.
 pub const STEP_AGAIN: u64 = 100 * MS;
+/// us. Longest time to decide one step of a change: a newer layout is then looked for.
+pub const STEP_WAIT: u64 = 300 * MS;
 /// us. Longest wait for a disk's report of a change: the dead are not waited for longer.
 pub const SEAT_REPORT_WAIT: u64 = 350 * MS;
-/// us. Length of a duty lease as the granter counts it.
-pub const DUTY_LEASE: u64 = 3 * SEC;
-/// us. The holder counts itself out this much earlier.
-pub const DUTY_MARGIN: u64 = 600 * MS;
-/// us. How often a holder renews and others try.
-pub const DUTY_RENEW: u64 = 800 * MS;
+/// us. Length of a grant of the duty lease, on the granter's clock. Whoever takes over from a holder that is lost waits for it.
+pub const LEASE_LENGTH: u64 = SEC;
+/// us. The holder counts itself out this much earlier: two clocks may run apart by a tenth.
+pub const LEASE_MARGIN: u64 = 100 * MS;
+/// us. How often the holder asks for more: several rounds may be lost.
+pub const LEASE_RENEW: u64 = 200 * MS;
+/// us. Waiting for one granter. With `UNCONFIRMED_ROUNDS` rounds under way, no slower answer could count.
+pub const LEASE_WAIT: u64 = 400 * MS;
+/// us. Candidates step forward one after another, so far apart that the first has its majority before the second asks.
+pub const LEASE_STAGGER: u64 = 40 * MS;
+/// us. A candidate that got no majority waits at least this long, and up to as much again by chance.
+pub const LEASE_RETRY: u64 = 150 * MS;
 
 /// us. Poll of a back end's load report by its site's home node.
 pub const REPORT_EVERY: u64 = 250 * MS;
