--- a/yewcross-control/src/layout/report.rs
+++ b/yewcross-control/src/layout/report.rs
@@ -6,15 +6,11 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross::ask::{Ask, Tell};
-use yewcross::code::Code;
+use yewcross::consts::WIRE_NAMED_DISKS;
 use yewcross::world::Fut;
 
 /// This disk's own report of the change that layout number `since` began.
-pub fn report(c: &Control, since: u64, disk: &str) -> Tell {
-    // An empty name is one of a process older than this check.
-    if !disk.is_empty() && disk != c.vault.id {
-        return Tell::No(Code::Conflict);
-    }
+pub fn report(c: &Control, since: u64) -> Tell {
     let (chains_swept, chains_left) = c.chain.swept(since);
     let kept = c.layout_kept();
     let done = c.swept.load(SeqCst) >= since && kept >= since && chains_swept;
@@ -23,15 +19,18 @@
 
 /// Asks one disk; also how many keys it has yet to bring.
 pub async fn ask(c: &Arc<Control>, disk: &str, since: u64, us: u64) -> Option<(SeatReport, u64)> {
+    let mut may_be_unnamed = false;
     let answer = if disk == c.vault.id {
-        report(c, since, disk)
+        report(c, since)
     } else {
         let node = c.members.by_disk(disk)?;
         let question = Ask::SweepDone { layout: since, disk: disk.into() };
-        c.peers.ask(node.peer, &question, &[], us).await.ok()?.0
+        let answer = c.peers.ask(node.peer, &question, &[], us).await.ok()?.0;
+        may_be_unnamed = c.peers.version(node.peer) < WIRE_NAMED_DISKS;
+        answer
     };
     match answer {
-        Tell::Swept { done, left, kept, disk: by } if by.is_empty() || by == disk => {
+        Tell::Swept { done, left, kept, disk: by } if by == disk || (by.is_empty() && may_be_unnamed) => {
             Some((SeatReport { disk: disk.into(), kept, swept: done }, left))
         }
         _ => None,
--- a/yewcross-front/src/lookup.rs
+++ b/yewcross-front/src/lookup.rs
@@ -3,7 +3,7 @@
 use crate::back::{Sent, Stamp};
 use crate::judge::{self, Case, Weights};
 use crate::turn::name_ok;
-use crate::{Front, news};
+use crate::{Front, admission, server_table};
 use http_types::Response;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -72,14 +72,18 @@
     }
     let horizon = t0 + b.horizon_ms.min(svc.horizon_ms) * MS;
     let patience = t0 + (horizon - t0) * PATIENCE / 100;
-    let room = || {
-        let v = news::fit(&f, &b.service);
-        (v.iter().map(|s| s.free()).sum(), v.iter().map(|s| s.report.slots).sum())
+    let request = admission::Request {
+        service: &b.service,
+        class: Class::Normal,
+        deadline: horizon,
+        patience,
+        needs: HORIZON_SPARE,
+        capacity: svc.line,
+        urgent_share: svc.urgent_share,
     };
-    let cap = (svc.line, svc.urgent_share);
-    let pass = match f.lines.enter(&f.w, &b.service, Class::Normal, horizon, cap, patience, HORIZON_SPARE, room).await {
-        Ok(p) => p,
-        Err((c, back)) => return refuse(c, "", back),
+    let pass = match f.admission.admit(&f.w, request, || server_table::slots(&f, &b.service)).await {
+        Ok(permit) => permit,
+        Err(refused) => return refuse(refused.code, "", refused.retry_after),
     };
     let key = format!("once/{}/{}", b.service, b.job);
     let mut epoch = 0;
@@ -116,7 +120,7 @@
     let mut lost = false;
     let won = loop {
         let left = horizon.saturating_sub(f.w.now() + HORIZON_SPARE / 2);
-        let servers = news::fit(&f, &b.service);
+        let servers = server_table::fit(&f, &b.service);
         let case = Case { key: &b.key, site: &f.st.site, tokens: 0, max_out: 0, kv: &none, left };
         let p = judge::pick(&servers, &case, &Weights::from(&fam), &not);
         let Some(p) = p.filter(|_| left > 0 && f.follow.serving()) else {
@@ -139,7 +143,7 @@
             not.push(at.server.clone());
             continue;
         };
-        if !f.follow.serving() || !news::fit(&f, &b.service).iter().any(|s| s.at == *at) {
+        if !f.follow.serving() || !server_table::fit(&f, &b.service).iter().any(|s| s.at == *at) {
             continue;
         }
         let _claim = f.claim(&at.server);
@@ -159,7 +163,7 @@
         let stamped = |v: &Value| serde_json::from_value::<Stamp>(v["stamp"].clone()).is_ok_and(|s| k.stamped(&s, &job));
         match got {
             Some((true, v)) if stamped(&v) => {
-                f.lines.took(&b.service, f.w.now() - t);
+                f.admission.served_in(&b.service, f.w.now() - t);
                 f.calm(&at.server);
                 f.pool.put(&f.w, k);
                 break Ok(v);
