Tell the last answers and the log where a put is never acknowledged

Cause: the simulated operator that gives up said nothing of why.

Change: the panic names the last answer of each core and the log. No assertion is changed.

--- a/yewcross-lab/src/tier.rs
+++ b/yewcross-lab/src/tier.rs
@@ -259,13 +259,17 @@
     pub async fn put_surely(&self, base: u64, text: &str) -> u64 {
         let t0 = self.op.now();
         let v = self.names(Role::Core);
+        let mut last: BTreeMap<&str, Option<PutAnswer>> = BTreeMap::new();
         for i in 0..200 {
-            if let Some(PutAnswer::InForce(_)) = self.put(&v[i % v.len()], base, text).await {
+            let core = &v[i % v.len()];
+            let answer = self.put(core, base, text).await;
+            if let Some(PutAnswer::InForce(_)) = answer {
                 return self.op.now() - t0;
             }
+            last.insert(core, answer);
             self.op.sleep(50 * MS).await;
         }
-        panic!("{text} is not acknowledged")
+        panic!("{text} is not acknowledged on version {base}; last answers: {last:?}\n{}", tell(self))
     }
 
     /// Puts at one core until it is acknowledged; us that it took.
