--- a/yewcross-control/src/layout/change.rs
+++ b/yewcross-control/src/layout/change.rs
@@ -1,8 +1,8 @@
 //! The duty of keeping the seats of a tier that has no operator's hand.
 //!
 //! The core's and the stores' changes run beside each other: one may begin, be amended and end while the other is under way.
-//! A step that begins or amends is bound to the layout's version, one that ends to the group's sets (`Group::since`): two
-//! processes that both hold the duty for theirs cost each other time only.
+//! A step that begins or amends is bound to the layout's version, one that ends to the group's sets (`Group::since`), and
+//! every step to the term of the duty lease under which it was planned.
 
 use super::planning::{self, IN_ORDER_OF_DANGER, Known, SeatReport, group};
 use super::report::survey;
@@ -14,8 +14,8 @@
 use yewcross::book::DOCS;
 use yewcross::consts::*;
 use yewcross::member::{Node, State};
-use yewcross::reg::Epoch;
-use yewcross::reg::Step;
+use yewcross::register::Epoch;
+use yewcross::register::Step;
 use yewcross::startup::Role;
 
 /// Layout and its version.
@@ -95,11 +95,12 @@
 
 /// Decides a layout on top of version `at`, and tells all of it.
 async fn decide(c: &Arc<Control>, at: u64, next: &Layout) -> bool {
-    if !c.on_duty(1) {
-        return false;
-    }
+    let Some(term) = c.duty_term() else { return false };
+    let written = next.term;
+    let next = &Layout { term, ..next.clone() };
     let raw = serde_json::to_vec(next).unwrap_or_default();
-    let step = |seq, _: &[u8]| if seq == at { Step::Write(raw.clone(), true) } else { Step::Keep(false) };
+    let may = |seq| seq == at && c.may_write(term, written);
+    let step = |seq, _: &[u8]| if may(seq) { Step::Write(raw.clone(), true) } else { Step::Keep(false) };
     let decided = c.owner.change("layout", SEC, step).await;
     match decided {
         Ok(true) => {
@@ -136,7 +137,7 @@
         return false;
     }
     for document in DOCS {
-        if c.owner.change(document, SEC, |_, _| Step::Keep(())).await.is_err() {
+        if c.duty_term().is_none() || c.owner.change(document, SEC, |_, _| Step::Keep(())).await.is_err() {
             return false;
         }
     }
@@ -169,17 +170,16 @@
 
 /// Ends the change that layout number `since` began, whatever the other group did meanwhile.
 async fn end_change(c: &Arc<Control>, role: Role, since: u64) -> bool {
-    if !c.on_duty(1) {
-        return false;
-    }
+    let Some(term) = c.duty_term() else { return false };
     let ended = c
         .owner
         .change("layout", SEC, |seq, v| {
             let Ok(mut layout) = serde_json::from_slice::<Layout>(v) else { return Step::Keep(None) };
             let seats = group(&layout, role);
-            if !seats.changing() || layout.since(seats, seq) != since {
+            if !seats.changing() || layout.since(seats, seq) != since || !c.may_write(term, layout.term) {
                 return Step::Keep(None);
             }
+            layout.term = term;
             planning::end(&mut layout, seq, role);
             let raw = serde_json::to_vec(&layout).unwrap_or_default();
             Step::Write(raw.clone(), Some((seq + 1, raw)))
--- a/yewcross/src/register/proposer.rs
+++ b/yewcross/src/register/proposer.rs
@@ -32,10 +32,15 @@
     pub unknown: usize,
     /// Disks whose record is damaged.
     pub damaged: Vec<String>,
+    /// Disks that replied anything else than a grant.
+    pub denied: Vec<String>,
 }
 
 impl Round {
     pub fn record(&mut self, vote: Vote) {
+        if !vote.reply.is_grant() {
+            self.denied.push(vote.disk.clone());
+        }
         match vote.reply {
             RegisterReply::Promised { .. } | RegisterReply::Accepted | RegisterReply::Looked { .. } => self.grant(vote),
             RegisterReply::Refused { promised } => self.highest_promised = self.highest_promised.max(promised.n),
@@ -60,6 +65,11 @@
         replicas.quorum(|disk| self.has_granted(disk))
     }
 
+    /// Whether no quorum can come of it any more, whatever the replicas say that have not replied yet.
+    pub fn is_hopeless(&self, replicas: &ReplicaSet) -> bool {
+        !replicas.quorum(|disk| !self.denied.iter().any(|denied| denied == disk))
+    }
+
     /// What a round without a quorum leaves behind.
     pub fn failure(&self) -> ChangeError {
         if self.granted.is_empty() && self.unknown == 0 { ChangeError::NotDone } else { ChangeError::Undecided }
