--- a/yewcross-lab/tests/disk.rs
+++ b/yewcross-lab/tests/disk.rs
@@ -399,35 +399,85 @@
     None
 }
 
-/// All machines lose power at any moment of a row of orders: what was acknowledged is there when they are back.
+/// Ends all machines with disks at a moment of an order that is under way, four times, and starts them a second later: what
+/// was acknowledged is there, the order can be sent again, and in the end every machine has its seat.
+async fn orders_outlast_herds(t: &Arc<Tier>, power: bool) {
+    let (cores, stores) = (t.names(Role::Core), t.names(Role::Store));
+    let all: Vec<String> = cores.iter().chain(&stores).cloned().collect();
+    for base in 0..4 {
+        let (tier, moment, machines) = (t.clone(), t.op.rand() % (30 * MS), all.clone());
+        t.op.go(async move {
+            tier.op.sleep(moment).await;
+            machines.iter().for_each(|n| tier.kill(n, power));
+        });
+        let text = format!("{} r", base + 1);
+        let answer = t.put(&cores[base as usize % cores.len()], base, &text).await;
+        t.op.sleep(SEC).await;
+        all.iter().for_each(|n| t.boot(n, false));
+        t.op.sleep(3 * SEC).await;
+        if matches!(answer, Some(PutAnswer::InForce(_))) {
+            assert_eq!(newest(t).await, Some(text.clone()), "acknowledged and gone\n{}", tell(t));
+        }
+        t.put_surely(base, &text).await;
+    }
+    t.seated(&cores, &stores, 10 * SEC).await.unwrap_or_else(|| panic!("not whole\n{}", tell(t)));
+}
+
+const SIZES: [([usize; 3], usize); 3] = [([4, 4, 2], 1), ([5, 5, 2], 2), ([8, 8, 2], 2)];
+
+/// Invariant D4, for a loss of power of all.
 #[test]
 fn acknowledged_configurations_outlast_a_loss_of_power_of_all() {
-    for (seed, counts, lost) in (0..8).flat_map(|s| [(s, [4, 4, 2], 1), (s, [5, 5, 2], 2), (s, [8, 8, 2], 2)]) {
+    for (seed, (counts, lost)) in (0..8).flat_map(|seed| SIZES.map(|size| (seed, size))) {
         let tier = Tier::new(8000 + seed, counts, lost);
-        play(&tier, move |t| {
+        play(&tier, |t| {
             Box::pin(async move {
                 up(&t).await;
-                let (cores, stores) = (t.names(Role::Core), t.names(Role::Store));
-                let all: Vec<String> = cores.iter().chain(&stores).cloned().collect();
-                for base in 0..4 {
-                    // Power goes at a moment of an order that is under way.
-                    let (tier, moment, machines) = (t.clone(), t.op.rand() % (30 * MS), all.clone());
-                    t.op.go(async move {
-                        tier.op.sleep(moment).await;
-                        machines.iter().for_each(|n| tier.kill(n, true));
-                    });
-                    let text = format!("{} r", base + 1);
-                    let answer = t.put(&cores[base as usize % cores.len()], base, &text).await;
-                    t.op.sleep(SEC).await;
-                    all.iter().for_each(|n| t.boot(n, false));
-                    t.op.sleep(3 * SEC).await;
-                    if matches!(answer, Some(PutAnswer::InForce(_))) {
-                        assert_eq!(newest(&t).await, Some(text.clone()), "acknowledged and gone\n{}", tell(&t));
+                orders_outlast_herds(&t, true).await;
+            })
+        });
+    }
+}
+
+/// Invariant D4, for a kill of all, while the clocks of a third of the machines jump back and ahead.
+#[test]
+fn acknowledged_configurations_outlast_herd_kills_and_clock_steps() {
+    for (seed, (counts, lost)) in (0..8).flat_map(|seed| SIZES.map(|size| (seed, size))) {
+        let tier = Tier::new(8500 + seed, counts, lost);
+        play(&tier, |t| {
+            Box::pin(async move {
+                up(&t).await;
+                let steps = t.clone();
+                t.op.go(async move {
+                    let machines: Vec<String> = steps.specs.lock().unwrap().keys().cloned().collect();
+                    loop {
+                        for name in machines.iter().filter(|_| steps.op.rand().is_multiple_of(3)) {
+                            let ms = (steps.op.rand() % 4_000) as i64 - 2_000;
+                            steps.sim.skew(steps.sim.find(name), ms);
+                        }
+                        steps.op.sleep(700 * MS).await;
                     }
-                    t.put_surely(base, &text).await;
-                }
-                t.seated(&cores, &stores, 10 * SEC).await.unwrap_or_else(|| panic!("not whole\n{}", tell(&t)));
+                });
+                orders_outlast_herds(&t, false).await;
             })
         });
     }
 }
+
+/// A start at a deployment of 78 machines is one line of counts a node; a loss afterwards is a line as ever.
+#[test]
+fn a_start_is_logged_in_one_line() {
+    let tier = Tier::new(9000, [8, 9, 61], 2);
+    play(&tier, |t| {
+        Box::pin(async move {
+            up(&t).await;
+            t.op.sleep(4 * SEC).await;
+            let lines = |what: &str| t.sim.log().iter().filter(|l| l.1 == "core2" && l.2.starts_with(what)).count();
+            assert_eq!(lines("members known: 8 core, 9 store, 61 front"), 1, "{}", tell(&t));
+            assert_eq!(lines("member "), 0, "{}", tell(&t));
+            t.kill("front7", true);
+            t.op.sleep(10 * SEC).await;
+            assert!(lines("member front7 Gone") == 1, "{}", tell(&t));
+        })
+    });
+}
