Split the relay's tests by subject, and let them use the lab's ports

Cause: one file of 1,239 lines, with ports of its own beside those of the lab. Change: a folder: rig, servers, and the tests of requests, attempts, answers, streams, stopping and promises; the ports are those of yewcross_lab::routed. Every test and assertion stays as it was.

--- /dev/null
+++ b/yewcross-lab/tests/relay/rig.rs
@@ -0,0 +1,264 @@
+//! One front in the simulator, with servers that misbehave, stores in memory, and callers.
+
+use crate::server::*;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use yewcross::ask::{List, Listed};
+use yewcross::book::Book;
+use yewcross::chain::{Chains, OpenTurn, OpenedTurn, Refusal, Turn};
+use yewcross::consts::*;
+use yewcross::reg::Epoch;
+use yewcross::route::Limits;
+use yewcross::world::*;
+use yewcross_front::relay::Relay;
+use yewcross_lab::routed::ports::Ports;
+use yewcross_lab::sim::Sim;
+
+#[derive(Default)]
+pub struct Memory {
+    pub turns: Mutex<BTreeMap<String, Arc<Turn>>>,
+    pub settled: Mutex<Vec<(String, u64)>>,
+    pub opened: AtomicUsize,
+    pub finish_fails: Mutex<bool>,
+    pub refuses: Mutex<Option<Refusal>>,
+    /// What happens while a turn is opened.
+    pub on_open: Mutex<Option<Box<dyn FnOnce() + Send>>>,
+}
+
+impl Chains for Memory {
+    fn open(&self, o: OpenTurn, _: u64) -> Fut<'_, Result<OpenedTurn, Refusal>> {
+        Box::pin(async move {
+            if let Some(r) = *self.refuses.lock().unwrap() {
+                return Err(r);
+            }
+            self.opened.fetch_add(1, SeqCst);
+            if let Some(f) = self.on_open.lock().unwrap().take() {
+                f();
+            }
+            let (g, mut chain, mut at) = (self.turns.lock().unwrap(), vec![], o.prev.clone());
+            while !at.is_empty() {
+                let t = g.get(&at).ok_or(Refusal::Unknown)?;
+                chain.insert(0, t.clone());
+                at = t.prev.clone();
+            }
+            Ok(OpenedTurn { chain })
+        })
+    }
+    fn finish(&self, _: OpenTurn, t: Turn, used: u64, _: u64) -> Fut<'_, Result<(), Refusal>> {
+        Box::pin(async move {
+            if *self.finish_fails.lock().unwrap() {
+                return Err(Refusal::Away);
+            }
+            self.settled.lock().unwrap().push((format!("kept {}", t.id), used));
+            self.turns.lock().unwrap().insert(t.id.clone(), Arc::new(t));
+            Ok(())
+        })
+    }
+    fn settle(&self, o: OpenTurn, used: u64) {
+        self.settled.lock().unwrap().push((o.turn, used));
+    }
+}
+
+#[derive(Clone)]
+pub struct Rig {
+    pub sim: Sim,
+    pub relay: Arc<Relay>,
+    pub floor: Arc<Floor>,
+    pub memory: Arc<Memory>,
+    pub gate: Arc<yewcross::web::Gate>,
+    pub door: SocketAddr,
+    pub machines: Vec<usize>,
+    pub worlds: Arc<Mutex<Vec<World>>>,
+}
+
+#[derive(Debug, Default)]
+pub struct Heard {
+    pub status: u16,
+    pub heads: BTreeMap<String, String>,
+    pub body: String,
+    pub whole: bool,
+    /// us of the world's clock when each piece came.
+    pub at: Vec<u64>,
+    pub took: u64,
+}
+
+pub fn config(routes: Value) -> Vec<u8> {
+    let t = json!({"routing": {"routes": routes, "upstreams": [{"name": "a"}, {"name": "b"},
+        {"name": "model", "engine": {"slots": 4, "cache_tokens": 100_000, "token_bytes": 1, "tokens_per_event": 2}}], "limits":
+        {"head_bytes": 8192, "body_bytes": 10_000, "head_ms": 1000, "idle_ms": 5000}}});
+    serde_json::to_vec(&json!({"text": t.to_string(), "put": "", "note": "", "past": []})).unwrap()
+}
+
+pub fn route(name: &str, mode: &str, to: &str, tries: u32) -> Value {
+    json!({"name": name, "host": "h.example", "prefix": format!("/{name}/"), "mode": mode, "variants": [[to, 1]], "timeout_ms": 3000,
+        "target_ms": 200, "max_tries": tries, "retained": name.starts_with("kept"), "retain_ms": 60_000})
+}
+
+pub fn routes() -> Value {
+    json!([
+        route("pure", "pure", "a", 3),
+        route("once", "effectful", "a", 3),
+        route("stream", "stream", "model", 2),
+        route("kept/stream", "stream", "model", 2),
+        route("other", "pure", "b", 1)
+    ])
+}
+
+impl Rig {
+    pub fn new(seed: u64, servers: usize) -> Rig {
+        let sim = Sim::new(seed, 1_000);
+        let fm = sim.machine("front", "z", "10.0.0.1".parse().unwrap());
+        let w = sim.boot(fm);
+        let floor: Arc<Floor> = Default::default();
+        let memory: Arc<Memory> = Default::default();
+        let book = Book::new(&w);
+        let relay = Arc::new(Relay {
+            w: w.clone(),
+            book,
+            site: "z".into(),
+            caller: Arc::new(Ports),
+            back: Arc::new(Ports),
+            chains: Some(memory.clone()),
+            fronts: AtomicUsize::new(1),
+            pool: Default::default(),
+            balance: Default::default(),
+            counts: Default::default(),
+        });
+        let door: SocketAddr = "10.0.0.1:80".parse().unwrap();
+        let gate: Arc<yewcross::web::Gate> = Default::default();
+        let mut rig = Rig {
+            sim: sim.clone(),
+            relay: relay.clone(),
+            floor,
+            memory,
+            gate: gate.clone(),
+            door,
+            machines: vec![],
+            worlds: Default::default(),
+        };
+        let (w2, b) = (w.clone(), relay.book.clone());
+        w.go(async move {
+            let d = w2.bind(door).await.unwrap();
+            let h: yewcross::web::Handler = Arc::new(move |q, _| Box::pin(relay.clone().serve(q)));
+            let limits: Arc<dyn Fn() -> Limits + Send + Sync> = Arc::new(move || b.config.load().1.routing.limits.clone());
+            yewcross::web::serve(w2, d, h, limits, gate).await;
+        });
+        rig.configure(1, routes());
+        (0..servers).for_each(|i| rig.server(i));
+        rig.list(1, &(0..servers).map(|i| rig.listed(i, "a")).chain((0..servers).map(|i| rig.listed(i, "model"))).collect::<Vec<_>>());
+        rig
+    }
+
+    pub fn configure(&self, seq: u64, routes: Value) {
+        assert!(self.relay.book.adopt("config", seq, Epoch::default(), config(routes)));
+    }
+
+    pub fn list(&self, seq: u64, v: &[Listed]) {
+        let l = List { rev: seq, servers: v.to_vec() };
+        assert!(self.relay.book.adopt("list", seq, Epoch::default(), serde_json::to_vec(&l).unwrap()));
+    }
+
+    /// One machine carries a server of service `a` at port 1 and one of `model` at port 2.
+    pub fn listed(&self, i: usize, service: &str) -> Listed {
+        let port = if service == "model" { 2 } else { 1 };
+        Listed {
+            server: format!("{service}{i}"),
+            service: service.into(),
+            addr: SocketAddr::new(std::net::IpAddr::from([10, 0, 1, i as u8]), port),
+            site: "z".into(),
+            leaving: false,
+        }
+    }
+
+    pub fn server(&mut self, i: usize) {
+        let m = self.sim.machine(&format!("s{i}"), "z", [10, 0, 1, i as u8].into());
+        self.machines.push(m);
+        self.worlds.lock().unwrap().push(self.sim.boot(m));
+        ["a", "model"].iter().for_each(|s| self.stand(i, &self.listed(i, s)));
+    }
+
+    pub fn stand(&self, i: usize, l: &Listed) {
+        if !self.sim.up(self.machines[i]) {
+            self.worlds.lock().unwrap()[i] = self.sim.boot(self.machines[i]);
+        }
+        let w = self.worlds.lock().unwrap()[i].clone();
+        let (f, id, at) = (self.floor.clone(), l.server.clone(), l.addr);
+        w.clone().go(async move {
+            let d = w.bind(at).await.unwrap();
+            while let Ok(c) = d.accept().await {
+                w.go(serve_one(w.clone(), c, id.clone(), f.clone()));
+            }
+        });
+    }
+
+    pub fn act(&self, server: &str, acts: &[Act]) {
+        self.floor.acts.lock().unwrap().entry(server.into()).or_default().extend(acts);
+    }
+
+    pub fn all(&self, a: Act) {
+        *self.floor.other.lock().unwrap() = Some(a);
+    }
+
+    pub fn runs(&self, attempt: &str) -> Vec<Run> {
+        self.floor.runs.lock().unwrap().iter().filter(|r| r.attempt == attempt).cloned().collect()
+    }
+
+    /// Runs a caller on a machine of its own to its end.
+    pub fn with<T: Send + 'static>(&self, f: impl FnOnce(Rig, World) -> Fut<'static, T>) -> T {
+        let n = self.sim.rand() as u16;
+        let m = self.sim.machine(&format!("caller{n}"), "z", [10, 1, (n >> 8) as u8, n as u8].into());
+        let w = self.sim.boot(m);
+        let out: Arc<Mutex<Option<T>>> = Default::default();
+        let (o, fut) = (out.clone(), f(self.clone(), w.clone()));
+        w.go(async move {
+            let x = fut.await;
+            *o.lock().unwrap() = Some(x);
+        });
+        self.sim.run(self.sim.now() + 60 * SEC, || out.lock().unwrap().is_some());
+        out.lock().unwrap().take().expect("the caller came to its end")
+    }
+
+    pub fn ask(&self, attempt: &str, path: &str, heads: &[(&str, &str)], body: &str) -> Heard {
+        let (a, p, b) = (attempt.to_string(), path.to_string(), body.to_string());
+        let hs: Vec<(String, String)> = heads.iter().map(|h| (h.0.to_string(), h.1.to_string())).collect();
+        self.with(move |r, w| Box::pin(async move { call(&w, r.door, &a, &p, &hs, &b).await }))
+    }
+
+    pub fn rest(&self, us: u64) {
+        self.sim.run(self.sim.now() + us, || false);
+    }
+}
+
+pub async fn call(w: &World, to: SocketAddr, attempt: &str, path: &str, heads: &[(String, String)], body: &str) -> Heard {
+    let c = w.connect(to).await.unwrap();
+    let (mut s, conn) = hyper::client::conn::http1::handshake(smol_hyper::rt::FuturesIo::new(c)).await.unwrap();
+    w.go(async move {
+        let _ = conn.await;
+    });
+    let mut q = Request::builder().method("POST").uri(path).header("host", "h.example").header("try", attempt);
+    for (k, v) in heads {
+        q = q.header(k, v);
+    }
+    let t0 = w.now();
+    let Ok(r) = s.send_request(q.body(Full::new(Bytes::from(body.to_string()))).unwrap()).await else { return Heard::default() };
+    let heads = r.headers().iter().map(|(k, v)| (k.to_string(), v.to_str().unwrap().to_string())).collect();
+    let mut h = Heard { status: r.status().as_u16(), heads, whole: true, ..Heard::default() };
+    let mut b = r.into_body();
+    while let Some(f) = b.frame().await {
+        match f {
+            Ok(f) => {
+                h.at.push(w.now());
+                h.body += std::str::from_utf8(&f.into_data().unwrap()).unwrap();
+            }
+            Err(_) => h.whole = false,
+        }
+    }
+    h.took = w.now() - t0;
+    h
+}
