--- a/yewcross-lab/tests/relay/answers.rs
+++ b/yewcross-lab/tests/relay/answers.rs
@@ -87,3 +87,17 @@
     });
     assert!(said.starts_with("HTTP/1.1 200") && said.ends_with("good"), "{said}");
 }
+
+#[test]
+fn an_interim_head_is_no_answer() {
+    for (seed, status) in [(100, 100), (101, 103)] {
+        let rig = Rig::new(seed, 1);
+        rig.all(Act::Interim(status));
+        let h = rig.ask("t", "/once/x", &[], "b");
+        assert_eq!((h.status, h.body.as_str(), h.heads["try"].as_str(), rig.runs("t").len()), (200, "good", "t", 1), "{status}");
+    }
+    let rig = Rig::new(102, 1);
+    rig.all(Act::Switches);
+    let h = rig.ask("t", "/once/x", &[("patience", "500")], "b");
+    assert!(matches!(h.status, 502 | 504) && rig.runs("t").len() == 1, "{h:?}");
+}
--- a/yewcross-lab/tests/relay/server.rs
+++ b/yewcross-lab/tests/relay/server.rs
@@ -44,6 +44,10 @@
     Encoded,
     /// A good answer of HTTP/1.0.
     OldVersion,
+    /// Another head comes first, which is not the answer yet: 100 or 103.
+    Interim(u16),
+    /// It runs and says that it speaks another protocol from now on.
+    Switches,
     /// A row of events with its length told in the head.
     Counted,
     /// It says only after a while that it did not run it.
@@ -165,6 +169,13 @@
             Act::OtherCoding => {
                 (format!("HTTP/1.1 200 X\r\ntry: {a}\r\nstamp: 1\r\ntransfer-encoding: identity\r\n\r\ngo").into_bytes(), true)
             }
+            Act::Interim(status) => {
+                let _ = c.write_all(format!("HTTP/1.1 {status} X\r\ntry: nobody\r\n\r\n").as_bytes()).await;
+                (good, false)
+            }
+            Act::Switches => {
+                (format!("HTTP/1.1 101 X\r\ntry: {a}\r\nstamp: 1\r\nconnection: upgrade\r\nupgrade: x\r\n\r\ngood").into_bytes(), false)
+            }
             Act::Encoded => (say(200, &a, "stamp: 1\r\ncontent-encoding: br\r\n", "good"), false),
             Act::OldVersion => (String::from_utf8(good).unwrap().replace("HTTP/1.1", "HTTP/1.0").into_bytes(), true),
             Act::Counted => {
