--- a/yewcross-control/src/layout/change.rs
+++ b/yewcross-control/src/layout/change.rs
@@ -1,8 +1,8 @@
 //! The duty of keeping the seats of a tier that has no operator's hand.
 //!
 //! The core's and the stores' changes run beside each other: one may begin, be amended and end while the other is under way.
-//! A step that begins or amends is bound to the layout's version, one that ends to the group's sets (`Group::since`): two
-//! processes that both hold the duty for theirs cost each other time only.
+//! A step that begins or amends is bound to the layout's version, one that ends to the group's sets (`Group::since`), and
+//! every step to the term of the duty lease under which it was planned.
 
 use super::planning::{self, IN_ORDER_OF_DANGER, Known, SeatReport, group};
 use super::report::survey;
@@ -14,8 +14,8 @@
 use yewcross::book::DOCS;
 use yewcross::consts::*;
 use yewcross::member::{Node, State};
-use yewcross::reg::Epoch;
-use yewcross::reg::Step;
+use yewcross::register::Epoch;
+use yewcross::register::Step;
 use yewcross::startup::Role;
 
 /// Layout and its version.
@@ -77,9 +77,10 @@
     if to.now.len() <= was.now.len() {
         return None;
     }
-    // A seat more is given only while all that have one answer: a newcomer may stand for one whose loss is not yet seen.
-    let reports = survey(c, &was.now, l.1.since(was, l.0), SEAT_REPORT_WAIT, |_| false).await;
-    let mute: Vec<&String> = was.now.iter().filter(|d| !reports.iter().any(|r| r.disk == **d)).collect();
+    // A seat more is given only while all that keep theirs answer: a newcomer may stand for one whose loss is not yet seen.
+    let staying: Vec<String> = was.now.iter().filter(|d| to.now.contains(d)).cloned().collect();
+    let reports = survey(c, &staying, l.1.since(was, l.0), SEAT_REPORT_WAIT, |_| false).await;
+    let mute: Vec<&String> = staying.iter().filter(|d| !reports.iter().any(|r| r.disk == **d)).collect();
     if mute.is_empty() {
         return None;
     }
@@ -95,19 +96,20 @@
 
 /// Decides a layout on top of version `at`, and tells all of it.
 async fn decide(c: &Arc<Control>, at: u64, next: &Layout) -> bool {
-    if !c.on_duty(1) {
-        return false;
-    }
+    let Some(term) = c.duty_term() else { return false };
+    let written = next.term;
+    let next = &Layout { term, ..next.clone() };
     let raw = serde_json::to_vec(next).unwrap_or_default();
-    let step = |seq, _: &[u8]| if seq == at { Step::Write(raw.clone(), true) } else { Step::Keep(false) };
-    let decided = c.owner.change("layout", SEC, step).await;
+    let may = |seq| seq == at && c.may_write(term, written);
+    let step = |seq, _: &[u8]| if may(seq) { Step::Write(raw.clone(), true) } else { Step::Keep(false) };
+    let decided = c.owner.change("layout", STEP_WAIT, step).await;
     match decided {
         Ok(true) => {
             c.w.log(&format!("seats change: core {:?} store {:?}", machines(next, &next.core), machines(next, &next.store)));
             config::push(c, "layout", at + 1, raw);
         }
         // Another's version, or one of ours whose answers were lost.
-        _ => super::spread(c).await,
+        _ => learn(c).await,
     }
     decided == Ok(true)
 }
@@ -125,24 +127,46 @@
     core || store
 }
 
-/// Once whoever decides does so in both sets, the documents are taken under both: then they are on majorities of the
-/// incoming one.
+/// Once whoever decides does so in both sets, a document that majorities of both hold alike needs no more; any other is taken,
+/// and so written to both.
 async fn end_core(c: &Arc<Control>, l: &Versioned) -> bool {
     let (seats, since) = (&l.1.core, l.1.since(&l.1.core, l.0));
+    let known = seats.old.iter().filter(|d| c.members.by_disk(d).is_some()).count();
     let is_joint = |reports: &[SeatReport]| planning::core_is_joint(seats, since, reports);
-    let reports = survey(c, &seats.old, since, SEAT_REPORT_WAIT, is_joint).await;
+    let reports = survey(c, &seats.old, since, SEAT_REPORT_WAIT, |r| r.len() == known && is_joint(r)).await;
     if !is_joint(&reports) {
         tell_again(c, &reports, since);
         return false;
     }
     for document in DOCS {
-        if c.owner.change(document, SEC, |_, _| Step::Keep(())).await.is_err() {
+        if is_on_both(c, document, seats, since, &reports).await {
+            continue;
+        }
+        if c.duty_term().is_none() || c.owner.change(document, SEC, |_, _| Step::Keep(())).await.is_err() {
             return false;
         }
     }
     end_change(c, Role::Core, since).await
 }
 
+/// Whether majorities of both sets hold the document alike. Of the outgoing set only disks count that had kept the joint layout
+/// before: what was decided without the incoming set, they had accepted by then. So operators' orders go on undisturbed.
+async fn is_on_both(c: &Arc<Control>, document: &str, seats: &Group, since: u64, reports: &[SeatReport]) -> bool {
+    let may_vote = |disk: &str| {
+        let has_kept = reports.iter().any(|r| r.disk == disk && r.kept >= since);
+        has_kept || !seats.old.iter().any(|d| d == disk)
+    };
+    for look in 0..READ_LOOKS {
+        if look > 0 {
+            c.w.sleep(READ_LOOK_AGAIN).await;
+        }
+        if c.w.within(SEAT_REPORT_WAIT, c.owner.is_settled(document, may_vote)).await == Some(true) {
+            return true;
+        }
+    }
+    false
+}
+
 async fn end_store(c: &Arc<Control>, l: &Versioned) -> bool {
     let (seats, since) = (&l.1.store, l.1.since(&l.1.store, l.0));
     let both: Vec<String> = seats.old.iter().chain(seats.now.iter().filter(|d| !seats.old.contains(d))).cloned().collect();
@@ -167,19 +191,25 @@
     }
 }
 
+/// Learns the newest layout after a step that could not be done.
+async fn learn(c: &Arc<Control>) {
+    if !super::catch_up(c).await {
+        super::spread(c).await;
+    }
+}
+
 /// Ends the change that layout number `since` began, whatever the other group did meanwhile.
 async fn end_change(c: &Arc<Control>, role: Role, since: u64) -> bool {
-    if !c.on_duty(1) {
-        return false;
-    }
+    let Some(term) = c.duty_term() else { return false };
     let ended = c
         .owner
-        .change("layout", SEC, |seq, v| {
+        .change("layout", STEP_WAIT, |seq, v| {
             let Ok(mut layout) = serde_json::from_slice::<Layout>(v) else { return Step::Keep(None) };
             let seats = group(&layout, role);
-            if !seats.changing() || layout.since(seats, seq) != since {
+            if !seats.changing() || layout.since(seats, seq) != since || !c.may_write(term, layout.term) {
                 return Step::Keep(None);
             }
+            layout.term = term;
             planning::end(&mut layout, seq, role);
             let raw = serde_json::to_vec(&layout).unwrap_or_default();
             Step::Write(raw.clone(), Some((seq + 1, raw)))
@@ -192,7 +222,7 @@
             true
         }
         _ => {
-            super::spread(c).await;
+            learn(c).await;
             false
         }
     }
--- a/yewcross-control/src/layout/manual.rs
+++ b/yewcross-control/src/layout/manual.rs
@@ -7,7 +7,7 @@
 use yewcross::code::Code;
 use yewcross::consts::*;
 use yewcross::member::Node;
-use yewcross::reg::*;
+use yewcross::register::*;
 use yewcross::startup::Role;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -108,7 +108,7 @@
             let lost = l.1.names.iter().find(|x| *x.1 == n.name && seats.contains(x.0) && *x.0 != n.disk)?.0.clone();
             (n.role != Role::Front && !n.disk.is_empty() && !l.1.names.contains_key(&n.disk)).then(|| (lost, n.disk.clone()))
         });
-        if let Some((a, b)) = back.filter(|_| c.on_duty(1)) {
+        if let Some((a, b)) = back.filter(|_| c.duty_term().is_some()) {
             c.w.log(&format!("disk {a} came back empty as {b}"));
             let _ = begin(c, Move::Replace(a, b)).await;
         }
@@ -116,16 +116,18 @@
     }
     let (at, v) = progress(c).await;
     let done = v.iter().filter(|x| x.1).count();
-    if at != l.0 || done + c.st.bounds.lost < v.len() || !c.on_duty(1) {
+    if at != l.0 || done + c.st.bounds.lost < v.len() {
         return;
     }
+    let Some(term) = c.duty_term() else { return };
     let got = c
         .owner
         .change("layout", PUT_WAIT, |seq, v| {
             let Ok(mut l) = serde_json::from_slice::<Layout>(v) else { return Step::Keep(()) };
-            if seq != at {
+            if seq != at || !c.may_write(term, l.term) {
                 return Step::Keep(());
             }
+            l.term = term;
             for role in planning::IN_ORDER_OF_DANGER {
                 if planning::group(&l, role).changing() {
                     planning::end(&mut l, seq, role);
--- a/yewcross-lab/tests/second_loss.rs
+++ b/yewcross-lab/tests/second_loss.rs
@@ -64,3 +64,31 @@
         assert!(us < 1_400 * MS, "{us}\n{}", tell(&tier));
     }
 }
+
+/// A machine is gone for good, and at once two new ones come: one takes the lost seat, the other gets a
+/// seat more. Returns the time until both have theirs, us.
+async fn two_come_after_one_is_lost(tier: &Arc<Tier>, role: Role, lost: &str) -> u64 {
+    up(tier).await;
+    tier.put_surely(0, "5 a").await;
+    keep_turns(tier).await;
+    tier.kill(lost, true);
+    tier.specs.lock().unwrap().remove(lost);
+    tier.op.sleep(200 * MS).await;
+    for (i, name) in ["spare1", "spare2"].into_iter().enumerate() {
+        tier.add(name, role, i, 50 + i, 1);
+        tier.boot(name, false);
+    }
+    let (core, store) = (tier.names(Role::Core), tier.names(Role::Store));
+    tier.seated(&core, &store, 12 * SEC).await.unwrap_or_else(|| panic!("{lost} keeps its seat\n{}", tell(tier)))
+}
+
+/// A seat more is given only while the others answer; the lost seat whose successor has come is none of these.
+#[test]
+fn a_lost_seat_is_filled_though_two_machines_come() {
+    for (seed, role, lost) in [(400, Role::Store, "store2"), (401, Role::Core, "core3")] {
+        let tier = Tier::new(seed, [4, 5, 3], 1);
+        let us = play(&tier, |tier| Box::pin(async move { two_come_after_one_is_lost(&tier, role, lost).await }));
+        println!("{lost} gone: both newcomers have seats after {} ms", us / MS);
+        assert!(us < 3 * SEC, "{us}\n{}", tell(&tier));
+    }
+}
--- a/yewcross/src/register/message.rs
+++ b/yewcross/src/register/message.rs
@@ -92,3 +92,10 @@
     /// The version that the delta builds on is not here.
     NeedWhole,
 }
+
+impl RegisterReply {
+    /// Whether it counts towards a quorum.
+    pub fn is_grant(&self) -> bool {
+        matches!(self, RegisterReply::Promised { .. } | RegisterReply::Accepted | RegisterReply::Looked { .. })
+    }
+}
