--- a/yewcross-control/src/config.rs
+++ b/yewcross-control/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration in force: telling nodes whether a newer one may be, and handing documents out.
 //!
 //! [`orders`] decides operators' numbered orders by a majority, [`proved`] puts a configuration in force under leases of the
-//! fronts, [`read`] reads the newest one back, and [`distribution`] sends decided documents to every node.
+//! fronts, `read` reads the newest one back, and `distribution` sends decided documents to every node.
 
 mod distribution;
 pub mod orders;
@@ -30,11 +30,13 @@
     let mut newest = vec![];
     for d in DOCS {
         let s = c.replica.peek(d).await.map(|s| s.seq).unwrap_or(0);
-        newest.push((d.to_string(), s.max(c.book.page(d).seq)));
+        newest.push((d.to_string(), s.max(c.book.page(d).seq).max(c.version_heard(d))));
     }
     let l = c.book.layout.load();
     let seat = l.1.core.now.contains(&c.vault.id);
     let sure = seat && !c.vault.failed.load(SeqCst) && c.replica.peek("config").await.is_some() && !have.is_empty();
+    // Where fronts hold leases, majorities of cores are asked; where they don't, one core is, and must itself have a majority.
+    let sure = sure && (!c.options.tends || c.has_quorum_contact());
     Tell::Newer { newest, sure }
 }
 
@@ -45,6 +47,10 @@
     if c.st.role != Role::Core || c.book.layout.load().0 == 0 {
         return (Tell::No(Code::NotFounded), vec![]);
     }
+    // A core whose answers are lost on their way would only take the key from the one that has a majority.
+    if !c.has_quorum_contact() {
+        return (Tell::No(Code::NoMajority), vec![]);
+    }
     match c.owner.newest(name, PEER_WAIT).await {
         Ok((seq, epoch, v)) => {
             if seq > 0 {
--- a/yewcross-control/src/layout/manual.rs
+++ b/yewcross-control/src/layout/manual.rs
@@ -7,7 +7,7 @@
 use yewcross::code::Code;
 use yewcross::consts::*;
 use yewcross::member::Node;
-use yewcross::reg::*;
+use yewcross::register::*;
 use yewcross::startup::Role;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -81,14 +81,17 @@
     r
 }
 
-/// How many of the outgoing seats have kept this layout and found all their keys whole under it.
+/// Of each outgoing seat of the changes under way: whether it has kept this layout and found all its keys whole under it, and
+/// how many it has yet to bring.
 pub async fn progress(c: &Arc<Control>) -> (u64, Vec<(String, bool, u64)>) {
     let l = c.book.layout.load_full();
-    let seats = if l.1.core.changing() { &l.1.core } else { &l.1.store };
     let mut filled = vec![];
-    for disk in &seats.old {
-        let told = report::ask(c, disk, l.1.since(seats, l.0), PEER_WAIT).await;
-        filled.push(told.map_or((disk.clone(), false, 0), |(r, left)| (r.disk, r.swept, left)));
+    for role in planning::IN_ORDER_OF_DANGER {
+        let seats = planning::group(&l.1, role);
+        for disk in &seats.old {
+            let told = report::ask(c, disk, l.1.since(seats, l.0), SEAT_REPORT_WAIT).await;
+            filled.push(told.map_or((disk.clone(), false, 0), |(r, left)| (r.disk, r.swept, left)));
+        }
     }
     (l.0, filled)
 }
@@ -105,7 +108,7 @@
             let lost = l.1.names.iter().find(|x| *x.1 == n.name && seats.contains(x.0) && *x.0 != n.disk)?.0.clone();
             (n.role != Role::Front && !n.disk.is_empty() && !l.1.names.contains_key(&n.disk)).then(|| (lost, n.disk.clone()))
         });
-        if let Some((a, b)) = back.filter(|_| c.on_duty(1)) {
+        if let Some((a, b)) = back.filter(|_| c.duty_term().is_some()) {
             c.w.log(&format!("disk {a} came back empty as {b}"));
             let _ = begin(c, Move::Replace(a, b)).await;
         }
@@ -113,16 +116,18 @@
     }
     let (at, v) = progress(c).await;
     let done = v.iter().filter(|x| x.1).count();
-    if at != l.0 || done + c.st.bounds.lost < v.len() || !c.on_duty(1) {
+    if at != l.0 || done + c.st.bounds.lost < v.len() {
         return;
     }
+    let Some(term) = c.duty_term() else { return };
     let got = c
         .owner
         .change("layout", PUT_WAIT, |seq, v| {
             let Ok(mut l) = serde_json::from_slice::<Layout>(v) else { return Step::Keep(()) };
-            if seq != at {
+            if seq != at || !c.may_write(term, l.term) {
                 return Step::Keep(());
             }
+            l.term = term;
             for role in planning::IN_ORDER_OF_DANGER {
                 if planning::group(&l, role).changing() {
                     planning::end(&mut l, seq, role);
