--- /dev/null
+++ b/yewcross-lab/tests/contact.rs
@@ -0,0 +1,160 @@
+//! A core that no majority of core seats answers gives no news, takes no orders and takes no documents
+//! (docs/control-safety.md, 1b).
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use yewcross::ask::{Ask, Tell};
+use yewcross::consts::*;
+use yewcross::startup::{Bounds, Role};
+use yewcross_control::api::*;
+use yewcross_lab::tier::*;
+
+/// How a core is cut off from the other cores.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    /// What it sends is lost.
+    Outward,
+    /// What is sent to it is lost.
+    Inward,
+    Both,
+}
+
+const CUTS: [Cut; 3] = [Cut::Outward, Cut::Inward, Cut::Both];
+/// Cores, stores and fronts, and disks that may be lost.
+const SIZES: [([usize; 3], usize); 3] = [([4, 4, 6], 1), ([5, 5, 6], 2), ([8, 5, 6], 2)];
+/// Contact is lost within half of the time to apply; a question under way may take that of another round.
+const NOTICED: u64 = 1500 * MS;
+
+fn cut(t: &Tier, name: &str, how: Cut) {
+    let cores = t.names(Role::Core);
+    if matches!(how, Cut::Outward | Cut::Both) {
+        t.cut_from(name, &cores);
+    }
+    if matches!(how, Cut::Inward | Cut::Both) {
+        t.cut_to(name, &cores);
+    }
+}
+
+/// What a core says when it is asked for news of everything.
+async fn news(t: &Arc<Tier>, name: &str) -> (Tell, Tell) {
+    let asked = t.on(name, |c| {
+        Box::pin(async move {
+            let newer = c.hear(Ask::Newer { have: c.book.have(), front: false }, vec![], "front1").await.0;
+            let page = c.hear(Ask::Page { name: "config".into(), more_than: 0 }, vec![], "front1").await.0;
+            (newer, page)
+        })
+    });
+    asked.await.unwrap_or_else(|| panic!("{name} is silent\n{}", tell(t)))
+}
+
+async fn says_nothing(t: &Arc<Tier>, name: &str) {
+    let (newer, page) = news(t, name).await;
+    assert!(matches!(newer, Tell::Newer { sure: false, .. }), "{newer:?}\n{}", tell(t));
+    assert!(matches!(page, Tell::No(_)), "{page:?}\n{}", tell(t));
+}
+
+#[test]
+fn a_core_that_is_cut_off_gives_no_news_and_takes_no_orders() {
+    for (size, (counts, lost)) in SIZES.into_iter().enumerate() {
+        for (i, how) in CUTS.into_iter().enumerate() {
+            let t = Tier::new(6000 + 10 * size as u64 + i as u64, counts, lost);
+            play(&t, |t| {
+                Box::pin(async move {
+                    up(&t).await;
+                    t.put_surely(0, "5 a").await;
+                    t.op.sleep(2 * SEC).await;
+                    let cores = t.names(Role::Core);
+                    let victim = cores[t.op.rand() as usize % cores.len()].clone();
+                    let other = cores.iter().find(|n| **n != victim).unwrap().clone();
+                    cut(&t, &victim, how);
+                    t.op.sleep(NOTICED).await;
+                    let takes = t.at(&victim).unwrap().owner.takes.load(SeqCst);
+                    for base in 5..12u64 {
+                        let next = format!("{} b", base + 1);
+                        assert_eq!(t.put(&other, base, &next).await, Some(PutAnswer::InForce(base + 1)), "{}", tell(&t));
+                        says_nothing(&t, &victim).await;
+                        let t0 = t.op.now();
+                        assert_eq!(t.put(&victim, base, "99 c").await, Some(PutAnswer::NoMajority));
+                        assert_eq!(t.put(&victim, base, &next).await, Some(PutAnswer::NoMajority));
+                        assert_eq!(t.read(&victim).await, Some(ReadAnswer::Away));
+                        assert!(t.op.now() < t0 + SEC, "operators wait");
+                        t.op.sleep(SEC).await;
+                    }
+                    let retired = t.on(&victim, |c| Box::pin(async move { c.retire_begin("store1").await })).await;
+                    assert_eq!(retired, Some(RetireBegin::Away));
+                    let c = t.at(&victim).unwrap();
+                    assert!(!c.has_quorum_contact());
+                    assert_eq!(c.owner.takes.load(SeqCst), takes, "it takes keys from their owners\n{}", tell(&t));
+                    t.sim.heal();
+                    let t0 = t.op.now();
+                    while t.read(&victim).await != Some(ReadAnswer::Text(12, "12 b".into())) {
+                        t.op.sleep(20 * MS).await;
+                        assert!(t.op.now() < t0 + 5 * SEC, "{how:?}: no contact after the cut\n{}", tell(&t));
+                    }
+                    println!("{} cores, {how:?}: reads again {} ms after the cut", counts[0], (t.op.now() - t0) / MS);
+                })
+            });
+        }
+    }
+}
+
+/// A core restarts and reaches no other core: what its disk holds is no news.
+#[test]
+fn a_core_that_restarts_alone_gives_no_news() {
+    for (size, (counts, lost)) in SIZES.into_iter().enumerate() {
+        let t = Tier::new(6100 + size as u64, counts, lost);
+        play(&t, |t| {
+            Box::pin(async move {
+                up(&t).await;
+                t.put_surely(0, "5 a").await;
+                t.op.sleep(2 * SEC).await;
+                t.kill("core2", true);
+                cut(&t, "core2", Cut::Both);
+                t.boot("core2", false);
+                for _ in 0..20 {
+                    t.op.sleep(100 * MS).await;
+                    if t.at("core2").is_some() {
+                        says_nothing(&t, "core2").await;
+                    }
+                }
+                t.sim.heal();
+                t.op.sleep(4 * SEC).await;
+                let (newer, _) = news(&t, "core2").await;
+                assert!(matches!(newer, Tell::Newer { sure: true, .. }), "{newer:?}\n{}", tell(&t));
+            })
+        });
+    }
+}
+
+/// One core is cut off from the others, and whoever decides reaches no front: the fronts learn it from the rest in time.
+#[test]
+fn fronts_follow_the_side_with_a_majority() {
+    let bound = Bounds::default().apply * MS;
+    let mut worst = 0;
+    for (size, (counts, lost)) in SIZES.into_iter().enumerate() {
+        for (i, how) in CUTS.into_iter().enumerate() {
+            let t = Tier::new(6200 + 10 * size as u64 + i as u64, counts, lost);
+            let us = play(&t, |t| {
+                Box::pin(async move {
+                    up(&t).await;
+                    t.put_surely(0, "5 a").await;
+                    t.op.sleep(2 * SEC).await;
+                    cut(&t, "core1", how);
+                    t.cut_from("core2", &t.names(Role::Front));
+                    t.op.sleep(NOTICED).await;
+                    let mut worst = 0;
+                    for base in 5..15u64 {
+                        let next = format!("{} b", base + 1);
+                        assert_eq!(t.put("core2", base, &next).await, Some(PutAnswer::InForce(base + 1)), "{}", tell(&t));
+                        let us = t.adopted(&next, 4 * SEC).await.unwrap_or_else(|| panic!("{how:?}\n{}", tell(&t)));
+                        worst = worst.max(us);
+                    }
+                    worst
+                })
+            });
+            println!("{} cores, {how:?}: adopted after {} ms at most", counts[0], us / MS);
+            worst = worst.max(us);
+        }
+    }
+    assert!(worst < bound, "{worst}");
+}
