--- /dev/null
+++ b/yewcross-lab/tests/relay/main.rs
@@ -0,0 +1,10 @@
+//! Routed requests through one front, against servers that misbehave: what each rule asks, counted by runs per try.
+
+mod answers;
+mod attempts;
+mod promises;
+mod requests;
+mod rig;
+mod server;
+mod stopping;
+mod streams;
