Check the retirement of a machine for linearizability, and the checker on planted histories

Planted histories that no register gives, one for each rule, are told from the sound ones beside them. A failed put of a test tells the log of its run.

--- a/yewcross-lab/src/tier.rs
+++ b/yewcross-lab/src/tier.rs
@@ -288,7 +288,7 @@
             }
             self.op.sleep(50 * MS).await;
         }
-        panic!("{text} is not acknowledged")
+        panic!("{text} is not acknowledged\n{}", tell(self))
     }
 
     /// Puts at one core until it is acknowledged; us that it took.
--- a/yewcross-lab/tests/histories.rs
+++ b/yewcross-lab/tests/histories.rs
@@ -342,6 +342,149 @@
     (0..4).for_each(|i| holds(Plan { seed: 7260 + i, counts: [8, 5, 3], tolerance: 2, operators: 4, ..PLAN }));
 }
 
+/// What an operator was told of one store machine's retirement.
+async fn ask_retire(tier: &Tier, core: &str, node: &str, call: RetireCall) -> Option<RetireAnswer> {
+    let node = node.to_string();
+    match call {
+        RetireCall::Begin => {
+            let got = tier.on(core, move |c| Box::pin(async move { c.retire_begin(&node).await })).await?;
+            match got {
+                RetireBegin::Begun => Some(RetireAnswer::Begun),
+                RetireBegin::TooFew => Some(RetireAnswer::TooFew),
+                RetireBegin::Unknown => Some(RetireAnswer::Unknown),
+                RetireBegin::Away => None,
+            }
+        }
+        RetireCall::Read => {
+            let got = tier.on(core, move |c| Box::pin(async move { c.retire_state(&node).await })).await?;
+            match got {
+                RetireState::Running => Some(RetireAnswer::Running),
+                RetireState::Finished => Some(RetireAnswer::Finished),
+                RetireState::Unknown => Some(RetireAnswer::Unknown),
+                RetireState::Away => None,
+            }
+        }
+    }
+}
+
+/// Three operators ask for a store machine's retirement and its state at any core, while cores are in trouble.
+fn retire_history(seed: u64) -> Vec<Operation<RetireRegister>> {
+    let plan = Plan { seed, counts: [4, 5, 2], length: 12 * SEC, ..PLAN };
+    let tier = Tier::new(seed, plan.counts, plan.tolerance);
+    let calls: Arc<Mutex<Vec<Operation<RetireRegister>>>> = Default::default();
+    let recorded = calls.clone();
+    play(&tier, move |tier| {
+        Box::pin(async move {
+            up(&tier).await;
+            tier.sim.weather(Weather { lose: 5, twice: 20, late: 20, jitter: 500 });
+            let until = tier.op.now() + plan.length;
+            let (done_tx, done) = async_channel::unbounded();
+            for _ in 0..3 {
+                let (tier, recorded, done_tx) = (tier.clone(), recorded.clone(), done_tx.clone());
+                tier.op.clone().go(async move {
+                    while tier.op.now() < until {
+                        let cores = tier.names(Role::Core);
+                        let core = &cores[tier.op.rand() as usize % cores.len()];
+                        let call = if tier.op.rand().is_multiple_of(12) { RetireCall::Begin } else { RetireCall::Read };
+                        let begin = tier.op.now();
+                        let answer = ask_retire(&tier, core, "store2", call).await;
+                        let ended = answer.map(|answer| Ended { at: tier.op.now(), answer });
+                        // A read without an answer has no effect.
+                        if ended.is_some() || matches!(call, RetireCall::Begin) {
+                            recorded.lock().unwrap().push(Operation { begin, call, ended });
+                        }
+                        tier.op.sleep(tier.op.rand() % (150 * MS)).await;
+                    }
+                    let _ = done_tx.send(()).await;
+                });
+            }
+            trouble(tier.clone(), plan).await;
+            for _ in 0..3 {
+                let _ = done.recv().await;
+            }
+        })
+    });
+    calls.lock().unwrap().clone()
+}
+
+#[test]
+fn retiring_a_machine_and_reading_its_state() {
+    for seed in 7300..7306 {
+        let calls = retire_history(seed);
+        let told = |answer| calls.iter().filter(|c| c.ended.as_ref().is_some_and(|e| e.answer == answer)).count();
+        let counts = [RetireAnswer::Unknown, RetireAnswer::Begun, RetireAnswer::Running, RetireAnswer::Finished].map(told);
+        let verdict = check(RetireRegister::default(), &calls);
+        println!("seed {seed}: {} calls; unknown, begun, running, finished {counts:?}; {verdict:?}", calls.len());
+        assert!(verdict.holds(), "{verdict:#?}");
+        assert!(counts[1] > 0 && counts[3] > 0, "{counts:?}");
+    }
+}
+
+/// A history of the given calls: begin, end, call, answer.
+fn config_history(calls: &[(u64, u64, ConfigCall, ConfigAnswer)]) -> Vec<Operation<ConfigRegister>> {
+    let operation = |c: &(u64, u64, ConfigCall, ConfigAnswer)| Operation {
+        begin: c.0,
+        call: c.2.clone(),
+        ended: Some(Ended { at: c.1, answer: c.3.clone() }),
+    };
+    calls.iter().map(operation).collect()
+}
+
+fn put(base: u64, number: u64, text: &str) -> ConfigCall {
+    ConfigCall::Put { base, number, text: text.into() }
+}
+
+fn text(number: u64, text: &str) -> ConfigAnswer {
+    ConfigAnswer::Text { number, text: text.into() }
+}
+
+/// Histories that no register gives, one for each rule, and the sound ones beside them.
+#[test]
+fn planted_histories_are_told_apart() {
+    let taken = |number| ConfigAnswer::Taken { number };
+    let verdict = |calls: &[(u64, u64, ConfigCall, ConfigAnswer)]| check(first_register(), &config_history(calls)).holds();
+    let first = (0, 1, put(0, 1, "a"), taken(1));
+    // Two on one base.
+    assert!(!verdict(&[first.clone(), (2, 5, put(1, 2, "b"), taken(2)), (3, 6, put(1, 2, "c"), taken(2))]));
+    assert!(verdict(&[first.clone(), (2, 5, put(1, 2, "b"), taken(2)), (3, 6, put(1, 2, "c"), ConfigAnswer::Conflict { current: 2 })]));
+    // A repeat is refused.
+    let others = [first.clone(), (2, 3, put(1, 2, "b"), taken(2)), (4, 5, put(2, 3, "c"), taken(3))];
+    let with = |last| [others.to_vec(), vec![last]].concat();
+    assert!(!verdict(&with((6, 7, put(1, 2, "b"), ConfigAnswer::Conflict { current: 3 }))));
+    assert!(verdict(&with((6, 7, put(1, 2, "b"), taken(2)))));
+    // A read of what was, after the change was acknowledged; beside it, either may be read.
+    assert!(!verdict(&with((6, 7, ConfigCall::Read, text(2, "b")))));
+    assert!(verdict(&with((4, 7, ConfigCall::Read, text(2, "b")))));
+    // A refused change is read later.
+    assert!(!verdict(&with((6, 7, ConfigCall::Read, text(4, "d")))));
+    // Two reads, the later one older.
+    let reads = |end| {
+        [first.clone(), (2, 9, put(1, 2, "b"), taken(2)), (3, end, ConfigCall::Read, text(2, "b")), (6, 7, ConfigCall::Read, text(1, "a"))]
+    };
+    assert!(!verdict(&reads(4)));
+    assert!(verdict(&reads(8)));
+    // A change without an answer may be read or not, but once it was, it stays.
+    let mut open = config_history(&[first.clone(), (6, 7, ConfigCall::Read, text(2, "b"))]);
+    open.push(Operation { begin: 2, call: put(1, 2, "b"), ended: None });
+    assert!(check(first_register(), &open).holds());
+    open.extend(config_history(&[(8, 9, ConfigCall::Read, text(1, "a"))]));
+    assert!(!check(first_register(), &open).holds());
+    // A machine that was told finished is not running again.
+    let retire = |answers: &[RetireAnswer]| {
+        let call = |a: &RetireAnswer| if matches!(a, RetireAnswer::Begun) { RetireCall::Begin } else { RetireCall::Read };
+        let operation = |(i, a): (usize, &RetireAnswer)| Operation {
+            begin: 2 * i as u64,
+            call: call(a),
+            ended: Some(Ended { at: 2 * i as u64 + 1, answer: *a }),
+        };
+        check(RetireRegister::default(), &answers.iter().enumerate().map(operation).collect::<Vec<_>>()).holds()
+    };
+    use RetireAnswer::*;
+    assert!(retire(&[Unknown, Begun, Running, Begun, Finished, Finished, Begun]));
+    assert!(!retire(&[Begun, Finished, Running]));
+    assert!(!retire(&[Begun, Unknown]));
+}
+
 /// Whether some of a few runs shows the fault.
 fn is_found(broken: Broken) -> bool {
     (0..6).any(|i| {
--- a/yewcross-lab/tests/orders.rs
+++ b/yewcross-lab/tests/orders.rs
@@ -27,6 +27,7 @@
             tier.put_surely(1, "2 the answer is lost").await;
             let newest = put_many(&tier, 2, 100).await;
             let took = tier.op.now() - sent;
+            println!("100 orders took {} ms", took / MS);
             assert!(took < 4 * SEC, "the orders took {took} us");
             for core in ["core1", "core2", "core3", "core4"] {
                 assert_eq!(tier.put(core, 1, "2 the answer is lost").await, Some(PutAnswer::InForce(2)), "{core}");
