--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -1,8 +1,10 @@
 pub mod api;
 pub mod chain;
 pub mod chain_log;
+mod chain_restore;
 pub mod chain_sweep;
 pub mod config;
+mod disk_recovery;
 pub mod duty;
 pub mod layout;
 pub mod operator;
@@ -107,13 +109,11 @@
         let members = Members::new(w, &st, &peers, &vault.id);
         members.stays.store(options.stays, SeqCst);
         let book = Book::of(w, options.dialect.clone());
-        for d in DOCS {
-            if let Some((_, b)) = vault.load("local", d).await.map_err(disk)?
-                && let Ok((seq, epoch, raw)) = serde_json::from_slice::<(u64, Epoch, String)>(&b)
-            {
-                book.adopt(d, seq, epoch, raw.into_bytes());
-            }
-        }
+        // Read before any task writes there: a scan removes files that are not yet renamed.
+        let local = vault.scan("local").await.map_err(disk)?;
+        let kept_pages = load_pages(&book, &local);
+        let kept_peers = load_peers(&local);
+        *members.known.lock().unwrap() = kept_peers.addresses.clone();
         let proved = vault.load("local", "proved").await.map_err(disk)?.map(|x| x.0).unwrap_or(0);
         replica.lay.store(book.layout.load().0, SeqCst);
         let (b, m) = (book.clone(), members.clone());
@@ -184,12 +184,13 @@
         w.go(c.peers.clone().serve(door, Arc::new(Ear(c.clone()))));
         w.go(c.members.clone().run());
         w.go(c.follow.clone().run());
-        w.go(keep_pages(c.clone()));
+        w.go(keep_pages(c.clone(), kept_pages));
         if c.options.tends {
-            w.go(keep_peers(c.clone()));
+            w.go(keep_peers(c.clone(), kept_peers));
         }
         w.go(layout::sweep(c.clone()));
         w.go(tidy(c.clone()));
+        w.go(disk_recovery::run(c.clone()));
         if c.st.role == Role::Core {
             w.go(duty::run(c.clone()));
         }
@@ -199,9 +200,13 @@
     pub async fn hear(self: &Arc<Self>, a: Ask, blob: Vec<u8>, from: &str) -> (Tell, Vec<u8>) {
         match a {
             Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => (self.members.hear(a).await, vec![]),
-            Ask::Reg(r) => {
-                let (t, b) = self.replica.hear(r, blob).await;
-                (Tell::Reg(t), b)
+            Ask::Reg(request) => self.unnamed_register_request(request, blob).await,
+            Ask::Register { disk, .. } | Ask::SweepDone { disk, .. } if !disk.is_empty() && disk != self.vault.id => {
+                (Tell::OtherDisk { disk: self.vault.id.clone() }, vec![])
+            }
+            Ask::Register { request, .. } => {
+                let (reply, value) = self.replica.hear(request, blob).await;
+                (Tell::Register { disk: self.vault.id.clone(), reply }, value)
             }
             Ask::Newer { have, front } => (config::newer(self, have, front, from).await, vec![]),
             Ask::Page { name, more_than } => {
@@ -216,8 +221,8 @@
                 self.book.adopt(&name, seq, epoch, blob);
                 (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
             }
-            Ask::Patch { name, seq, epoch, base } => {
-                self.book.patch(&name, base, seq, epoch, &blob);
+            Ask::Patch { name, seq, epoch, base, base_digest } => {
+                let _ = self.book.patch(&name, base, &base_digest, seq, epoch, &blob);
                 (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
             }
             Ask::Grants { name, seq } => (config::grants(self, &name, seq).await, vec![]),
@@ -229,17 +234,23 @@
                 self.sweep_call.notify(usize::MAX);
                 (Tell::Ok, vec![])
             }
-            Ask::SweepDone { layout } => {
-                let (beside, left) = self.chain.swept(layout);
-                let kept = self.layout_kept();
-                let done = self.swept.load(SeqCst) >= layout && kept >= layout && beside;
-                (Tell::Swept { done, left: self.sweep_left.load(SeqCst) + left, kept }, vec![])
-            }
+            Ask::SweepDone { layout, .. } => (layout::report(self, layout), vec![]),
             Ask::Chain => (Tell::Chain, self.chain.hear(blob).await),
             a => self.store.hear(a, blob).await,
         }
     }
 
+    /// An asker that names no disk means whichever was at this address when it last looked. Only a disk that the layout it
+    /// keeps gives a seat may be that one: a disk that has just been made here has none yet.
+    async fn unnamed_register_request(&self, request: RegisterRequest, blob: Vec<u8>) -> (Tell, Vec<u8>) {
+        let seated = self.book.layout.load().1.has_seat(&self.vault.id);
+        if !seated {
+            return (Tell::Reg(RegisterReply::Away), vec![]);
+        }
+        let (reply, value) = self.replica.hear(request, blob).await;
+        (Tell::Reg(reply), value)
+    }
+
     /// A planned stop: operators' requests under way are answered, then the others are told.
     pub async fn stop(&self) {
         self.members.leave().await;
@@ -274,47 +285,83 @@
     }
 }
 
-/// Documents a control node adopts are kept on its own disk, so that a restart begins from them.
-async fn keep_pages(c: Arc<Control>) {
-    let mut kept: BTreeMap<&str, u64> = BTreeMap::new();
-    for d in DOCS {
-        kept.insert(d, c.book.page(d).seq);
+/// A document as this node's own disk holds it.
+#[derive(Clone, Copy, Default)]
+struct KeptPage {
+    /// Version of the file. It counts the writes, not the documents: each write removes the file of the version before.
+    file_version: u64,
+    /// Sequence number of the document.
+    seq: u64,
+}
+
+/// A file of a folder: its name, its version, and its body unless that is damaged.
+type StoredFile = (String, u64, Option<Vec<u8>>);
+
+/// Takes the documents of a folder into the book; which files they stand in. A damaged file counts with its version, so that the
+/// next one is newer.
+fn load_pages(book: &Book, folder: &[StoredFile]) -> BTreeMap<&'static str, KeptPage> {
+    let mut kept = BTreeMap::new();
+    for (name, file_version, body) in folder {
+        let Some(document) = DOCS.into_iter().find(|d| d == name) else { continue };
+        let body = body.as_ref().and_then(|b| serde_json::from_slice::<(u64, Epoch, String)>(b).ok());
+        if let Some((seq, epoch, raw)) = body {
+            book.adopt(document, seq, epoch, raw.into_bytes());
+        }
+        kept.insert(document, KeptPage { file_version: *file_version, seq: book.page(document).seq });
     }
+    kept
+}
+
+/// Documents a control node adopts are kept on its own disk, so that a restart begins from them. One that is adopted and
+/// not yet kept is asked for again: a node believes no more than what its disk held, and is told of the rest as news.
+async fn keep_pages(c: Arc<Control>, mut kept: BTreeMap<&'static str, KeptPage>) {
     loop {
         let moved = c.book.moved.listen();
         // Where cores are asked for all else, only the layout must be known again before anybody answers.
         for d in DOCS.into_iter().filter(|d| !c.options.tends || *d == "layout") {
-            let p = c.book.page(d);
-            if p.seq > kept[d] {
-                let b = serde_json::to_vec(&(p.seq, p.epoch, String::from_utf8_lossy(&p.raw))).unwrap_or_default();
-                if c.vault.keep("local", d, p.seq, &b).await.is_ok() {
-                    kept.insert(d, p.seq);
-                    if d == "layout" {
-                        c.replica.lay.fetch_max(p.seq, SeqCst);
-                    }
-                }
+            let page = c.book.page(d);
+            let before = kept.get(d).copied().unwrap_or_default();
+            if page.seq <= before.seq {
+                continue;
+            }
+            let now = KeptPage { file_version: before.file_version + 1, seq: page.seq };
+            let body = serde_json::to_vec(&(page.seq, page.epoch, String::from_utf8_lossy(&page.raw))).unwrap_or_default();
+            if c.vault.keep("local", d, now.file_version, &body).await.is_err() {
+                continue;
+            }
+            kept.insert(d, now);
+            if d == "layout" {
+                c.replica.lay.fetch_max(page.seq, SeqCst);
             }
         }
         c.w.within(if c.vault.failed.load(SeqCst) { 50 * MS } else { 10 * SEC }, moved).await;
     }
 }
 
+/// Addresses of machines with disks, as this node's own disk holds them.
+#[derive(Default)]
+struct KeptPeers {
+    file_version: u64,
+    addresses: Vec<std::net::SocketAddr>,
+}
+
+fn load_peers(folder: &[StoredFile]) -> KeptPeers {
+    let Some((_, file_version, body)) = folder.iter().find(|f| f.0 == "peers") else { return KeptPeers::default() };
+    let addresses = body.as_ref().and_then(|b| serde_json::from_slice(b).ok()).unwrap_or_default();
+    KeptPeers { file_version: *file_version, addresses }
+}
+
 /// Addresses of machines with disks are kept, so that a restart finds them where its seeds are down.
-async fn keep_peers(c: Arc<Control>) {
-    let was = c.vault.load("local", "peers").await.ok().flatten();
-    let (mut ver, mut kept) =
-        was.and_then(|(v, b)| Some((v, serde_json::from_slice::<Vec<std::net::SocketAddr>>(&b).ok()?))).unwrap_or_default();
-    *c.members.known.lock().unwrap() = kept.clone();
+async fn keep_peers(c: Arc<Control>, mut kept: KeptPeers) {
     loop {
         let moved = c.members.moved.listen();
         let mut now: Vec<_> = c.members.view.load().values().filter(|n| !n.disk.is_empty()).map(|n| n.peer).collect();
         now.sort();
-        if now != kept
+        if now != kept.addresses
             && now.len() > 1
-            && c.vault.keep("local", "peers", ver + 1, &serde_json::to_vec(&now).unwrap_or_default()).await.is_ok()
+            && c.vault.keep("local", "peers", kept.file_version + 1, &serde_json::to_vec(&now).unwrap_or_default()).await.is_ok()
         {
-            ver += 1;
-            kept = now;
+            kept = KeptPeers { file_version: kept.file_version + 1, addresses: now };
         }
         c.w.sleep(PEERS_KEPT).await;
         moved.await;
--- a/yewcross-lab/src/lib.rs
+++ b/yewcross-lab/src/lib.rs
@@ -1,6 +1,7 @@
 pub mod caller;
 pub mod fleet;
 pub mod grind;
+pub mod history;
 pub mod platform;
 pub mod proof;
 pub mod rogue;
@@ -9,3 +10,4 @@
 pub mod shape;
 pub mod sim;
 pub mod standin;
+pub mod tier;
