Share the ways to cut a core off between the tests of duties and of contact

The kinds of cut, the function that makes one and the sizes of tier stood alike in tests/duty.rs and tests/contact.rs. They stand in tests/support/cuts.rs now.

--- a/yewcross-lab/tests/contact.rs
+++ b/yewcross-lab/tests/contact.rs
@@ -9,32 +9,13 @@
 use yewcross_control::api::*;
 use yewcross_lab::tier::*;
 
-/// How a core is cut off from the other cores.
-#[derive(Clone, Copy, Debug)]
-enum Cut {
-    /// What it sends is lost.
-    Outward,
-    /// What is sent to it is lost.
-    Inward,
-    Both,
-}
+#[path = "support/cuts.rs"]
+mod cuts;
+use cuts::{CUTS, Cut, SIZES, cut};
 
-const CUTS: [Cut; 3] = [Cut::Outward, Cut::Inward, Cut::Both];
-/// Cores, stores and fronts, and disks that may be lost.
-const SIZES: [([usize; 3], usize); 3] = [([4, 4, 6], 1), ([5, 5, 6], 2), ([8, 5, 6], 2)];
 /// Contact is lost within half of the time to apply; a question under way may take that of another round.
 const NOTICED: u64 = 1500 * MS;
 
-fn cut(t: &Tier, name: &str, how: Cut) {
-    let cores = t.names(Role::Core);
-    if matches!(how, Cut::Outward | Cut::Both) {
-        t.cut_from(name, &cores);
-    }
-    if matches!(how, Cut::Inward | Cut::Both) {
-        t.cut_to(name, &cores);
-    }
-}
-
 /// What a core says when it is asked for news of everything.
 async fn news(t: &Arc<Tier>, name: &str) -> (Tell, Tell) {
     let asked = t.on(name, |c| {
--- a/yewcross-lab/tests/duty.rs
+++ b/yewcross-lab/tests/duty.rs
@@ -9,33 +9,13 @@
 use yewcross_lab::sim::{Costs, Weather};
 use yewcross_lab::tier::*;
 
+#[path = "support/cuts.rs"]
+mod cuts;
+use cuts::{CUTS, Cut, SIZES, cut};
+
 /// Longest time without a process on duty while a majority of the core seats can reach each other.
 const TAKEOVER: u64 = 2 * SEC;
 
-/// How a core is cut off from the other cores.
-#[derive(Clone, Copy, Debug)]
-enum Cut {
-    /// What it sends is lost.
-    Outward,
-    /// What is sent to it is lost.
-    Inward,
-    Both,
-}
-
-const CUTS: [Cut; 3] = [Cut::Outward, Cut::Inward, Cut::Both];
-/// Cores, stores and fronts, and disks that may be lost.
-const SIZES: [([usize; 3], usize); 3] = [([4, 4, 6], 1), ([5, 5, 6], 2), ([8, 5, 6], 2)];
-
-fn cut(t: &Tier, name: &str, how: Cut) {
-    let cores = t.names(Role::Core);
-    if matches!(how, Cut::Outward | Cut::Both) {
-        t.cut_from(name, &cores);
-    }
-    if matches!(how, Cut::Inward | Cut::Both) {
-        t.cut_to(name, &cores);
-    }
-}
-
 fn server(n: usize, leaving: bool) -> Listed {
     let addr = std::net::SocketAddr::new([10, 7, 0, n as u8].into(), 80);
     Listed { server: format!("s{n}"), service: "llm".into(), addr, site: "z1".into(), leaving }
