Cut values at closing braces too, so that one route of a document travels alone

Cause: a configuration is JSON in one line, and a delta copies whole lines: each change of one route sent the whole text to every node and every core disk (72 nodes, hundreds of changes: more than a core's link takes).

Change: a delta's chunks end behind each line feed and each closing brace; a chunk shorter than a copy's head is sent as it is. The format of deltas is unchanged, older nodes read them.

Measured: one route of sixty: under 120 bytes (test one_route_of_a_document_in_one_line_travels_alone; it failed before, the line travelled).

--- a/yewcross/src/delta.rs
+++ b/yewcross/src/delta.rs
@@ -1,17 +1,27 @@
-//! What changed between two values made of lines, so that only that travels between sites.
+//! What changed between two values, so that only that travels between sites.
+//!
+//! Values are cut behind each line feed and each closing brace: documents are JSON, which may stand in one line, and what
+//! changes in them is an object or two.
 
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Copies of runs of old lines and new bytes between them, closed by a checksum of the whole.
+/// bytes. What a copy costs: a chunk no longer than this is cheaper as it is, unless it goes on from the copy before.
+const COPY: usize = 12;
+
+fn ends_chunk(byte: &u8) -> bool {
+    matches!(byte, b'\n' | b'}')
+}
+
+/// Copies of runs of old chunks and new bytes between them, closed by a checksum of the whole.
 pub fn diff(old: &[u8], new: &[u8]) -> Vec<u8> {
     let mut at = BTreeMap::new();
-    // Most values grow at their end: what leads both alike is skipped in blocks, then cut at a line.
+    // Most values grow at their end: what leads both alike is skipped in blocks, then cut at the end of a chunk.
     let alike = old.chunks(256).zip(new.chunks(256)).take_while(|(a, b)| a == b).count() * 256;
     let alike = alike.min(old.len()).min(new.len());
-    let head = old[..alike].iter().rposition(|b| *b == b'\n').map_or(0, |i| i + 1);
+    let head = old[..alike].iter().rposition(ends_chunk).map_or(0, |i| i + 1);
     let mut o = head;
-    old[head..].split_inclusive(|b| *b == b'\n').for_each(|l| {
+    old[head..].split_inclusive(ends_chunk).for_each(|l| {
         at.entry(xxh3_64(l)).or_insert(o);
         o += l.len();
     });
@@ -21,11 +31,11 @@
         [from, len, lit.len()].iter().for_each(|n| out.extend((*n as u32).to_le_bytes()));
         out.append(lit);
     };
-    new[head..].split_inclusive(|b| *b == b'\n').for_each(|l| {
+    new[head..].split_inclusive(ends_chunk).for_each(|l| {
         let next = from + len;
         let hit = Some(next)
             .filter(|n| lit.is_empty() && old[*n..].starts_with(l))
-            .or_else(|| at.get(&xxh3_64(l)).cloned())
+            .or_else(|| at.get(&xxh3_64(l)).cloned().filter(|_| l.len() > COPY))
             .filter(|n| old[*n..].starts_with(l));
         match hit {
             Some(n) if n == next && lit.is_empty() => len += l.len(),
@@ -85,4 +95,16 @@
         new.extend(b"one more\n");
         assert!(diff(&old, &new).len() < 60);
     }
+
+    #[test]
+    fn one_route_of_a_document_in_one_line_travels_alone() {
+        let document = |weight: u32| -> Vec<u8> {
+            let routes = (0..60).map(|n| format!("{{\\\"label\\\":\\\"r{n}\\\",\\\"weight\\\":{}}}", if n == 40 { weight } else { n }));
+            format!("{{\"text\":\"{}\"}}", routes.collect::<Vec<_>>().join(",")).into_bytes()
+        };
+        let (old, new) = (document(7), document(8));
+        let changes = diff(&old, &new);
+        assert!(changes.len() < 120, "{} of {}", changes.len(), new.len());
+        assert_eq!(patch(&old, &changes), Some(new));
+    }
 }
