--- a/yewcross-control/src/api.rs
+++ b/yewcross-control/src/api.rs
@@ -3,9 +3,9 @@
 use crate::{Control, config, duty, layout};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
+pub use yewcross::orders::{PutAnswer, RetireBegin};
 use yewcross::port::{Catalogue, Dialect, Native};
 use yewcross::startup::Role;
-use yewcross::tree::Bad;
 
 /// When a put is acknowledged.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -37,25 +37,6 @@
     }
 }
 
-/// The answer to a put; versions are the operator's numbers where the dialect has them, and the tier's own otherwise.
-#[derive(Clone, Debug, PartialEq)]
-pub enum PutAnswer {
-    /// It is acknowledged: this exact text is, or once was, in force under this number.
-    InForce(u64),
-    /// Another version than the base is current. Nothing was done and never will be.
-    Conflict(u64),
-    /// The text is refused. Nothing was done and never will be.
-    Bad(Vec<Bad>),
-    /// The tier is not founded yet. Nothing was done.
-    NotFounded,
-    /// No majority of core disks could be asked. Nothing was done.
-    NoMajority,
-    /// Some disk may hold it; sent again unchanged, it is decided.
-    Undecided,
-    /// Its number is not above those of orders that are no longer remembered: it may have been taken long ago, or not.
-    Forgotten,
-}
-
 #[derive(Clone, Debug, PartialEq)]
 pub enum ReadAnswer {
     /// The newest configuration: its number and the operator's text, byte for byte.
@@ -66,18 +47,6 @@
     Away,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RetireBegin {
-    /// Begun now or before.
-    Begun,
-    /// No store machine of this name is known.
-    Unknown,
-    /// Fewer than `2 * Bounds::lost + 1` store seats would remain.
-    TooFew,
-    /// No majority of core disks could be asked, or some disk may hold the order; it may be sent again.
-    Away,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetireState {
     Running,
--- a/yewcross-control/src/config/orders.rs
+++ b/yewcross-control/src/config/orders.rs
@@ -9,9 +9,10 @@
 use super::push;
 use crate::Control;
 use crate::api::{PutAnswer, Rollout};
+use crate::proposer::{self, NotAnswered};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
-use yewcross::ask::{ConfigDoc, TakenOrder};
+use yewcross::ask::{Ask, ConfigDoc, TakenOrder, Tell};
 use yewcross::code::Code;
 use yewcross::consts::*;
 use yewcross::reg::{Step, Trouble};
@@ -157,23 +158,91 @@
         return PutAnswer::NotFounded;
     }
     c.counts.puts.fetch_add(1, SeqCst);
+    if let Some(answer) = answer_by_what_is_held(c, base, &text) {
+        return answer;
+    }
     let (answer_tx, answer) = async_channel::bounded(1);
     let control = c.clone();
     // It runs on its own: whoever asked may go, and half a change is never dropped.
     c.w.go(async move {
-        let _ = answer_tx.try_send(order_by_majority(&control, base, &text).await);
+        let _ = answer_tx.try_send(order_by_proposer(&control, base, text).await);
     });
     let answer = c.w.within(answer_within(c), answer.recv()).await;
     answer.and_then(|a| a.ok()).unwrap_or(PutAnswer::Undecided)
 }
 
-async fn order_by_majority(c: &Arc<Control>, base: u64, text: &str) -> PutAnswer {
+/// What a decided document tells of an order for good: what it knows as taken stays taken. That an order is in conflict is told
+/// with the newest version, which only the proposer knows.
+fn answer_by_what_is_held(c: &Control, base: u64, text: &str) -> Option<PutAnswer> {
+    let page = c.book.page("config");
+    let order = Order { base, number: c.options.dialect.number(text.as_bytes()), text, attempt: "", now_ms: 0, kept_ms: 0 };
+    match decide(page.seq, &page.raw, &order) {
+        Step::Keep(Decision::Taken(taken)) => Some(PutAnswer::InForce(taken.number)),
+        _ => None,
+    }
+}
+
+/// Has an order decided by the process that proposes, this one or another.
+async fn order_by_proposer(c: &Arc<Control>, base: u64, text: String) -> PutAnswer {
+    let until = c.w.now() + answer_within(c) * 9 / 10;
+    let mut may_be_taken = false;
+    while c.w.now() < until {
+        let left = until.saturating_sub(c.w.now());
+        let answer = match c.duty_term() {
+            Some(_) => order_here(c, base, &text, left).await,
+            None => match proposer::forward(c, &Ask::Order { base }, text.as_bytes(), left).await {
+                Ok((Tell::Order(answer), _)) => Some(answer),
+                Err(NotAnswered::Unknown) => {
+                    may_be_taken = true;
+                    None
+                }
+                _ => None,
+            },
+        };
+        match answer {
+            Some(PutAnswer::NoMajority | PutAnswer::Busy) if may_be_taken => return PutAnswer::Undecided,
+            Some(answer) => return answer,
+            None => proposer::wait_for_one(c).await,
+        }
+    }
+    if may_be_taken { PutAnswer::Undecided } else { PutAnswer::NoMajority }
+}
+
+/// An order that another core passed on, which has checked its text.
+pub async fn take_forwarded(c: &Arc<Control>, base: u64, text: Vec<u8>) -> Tell {
+    let Ok(text) = String::from_utf8(text) else { return Tell::No(Code::BadConfig) };
+    if c.duty_term().is_none() {
+        return Tell::No(Code::NotOnDuty);
+    }
+    let (answer_tx, answer) = async_channel::bounded(1);
+    let control = c.clone();
+    c.w.go(async move {
+        let limit = answer_within(&control) * 9 / 10;
+        let _ = answer_tx.try_send(order_here(&control, base, &text, limit).await);
+    });
+    match answer.recv().await {
+        Ok(Some(answer)) => Tell::Order(answer),
+        _ => Tell::No(Code::NotOnDuty),
+    }
+}
+
+/// None where this process does not propose any more.
+async fn order_here(c: &Arc<Control>, base: u64, text: &str, us: u64) -> Option<PutAnswer> {
+    if c.counts.orders_waiting.fetch_add(1, SeqCst) >= ORDERS_WAITING as u64 {
+        c.counts.orders_waiting.fetch_sub(1, SeqCst);
+        return Some(PutAnswer::Busy);
+    }
+    let answer = order_by_majority(c, base, text, us).await;
+    c.counts.orders_waiting.fetch_sub(1, SeqCst);
+    answer
+}
+
+async fn order_by_majority(c: &Arc<Control>, base: u64, text: &str, us: u64) -> Option<PutAnswer> {
     let attempt = format!("{}-{:016x}", c.st.name, c.w.rand());
     let (now_ms, _) = c.members.clock();
     let order =
         Order { base, number: c.options.dialect.number(text.as_bytes()), text, attempt: &attempt, now_ms, kept_ms: kept_ms(&c.st.bounds) };
-    let limit = answer_within(c) * 9 / 10;
-    match c.owner.change("config", limit, |seq, value| decide(seq, value, &order)).await {
+    let answer = match c.owner.change("config", us, |seq, value| decide(seq, value, &order)).await {
         Ok(Decision::Taken(taken)) => {
             push(c, "config", taken.seq, taken.document);
             PutAnswer::InForce(taken.number)
@@ -185,9 +254,11 @@
             c.w.log("the configuration in the register cannot be read");
             PutAnswer::Undecided
         }
+        Err(Trouble::NotProposer) => return None,
         Err(Trouble::NotDone) => PutAnswer::NoMajority,
         Err(Trouble::Undecided) => PutAnswer::Undecided,
-    }
+    };
+    Some(answer)
 }
 
 /// The same where fronts serve under leases.
--- a/yewcross-control/src/config/proved.rs
+++ b/yewcross-control/src/config/proved.rs
@@ -116,7 +116,7 @@
         }
         Ok(Err((_, Some(b)))) => Put::No(Code::NoMajority, b.why, vec![]),
         Ok(Err((s, None))) => Put::No(Code::Conflict, format!("newest is {s}"), vec![]),
-        Err(Trouble::NotDone) => Put::No(Code::NoMajority, String::new(), vec![]),
+        Err(Trouble::NotDone | Trouble::NotProposer) => Put::No(Code::NoMajority, String::new(), vec![]),
         Err(Trouble::Undecided) => Put::No(Code::Undecided, "some disk may hold it".into(), vec![]),
     }
 }
@@ -129,7 +129,7 @@
     c.members.all().into_iter().filter(|n| n.name != c.st.name).for_each(|n| {
         let (me, tx, raw, name) = (c.clone(), tx.clone(), raw.clone(), name.to_string());
         c.w.go(async move {
-            let a = Ask::Adopt { name, seq, epoch };
+            let a = Ask::Adopt { name, seq, epoch, relays: vec![] };
             while me.w.now() < t0 + PUT_WAIT {
                 match me.peers.ask(n.peer, &a, &raw, PEER_WAIT).await {
                     Ok((Tell::Adopted { seq: s }, _)) if s >= seq => {
--- a/yewcross-control/src/config/read.rs
+++ b/yewcross-control/src/config/read.rs
@@ -1,7 +1,7 @@
 //! Reading the newest configuration back.
 
-use crate::Control;
 use crate::api::ReadAnswer;
+use crate::{Control, proposer};
 use std::sync::Arc;
 use yewcross::ask::ConfigDoc;
 use yewcross::consts::PEER_WAIT;
@@ -11,7 +11,7 @@
     if c.book.layout.load().0 == 0 {
         return ReadAnswer::Away;
     }
-    let Ok((seq, epoch, raw)) = c.owner.newest("config", PEER_WAIT).await else { return ReadAnswer::Away };
+    let Ok((seq, epoch, raw)) = proposer::newest(c, "config", PEER_WAIT).await else { return ReadAnswer::Away };
     c.book.adopt("config", seq, epoch, raw.to_vec());
     let Ok(document) = ConfigDoc::decode(&raw) else { return ReadAnswer::Away };
     if document.text.is_empty() {
--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -5,17 +5,19 @@
 
 use crate::contact::Contact;
 use crate::lease::*;
-use crate::{Control, layout, lease_holder, platform_list};
+use crate::{Control, config, layout, lease_holder, platform_list};
 use event_listener::Event;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use yewcross::ask::*;
 use yewcross::book::{Book, DOCS};
 use yewcross::consts::*;
 use yewcross::lease::*;
+use yewcross::startup::Role;
 use yewcross::vault::Vault;
 use yewcross::world::*;
 
@@ -26,10 +28,27 @@
 /// Name of the file that keeps the highest term granted.
 const TERM_FILE: &str = "lease";
 
-/// The highest term on this disk, and the version of the file that says so.
-struct KeptTerm {
+/// Name of the file that counts the processes that have started on the disk.
+const LIFE_FILE: &str = "life";
+
+/// The last grant on this disk, and the version of the file that says so.
+struct GrantFile {
     version: u64,
-    term: u64,
+    grant: KeptGrant,
+}
+
+/// Counts this process among those that have started on the disk; 0 where the disk cannot say or keep it.
+async fn begin_life(w: &World, vault: &Vault) -> io::Result<u64> {
+    let before = vault.load("local", LIFE_FILE).await?.map_or(0, |kept| kept.0);
+    let life = before + 1;
+    let kept = w.within(SYNC_WAIT, vault.keep("local", LIFE_FILE, life, &life.to_le_bytes())).await;
+    Ok(if matches!(kept, Some(Ok(()))) { life } else { 0 })
+}
+
+/// Programs before the holder was kept wrote the term alone.
+fn read_grant(body: &[u8]) -> KeptGrant {
+    let term_alone = || <[u8; 8]>::try_from(body).map(u64::from_le_bytes).unwrap_or(0);
+    serde_json::from_slice(body).unwrap_or_else(|_| KeptGrant { term: term_alone(), ..KeptGrant::default() })
 }
 
 pub struct Duties {
@@ -38,9 +57,13 @@
     pub holder: Mutex<Holder>,
     contact: Mutex<Contact>,
     had_contact: AtomicBool,
-    kept: futures_util::lock::Mutex<KeptTerm>,
+    kept: futures_util::lock::Mutex<GrantFile>,
     /// The term whose holder has fenced off all earlier ones.
     pub fenced: AtomicU64,
+    /// us. A holder that could not take the documents does not stand again before this.
+    pub unfit_until: AtomicU64,
+    /// The holder that a core seat told of last, and when that was asked.
+    told_holder: Mutex<Option<(Candidate, u64)>>,
     /// This process is about to stop and wants the lease no more.
     pub resigned: AtomicBool,
     /// The lease was taken, lost or released.
@@ -61,20 +84,23 @@
 }
 
 impl Duties {
-    /// Reads the highest term that this disk has granted.
-    pub async fn open(w: &World, vault: &Vault, book: &Book, process: u64) -> io::Result<Duties> {
+    /// Reads the last grant that this disk has given.
+    pub async fn open(w: &World, vault: &Vault, book: &Book, process: u64, role: Role) -> io::Result<Duties> {
         let kept = vault.load("local", TERM_FILE).await?;
-        let term = kept.as_ref().and_then(|(_, b)| Some(u64::from_le_bytes(b.as_slice().try_into().ok()?))).unwrap_or(0);
+        let grant = kept.as_ref().map(|(_, body)| read_grant(body)).unwrap_or_default();
         let version = kept.map_or(0, |x| x.0);
+        let life = if role == Role::Core { begin_life(w, vault).await? } else { 0 };
         let fresh = book.layout.load().0 == 0;
         Ok(Duties {
-            candidate: Candidate { disk: vault.id.clone(), process },
-            granter: Mutex::new(Granter::new(LEASE_TIMES, w.now(), term, fresh)),
+            candidate: Candidate { disk: vault.id.clone(), process, life },
+            granter: Mutex::new(Granter::new(LEASE_TIMES, w.now(), grant.clone(), fresh)),
             holder: Mutex::new(Holder::new(LEASE_TIMES)),
             contact: Default::default(),
             had_contact: AtomicBool::new(false),
-            kept: futures_util::lock::Mutex::new(KeptTerm { version, term }),
+            kept: futures_util::lock::Mutex::new(GrantFile { version, grant }),
             fenced: AtomicU64::new(0),
+            unfit_until: AtomicU64::new(0),
+            told_holder: Mutex::default(),
             resigned: AtomicBool::new(false),
             changed: Event::new(),
             taken: AtomicU64::new(0),
@@ -104,8 +130,9 @@
     if verdict == Verdict::Released {
         c.duties.changed.notify(usize::MAX);
     }
-    let term = with_granter(c, |granter, _| granter.term());
-    LeaseTell { granter: c.vault.id.clone(), term, verdict, versions: versions(c).await }
+    let (term, holder) = with_granter(c, |granter, now| (granter.term(), granter.holder(now).cloned()));
+    let holder = holder.filter(|_| ask.wants_holder);
+    LeaseTell { granter: c.vault.id.clone(), term, verdict, versions: versions(c).await, holder }
 }
 
 async fn decide(c: &Control, ask: &LeaseAsk) -> Verdict {
@@ -115,27 +142,32 @@
     if !has_seat(&c.book.layout.load().1, &c.vault.id) {
         return Verdict::Refused(Refusal::OtherSeats);
     }
-    let (verdict, term) = with_granter(c, |granter, now| {
+    let (is_freed, verdict, to_keep) = with_granter(c, |granter, now| {
+        let is_freed = granter.meet(&ask.candidate);
         let verdict = granter.answer(now, &ask.candidate, ask.seats, ask.call);
-        (verdict, granter.term())
+        (is_freed, verdict, granter.to_keep())
     });
-    if verdict == Verdict::Granted && !keep_term(c, term).await {
+    if is_freed {
+        c.duties.changed.notify(usize::MAX);
+    }
+    if verdict == Verdict::Granted && !keep_grant(c, &to_keep).await {
         return Verdict::Refused(Refusal::DiskFailed);
     }
     verdict
 }
 
-/// Returns once the term is on disk.
-async fn keep_term(c: &Control, term: u64) -> bool {
+/// Returns once the grant is on disk. Its extensions change nothing there, until they count in other seats.
+async fn keep_grant(c: &Control, grant: &KeptGrant) -> bool {
     let mut kept = c.duties.kept.lock().await;
-    if kept.term >= term {
+    if kept.grant == *grant || kept.grant.term > grant.term {
         return true;
     }
     let version = kept.version + 1;
-    if c.vault.keep("local", TERM_FILE, version, &term.to_le_bytes()).await.is_err() {
+    let body = serde_json::to_vec(grant).unwrap_or_default();
+    if c.vault.keep("local", TERM_FILE, version, &body).await.is_err() {
         return false;
     }
-    *kept = KeptTerm { version, term };
+    *kept = GrantFile { version, grant: grant.clone() };
     true
 }
 
@@ -155,7 +187,8 @@
 /// Puts one question to one seat. Its answer counts as contact.
 pub async fn ask_seat(c: &Arc<Control>, disk: &str, call: LeaseCall) -> Option<LeaseTell> {
     let seats = seats_digest(&c.book.layout.load().1);
-    let ask = LeaseAsk { granter: disk.into(), candidate: c.duties.candidate.clone(), seats, call };
+    let wants_holder = with_granter(c, |granter, now| granter.holder(now).is_none());
+    let ask = LeaseAsk { granter: disk.into(), candidate: c.duties.candidate.clone(), seats, call, wants_holder };
     let sent = c.w.now();
     let tell = if disk == c.vault.id {
         answer(c, &ask).await
@@ -171,9 +204,21 @@
         return None;
     }
     c.duties.contact.lock().unwrap().heard(disk, sent, &tell.versions);
+    if let Some(holder) = &tell.holder {
+        *c.duties.told_holder.lock().unwrap() = Some((holder.clone(), sent));
+    }
     Some(tell)
 }
 
+/// Where the process is that holds the lease, as far as this seat granted it or was told lately; none if it is this one.
+pub fn holder_address(c: &Control) -> Option<SocketAddr> {
+    let granted = with_granter(c, |granter, now| granter.holder(now).cloned());
+    let told = || c.duties.told_holder.lock().unwrap().clone().filter(|(_, at)| c.w.now() < at + LEASE_LENGTH).map(|told| told.0);
+    let holder = granted.or_else(told)?;
+    let is_other = holder.disk != c.vault.id;
+    is_other.then(|| c.members.by_disk(&holder.disk).map(|node| node.peer)).flatten()
+}
+
 /// Puts one question to several seats at once.
 pub fn ask_seats(c: &Arc<Control>, disks: Vec<String>, call: LeaseCall) -> async_channel::Receiver<Option<LeaseTell>> {
     let questions = disks
@@ -204,9 +249,14 @@
     /// The term of the lease that this process holds at this moment and under which it may act. Asked right before every
     /// act, so that a process that woke from a freeze does not act on an old lease.
     pub fn duty_term(&self) -> Option<u64> {
-        let ready = self.founded.load(SeqCst) && !self.members.replaced.is_set() && !self.vault.failed.load(SeqCst);
-        let held = self.duties.holder.lock().unwrap().held(self.w.now());
-        held.filter(|term| ready && self.duties.fenced.load(SeqCst) == *term)
+        let founded = self.founded.load(SeqCst);
+        self.lease_term().filter(|term| founded && self.duties.fenced.load(SeqCst) == *term)
+    }
+
+    /// The term of the lease that this process holds, whether or not it has taken the documents yet. It may propose.
+    pub fn lease_term(&self) -> Option<u64> {
+        let ready = !self.members.replaced.is_set() && !self.vault.failed.load(SeqCst);
+        self.duties.holder.lock().unwrap().held(self.w.now()).filter(|_| ready)
     }
 
     /// Both duties lie with the holder of the one lease.
@@ -250,7 +300,8 @@
     c.has_quorum_contact()
 }
 
-/// Asks a majority of the core seats, in turns, often enough for the bound.
+/// Asks a majority of the core seats, in turns, three times in the bound; all seats once a round left it short, since with as
+/// many missing as are tolerated the turns alone would leave it short again and again.
 async fn keep_contact(c: Arc<Control>) {
     let every = contact_bound(c.st.bounds.apply) / 3;
     let mut turn = c.w.rand() as usize % 64;
@@ -258,13 +309,15 @@
         let layout = c.book.layout.load_full();
         let others: Vec<String> = all_seats(&layout.1.core).into_iter().filter(|d| *d != c.vault.id).collect();
         c.duties.contact.lock().unwrap().retain(&layout.1.core);
-        let asked = seats_in_turn(&layout.1.core, others, &c.vault.id, turn, c.has_quorum_contact());
+        let heard_at = c.duties.contact.lock().unwrap().since(&layout.1.core);
+        let last_round_was_enough = c.w.now() < heard_at + every * 3 / 2;
+        let asked = seats_in_turn(&layout.1.core, others, &c.vault.id, turn, last_round_was_enough);
         turn += 1;
         if has_seat(&layout.1, &c.vault.id) {
             ask_seat(&c, &c.vault.id, LeaseCall::Look).await;
         }
         // The holder's renewals are its heartbeat.
-        if !is_holder(&c) {
+        if c.lease_term().is_none() {
             ask_seats(&c, asked, LeaseCall::Look);
         }
         let rest = if c.has_quorum_contact() { every } else { every / 2 };
@@ -277,13 +330,9 @@
     }
 }
 
-fn is_holder(c: &Control) -> bool {
-    c.duties.holder.lock().unwrap().held(c.w.now()).is_some()
-}
-
-/// As many as a majority needs, in turns; all while contact is lost, or while core seats change.
-fn seats_in_turn(g: &Group, mut others: Vec<String>, own: &str, turn: usize, contact: bool) -> Vec<String> {
-    if others.is_empty() || !contact || !g.old.is_empty() {
+/// As many as a majority needs, in turns; all where the last round was not enough, or while core seats change.
+fn seats_in_turn(g: &Group, mut others: Vec<String>, own: &str, turn: usize, last_round_was_enough: bool) -> Vec<String> {
+    if others.is_empty() || !last_round_was_enough || !g.old.is_empty() {
         return others;
     }
     let needed = yewcross::register::majority(g.now.len()) - g.now.iter().any(|d| d == own) as usize;
@@ -325,7 +374,8 @@
 async fn keep_list(c: Arc<Control>) {
     loop {
         let lease = c.duties.changed.listen();
-        if c.on_duty(0) {
+        // The list is read as soon as the lease is held: that a server leaves is told before anything can be decided.
+        if c.lease_term().is_some() {
             let rest = platform_list::poll(&c).await;
             c.w.sleep(rest).await;
         } else {
@@ -348,6 +398,7 @@
     c.w.go(lease_holder::run(c.clone()));
     c.w.go(keep_list(c.clone()));
     if c.options.tends {
+        c.w.go(config::find_late_documents(c.clone()));
         c.w.go(layout::found_self(c.clone()));
         c.w.go(keep_seats(c.clone()));
     } else {
--- a/yewcross-control/src/layout/change.rs
+++ b/yewcross-control/src/layout/change.rs
@@ -184,7 +184,7 @@
     let page = c.book.page("layout");
     for node in reports.iter().filter(|r| r.kept < since).filter_map(|r| c.members.by_disk(&r.disk)) {
         let (me, raw) = (c.clone(), page.raw.clone());
-        let told = Ask::Adopt { name: "layout".into(), seq: page.seq, epoch: Epoch::default() };
+        let told = Ask::Adopt { name: "layout".into(), seq: page.seq, epoch: Epoch::default(), relays: vec![] };
         c.w.go(async move {
             let _ = me.peers.ask(node.peer, &told, &raw, PEER_WAIT).await;
         });
--- a/yewcross-control/src/layout/founding.rs
+++ b/yewcross-control/src/layout/founding.rs
@@ -1,6 +1,5 @@
 //! Founding: the first layout and the empty configuration.
 
-use super::spread;
 use crate::{Control, config};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -103,12 +102,11 @@
     loop {
         let (l, m) = (c.book.moved.listen(), c.members.moved.listen());
         let lay = c.book.layout.load_full();
-        let seat = lay.1.core.now.iter().position(|d| *d == c.vault.id);
         if lay.0 == 0 {
             if let Some(raw) = nth.filter(|_| founds).and_then(|_| first(&c, &seeds)) {
                 propose_first(&c, &seeds, raw).await;
             }
-        } else if seat.is_none() || (crate::duty::reach_quorum(&c).await && settle_first(&c, seat.unwrap_or(0)).await) {
+        } else if is_founded(&c) {
             c.duties.since.store(c.w.now(), SeqCst);
             c.founded.store(true, SeqCst);
             c.book.moved.notify(usize::MAX);
@@ -151,25 +149,28 @@
     }
 }
 
-/// Whether the first layout and configuration are decided; decides them where they are not.
-async fn settle_first(c: &Arc<Control>, nth: usize) -> bool {
-    // What a node adopts was decided: it need not ask again, least of all while all of them start at once.
-    if c.book.config.load().0 > 0 || matches!(c.owner.newest("config", PEER_WAIT).await, Ok((s, ..)) if s > 0) {
-        return true;
-    }
-    if !c.options.tends {
+/// Decides the first layout and the empty configuration where nothing is decided yet. The process that proposes does it; it
+/// brings both under its own ballots by the way.
+pub async fn first_documents(c: &Arc<Control>) -> bool {
+    let page = c.book.page("layout");
+    let layout = |seq, _: &[u8]| if seq == 0 && page.seq == 1 { Step::Write(page.raw.to_vec(), true) } else { Step::Keep(seq > 0) };
+    if c.owner.change("layout", SEC, layout).await != Ok(true) {
         return false;
     }
-    // The others give the first one a moment, so that they do not take the keys from each other.
-    c.w.sleep(nth as u64 * 150 * MS).await;
-    let p = c.book.page("layout");
-    let l = c.owner.change("layout", SEC, |s, _| if s == 0 && p.seq == 1 { Step::Write(p.raw.to_vec(), ()) } else { Step::Keep(()) }).await;
     let empty = serde_json::to_vec(&ConfigDoc::default()).unwrap_or_default();
-    let f = c.owner.change("config", SEC, |s, _| if s == 0 { Step::Write(empty.clone(), ()) } else { Step::Keep(()) }).await;
-    let ok = l.is_ok() && f.is_ok();
-    if ok {
+    let configuration = |seq, _: &[u8]| if seq == 0 { Step::Write(empty.clone(), true) } else { Step::Keep(false) };
+    let founded_now = c.owner.change("config", SEC, configuration).await;
+    if founded_now == Ok(true) {
         c.w.log("founded");
-        spread(c).await;
+        c.book.adopt("config", 1, Epoch::default(), empty);
+        config::tell_all_of(c, "layout");
+        config::tell_all_of(c, "config");
     }
-    ok
+    founded_now.is_ok()
+}
+
+/// Whether it is known here that the first layout and configuration are decided. Both documents are written after that only,
+/// and a disk keeps the layout that it was told of.
+fn is_founded(c: &Control) -> bool {
+    c.book.page("config").seq > 0 || c.book.layout.load().0 > 1
 }
--- a/yewcross-control/src/layout/mod.rs
+++ b/yewcross-control/src/layout/mod.rs
@@ -9,10 +9,10 @@
 mod sweep;
 
 pub use change::tend_seats;
-pub use founding::{found, found_here, found_self};
+pub use founding::{first_documents, found, found_here, found_self};
 pub use manual::{Move, begin, progress, propose, tend_layout};
 pub use report::report;
-pub use retire::{retire, retired};
+pub use retire::{retire, retire_forwarded, retired};
 pub use sweep::sweep;
 
 use crate::{Control, config};
@@ -40,7 +40,7 @@
 
 /// Takes a newer layout from any core process that has adopted it. Those refuse whatever is asked by an older layout, the
 /// layout itself too: who missed one cannot read it from the disks where their votes are needed.
-async fn catch_up(c: &Arc<Control>) -> bool {
+pub async fn catch_up(c: &Arc<Control>) -> bool {
     let more_than = c.book.page("layout").seq;
     let questions: Vec<Fut<'static, bool>> = c
         .members
--- a/yewcross-control/src/layout/retire.rs
+++ b/yewcross-control/src/layout/retire.rs
@@ -1,15 +1,42 @@
 //! Retiring a store machine: what it holds goes to others before it is told to be finished.
 
 use crate::api::*;
+use crate::proposer::{self, NotAnswered};
 use crate::{Control, config};
 use std::sync::Arc;
 use yewcross::ask::*;
+use yewcross::code::Code;
 use yewcross::consts::*;
 use yewcross::reg::*;
 use yewcross::startup::Role;
 
-/// Writes down that a store machine is to be emptied; the layout duty does it.
+/// Has it written down that a store machine is to be emptied, here or by the process that proposes.
 pub async fn retire(c: &Arc<Control>, node: &str) -> RetireBegin {
+    let until = c.w.now() + PEER_WAIT;
+    while c.w.now() < until {
+        if c.duty_term().is_some() {
+            return retire_here(c, node).await;
+        }
+        let question = Ask::Retire { node: node.into() };
+        match proposer::forward(c, &question, &[], until.saturating_sub(c.w.now())).await {
+            Ok((Tell::Retire(answer), _)) => return answer,
+            Err(NotAnswered::NoProposer) => proposer::wait_for_one(c).await,
+            _ => return RetireBegin::Away,
+        }
+    }
+    RetireBegin::Away
+}
+
+/// The same for an order that another core passed on.
+pub async fn retire_forwarded(c: &Arc<Control>, node: &str) -> Tell {
+    match c.duty_term() {
+        Some(_) => Tell::Retire(retire_here(c, node).await),
+        None => Tell::No(Code::NotOnDuty),
+    }
+}
+
+/// Writes down that a store machine is to be emptied; the layout duty does it.
+async fn retire_here(c: &Arc<Control>, node: &str) -> RetireBegin {
     if c.book.layout.load().0 == 0 {
         return RetireBegin::Away;
     }
@@ -52,7 +79,7 @@
     if c.book.layout.load().0 == 0 {
         return RetireState::Away;
     }
-    let Ok((seq, epoch, raw)) = c.owner.newest("layout", PEER_WAIT).await else { return RetireState::Away };
+    let Ok((seq, epoch, raw)) = proposer::newest(c, "layout", PEER_WAIT).await else { return RetireState::Away };
     let Ok(l) = serde_json::from_slice::<Layout>(&raw) else { return RetireState::Away };
     c.book.adopt("layout", seq, epoch, raw.to_vec());
     let there = |g: &Group| g.now.iter().chain(&g.old).any(|d| l.names.get(d).is_some_and(|n| n == node));
--- a/yewcross-control/src/layout/sweep.rs
+++ b/yewcross-control/src/layout/sweep.rs
@@ -44,11 +44,12 @@
                 c.replica.forget(&k).await;
                 continue;
             }
-            if DOCS.contains(&k.as_str()) && !c.has_quorum_contact() {
-                whole = false;
+            if c.options.tends && DOCS.contains(&k.as_str()) {
+                whole &= tend_document(&c, &k).await;
                 continue;
             }
-            if c.options.tends && DOCS.contains(&k.as_str()) && c.owner.uniform(&k).await {
+            if DOCS.contains(&k.as_str()) && !c.has_quorum_contact() {
+                whole = false;
                 continue;
             }
             c.counts.tended.fetch_add(1, SeqCst);
@@ -77,6 +78,15 @@
     }
 }
 
+/// Documents are brought to all their copies by the process that proposes, and by nobody else.
+async fn tend_document(c: &Arc<Control>, name: &str) -> bool {
+    if c.lease_term().is_none() || c.owner.uniform(name).await {
+        return true;
+    }
+    c.counts.tended.fetch_add(1, SeqCst);
+    c.owner.tend(name).await
+}
+
 /// Layout number that wrote the sets that this disk may have a seat in: changes of other seats do not hold its sweep up.
 fn own_since(c: &Control) -> u64 {
     let l = c.book.layout.load();
--- a/yewcross-control/src/lease.rs
+++ b/yewcross-control/src/lease.rs
@@ -4,6 +4,7 @@
 //! own clock from the moment of its answer; the holder counts from before it asked, and a margin less. Two majorities of one
 //! set of seats share a granter. Nothing here reads a clock, a disk or the network, so that a model checker can run it.
 
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use yewcross::ask::{Group, Layout};
 use yewcross::lease::*;
@@ -35,6 +36,17 @@
     !seats.now.is_empty() && most(&seats.now) && (seats.old.is_empty() || most(&seats.old))
 }
 
+/// What a granter remembers across its own restarts: it is on disk before a grant under a new term is told.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KeptGrant {
+    /// The highest term granted.
+    pub term: u64,
+    /// Whom it was granted to.
+    pub holder: Option<Candidate>,
+    /// Digest of the core seats that the grant counted in.
+    pub seats: u64,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Grant {
     holder: Candidate,
@@ -53,15 +65,19 @@
     /// Nothing is granted to a candidate that holds no grant here before this: an earlier life of this process, or the
     /// seats before the last change, may have granted what is not known here.
     quiet_until: u64,
+    /// The last grant of an earlier life, while it alone is what the granter keeps quiet for.
+    remembered: Option<KeptGrant>,
     seats: u64,
     /// No life of this disk can have granted anything.
     fresh: bool,
 }
 
 impl Granter {
-    /// `term` is the highest that the disk remembers. `fresh` says that the disk has known no layout and no term yet.
-    pub fn new(times: LeaseTimes, now: u64, term: u64, fresh: bool) -> Granter {
-        Granter { times, term, grant: None, quiet_until: now + times.length, seats: 0, fresh: fresh && term == 0 }
+    /// `kept` is what the disk remembers. `fresh` says that the disk has known no layout yet.
+    pub fn new(times: LeaseTimes, now: u64, kept: KeptGrant, fresh: bool) -> Granter {
+        let term = kept.term;
+        let remembered = Some(kept).filter(|kept| kept.holder.is_some());
+        Granter { times, term, grant: None, quiet_until: now + times.length, remembered, seats: 0, fresh: fresh && term == 0 }
     }
 
     /// Tells the core seats as known now, the term that the layout was written under, and whether that is the very first
@@ -72,7 +88,13 @@
             return;
         }
         let founding = self.fresh && first_layout && self.seats == 0;
-        self.quiet_until = if founding { 0 } else { self.quiet_until.max(now + self.times.length) };
+        let as_before = self.seats == 0 && self.remembered.as_ref().is_some_and(|kept| kept.seats == seats);
+        if founding {
+            self.quiet_until = 0;
+        } else if !as_before {
+            self.quiet_until = self.quiet_until.max(now + self.times.length);
+            self.remembered = None;
+        }
         self.seats = seats;
         self.fresh = false;
     }
@@ -81,6 +103,27 @@
         self.term
     }
 
+    /// A process asks. Whatever was granted to an earlier one on the same disk is held by nobody any more, so that nobody has to
+    /// wait for it. Whether that frees the lease here.
+    pub fn meet(&mut self, asker: &Candidate) -> bool {
+        let is_over = |holder: &Candidate| asker.succeeds(holder);
+        let remembered_is_over = self.remembered.as_ref().and_then(|kept| kept.holder.as_ref()).is_some_and(is_over);
+        if remembered_is_over {
+            self.remembered = None;
+            self.quiet_until = 0;
+        }
+        let grant_is_over = self.grant.as_ref().is_some_and(|grant| is_over(&grant.holder));
+        if grant_is_over {
+            self.grant = None;
+        }
+        remembered_is_over || grant_is_over
+    }
+
+    /// What has to be on disk before a grant is told.
+    pub fn to_keep(&self) -> KeptGrant {
+        KeptGrant { term: self.term, holder: self.grant.as_ref().map(|grant| grant.holder.clone()), seats: self.seats }
+    }
+
     /// When the lease will be free here, if nobody renews it.
     pub fn free_at(&self) -> u64 {
         self.quiet_until.max(self.grant.as_ref().map_or(0, |g| g.until))
--- a/yewcross-control/src/lease_holder.rs
+++ b/yewcross-control/src/lease_holder.rs
@@ -1,17 +1,19 @@
 //! Taking, renewing and giving up the duty lease.
 
-use crate::Control;
 use crate::duty::*;
 use crate::lease::*;
+use crate::{Control, config, layout};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross::ask::*;
+use yewcross::book::DOCS;
 use yewcross::consts::*;
 use yewcross::lease::*;
 use yewcross::member::State;
-use yewcross::register::Step;
+use yewcross::register::{Epoch, Step};
+use yewcross::world::Fut;
 
-/// Documents that only the holder of the lease writes by itself.
+/// Documents that only the holder of the lease writes where operators' orders are decided by any core.
 const FENCED: [&str; 2] = ["layout", "list"];
 
 /// Wants the lease for as long as this process has a core seat.
@@ -19,7 +21,7 @@
     while !c.members.replaced.is_set() {
         if !may_hold(&c) {
             let (adopted, lease) = (c.book.moved.listen(), c.duties.changed.listen());
-            c.w.within(SEC, futures_lite::future::or(adopted, lease)).await;
+            c.w.within(SEC.min(UNFIT_FOR / 4), futures_lite::future::or(adopted, lease)).await;
             continue;
         }
         wait_until_free(&c).await;
@@ -35,7 +37,8 @@
 
 fn may_hold(c: &Control) -> bool {
     let seated = c.book.layout.load().1.core.now.contains(&c.vault.id);
-    seated && !c.vault.failed.load(SeqCst) && !c.members.replaced.is_set() && !c.duties.resigned.load(SeqCst)
+    let is_fit = c.w.now() >= c.duties.unfit_until.load(SeqCst);
+    seated && is_fit && !c.vault.failed.load(SeqCst) && !c.members.replaced.is_set() && !c.duties.resigned.load(SeqCst)
 }
 
 fn is_free_here(c: &Control) -> bool {
@@ -134,21 +137,59 @@
 }
 
 /// Takes the documents under new epochs, so that nothing that an earlier holder still has under way can be accepted any
-/// more. Only then does this holder act.
+/// more. Only then does this holder act; one that cannot in time lets another one try.
 async fn fence(c: Arc<Control>, term: u64) {
-    let holds = |c: &Control| c.duties.holder.lock().unwrap().held(c.w.now()) == Some(term);
-    while holds(&c) {
-        let mut done = true;
-        for document in FENCED {
-            done &= c.owner.change(document, SEC, |_, _| Step::Keep(())).await.is_ok();
-        }
-        if done {
+    let until = c.w.now() + FENCE_WITHIN;
+    let holds = |c: &Control| c.lease_term() == Some(term);
+    while holds(&c) && c.w.now() < until {
+        if take_documents(&c).await {
             c.duties.fenced.store(term, SeqCst);
             c.duties.changed.notify(usize::MAX);
             return;
         }
+        // Disks that keep a newer layout answer nobody who goes by an older one.
+        layout::catch_up(&c).await;
         c.w.sleep(20 * MS).await;
     }
+    if holds(&c) {
+        c.w.log(&format!("the documents cannot be taken, term {term}"));
+        c.duties.unfit_until.store(c.w.now() + UNFIT_FOR, SeqCst);
+    }
+}
+
+/// All at once: each waits for its own disks only.
+async fn take_documents(c: &Arc<Control>) -> bool {
+    if c.options.tends && !layout::first_documents(c).await {
+        return false;
+    }
+    let documents: &[&'static str] = if c.options.tends { &DOCS } else { &FENCED };
+    let takes = documents.iter().map(|document| -> Fut<'static, bool> {
+        let control = c.clone();
+        let document = *document;
+        Box::pin(async move { take_document(&control, document).await })
+    });
+    let taken = c.w.fan(takes.collect());
+    for _ in documents {
+        if taken.recv().await != Ok(true) {
+            return false;
+        }
+    }
+    true
+}
+
+/// What an earlier holder had decided and nobody was told of is told now.
+async fn take_document(c: &Arc<Control>, name: &'static str) -> bool {
+    let held = c.book.page(name).seq;
+    let Ok((seq, document)) = c.owner.change(name, SEC, |seq, value| Step::Keep((seq, value.to_vec()))).await else { return false };
+    if c.options.tends && seq > held {
+        match held {
+            0 => {
+                c.book.adopt(name, seq, Epoch::default(), document);
+            }
+            _ => config::push(c, name, seq, document),
+        }
+    }
+    true
 }
 
 /// Stops holding or asking, and tells the granters, so that nobody waits for the lease to run out.
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -12,8 +12,10 @@
 pub mod lease_holder;
 pub mod operator;
 pub mod platform_list;
+pub mod proposer;
 pub mod store;
 
+use config::{Change, Notice};
 use event_listener::Event;
 use snafu::Snafu;
 use std::collections::BTreeMap;
@@ -60,6 +62,7 @@
     pub started: u64,
     /// Where the platform's list is asked; a reload may change it.
     pub platform: Mutex<Option<std::net::SocketAddr>>,
+    pub outbox: config::Outbox,
     pub counts: Counts,
     pub options: api::Options,
 }
@@ -70,6 +73,8 @@
     pub commits: AtomicU64,
     pub tended: AtomicU64,
     pub puts: AtomicU64,
+    /// Orders that wait here to be decided now.
+    pub orders_waiting: AtomicU64,
 }
 
 #[derive(Debug, Snafu)]
@@ -149,7 +154,7 @@
             api::Rollout::Proved => Follow::new(&members, &book, &st.name, false),
             api::Rollout::Majority => Follow::unleased(&members, &book, &st.name, false, st.bounds.apply * MS),
         };
-        let duties = duty::Duties::open(w, &vault, &book, owner.me).await.map_err(disk)?;
+        let duties = duty::Duties::open(w, &vault, &book, owner.me, st.role).await.map_err(disk)?;
         let chain = chain::Engine::start(w, &st, &members, &book, &vault).await.map_err(disk)?;
         let c = Arc::new(Control {
             w: w.clone(),
@@ -174,10 +179,16 @@
             founded: AtomicBool::new(false),
             started: w.now(),
             platform: Mutex::new(st.platform),
+            outbox: Default::default(),
             counts: Default::default(),
             options,
             st,
         });
+        if c.options.tends {
+            let holder = Arc::downgrade(&c);
+            let holds_lease = move || holder.upgrade().is_some_and(|control| control.lease_term().is_some());
+            c.owner.restrict(move |key| !DOCS.contains(&key) || holds_lease());
+        }
         let bind = |at: std::net::SocketAddr| move |source| StartFault::Bind { at: at.to_string(), source };
         let door = w.bind(c.st.peer).await.map_err(bind(c.st.peer))?;
         if c.options.bind_http {
@@ -213,23 +224,36 @@
                 let (reply, value) = self.replica.hear(request, blob).await;
                 (Tell::Register { disk: self.vault.id.clone(), reply }, value)
             }
-            Ask::Newer { have, front } => (config::newer(self, have, front, from).await, vec![]),
+            Ask::Newer { have, front, departed } => (config::newer(self, have, front, departed, from).await, vec![]),
             Ask::Page { name, more_than } => {
                 let p = self.book.page(&name);
                 if p.seq > more_than && (!self.options.tends || self.has_quorum_contact()) {
                     return (Tell::Doc { seq: p.seq, epoch: p.epoch }, p.raw.to_vec());
                 }
-                config::doc(self, &name).await
+                match self.options.tends {
+                    true => (Tell::No(Code::NoMajority), vec![]),
+                    false => config::doc(self, &name).await,
+                }
             }
             Ask::Doc { name, .. } => config::doc(self, &name).await,
-            Ask::Adopt { name, seq, epoch } => {
+            Ask::Adopt { name, seq, epoch, relays } => {
                 self.book.adopt(&name, seq, epoch, blob);
+                config::relay(self, Notice::Document { name: name.clone(), seq, change: None }, &relays);
                 (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
             }
-            Ask::Patch { name, seq, epoch, base, base_digest } => {
+            Ask::Patch { name, seq, epoch, base, base_digest, relays } => {
                 let _ = self.book.patch(&name, base, &base_digest, seq, epoch, &blob);
+                let change = Some(Arc::new(Change { base, base_digest, delta: blob }));
+                config::relay(self, Notice::Document { name: name.clone(), seq, change }, &relays);
                 (Tell::Adopted { seq: self.book.page(&name).seq }, vec![])
             }
+            Ask::Departed { servers, relays } => {
+                self.book.depart(&servers);
+                config::relay(self, Notice::Departed(Arc::new(servers)), &relays);
+                (Tell::Ok, vec![])
+            }
+            Ask::Order { base } => (config::take_forwarded(self, base, blob).await, vec![]),
+            Ask::Retire { node } => (layout::retire_forwarded(self, &node).await, vec![]),
             Ask::Grants { name, seq } => (config::grants(self, &name, seq).await, vec![]),
             Ask::Proved { seq } => (config::proved(self, seq).await, vec![]),
             Ask::Found => (layout::found_here(self, blob).await, vec![]),
--- a/yewcross-control/src/platform_list.rs
+++ b/yewcross-control/src/platform_list.rs
@@ -75,12 +75,14 @@
         }
     }
     c.duties.refused.store(0, SeqCst);
+    let leaving = servers.iter().filter(|server| server.leaving).map(|server| server.server.clone()).collect();
+    config::push_departures(c, leaving);
     servers.sort_by(|a, b| a.server.cmp(&b.server));
     servers.dedup_by(|a, b| a.server == b.server);
-    if page.is_some() || (at > 0 && c.book.list.load().1.servers == servers) {
+    if page.is_some() || (at > 0 && decided_servers(c) == servers) {
         return PAGES_EVERY;
     }
-    let Some(term) = c.duty_term() else { return PAGES_EVERY };
+    let Some(term) = c.duty_term() else { return DECIDE_AGAIN };
     let got = c
         .owner
         .change("list", PEER_WAIT, |seq, v| {
@@ -100,6 +102,11 @@
     PAGES_EVERY
 }
 
+/// The servers of the list on hand as it was decided, without what was told of them since.
+fn decided_servers(c: &Control) -> Vec<Listed> {
+    serde_json::from_slice::<List>(&c.book.page("list").raw).map(|list| list.servers).unwrap_or_default()
+}
+
 /// A server a line, so that a change travels as the lines that changed.
 fn lines(l: &List) -> Vec<u8> {
     let v: Vec<String> = l.servers.iter().map(|s| serde_json::to_string(s).unwrap_or_default()).collect();
--- /dev/null
+++ b/yewcross-control/src/proposer.rs
@@ -0,0 +1,58 @@
+//! The one proposer of the documents: the holder of the duty lease.
+//!
+//! Ballots keep two proposers from deciding against each other, and do no more: proposers that share a key outbid each other,
+//! and on slow processors none of them may ever get through. So only the holder prepares ballots for the configuration, the
+//! layout and the platform's list; every other core passes orders on to it, and reads without preparing anything.
+
+use crate::{Control, duty};
+use std::sync::Arc;
+use yewcross::ask::{Ask, Tell};
+use yewcross::code::Code;
+use yewcross::consts::{MS, PEER_WAIT, PROPOSER_AGAIN};
+use yewcross::register::ChangeError;
+use yewcross::register::client::Decided;
+use yewcross::wire::Lost;
+
+/// Why the proposer has not answered.
+pub enum NotAnswered {
+    /// No process is known to propose, or the one asked does not: nothing was done.
+    NoProposer,
+    /// The proposer may have acted, and its answer is lost.
+    Unknown,
+}
+
+/// Puts a question to the process that proposes, once.
+pub async fn forward(c: &Arc<Control>, question: &Ask, blob: &[u8], us: u64) -> Result<(Tell, Vec<u8>), NotAnswered> {
+    let to = duty::holder_address(c).ok_or(NotAnswered::NoProposer)?;
+    match c.peers.ask(to, question, blob, us).await {
+        Ok((Tell::No(Code::NotOnDuty | Code::BadBody), _)) | Err(Lost::Unsent) => Err(NotAnswered::NoProposer),
+        Ok(answer) => Ok(answer),
+        Err(Lost::Unknown) => Err(NotAnswered::Unknown),
+    }
+}
+
+/// Returns once the lease has changed hands, or a little later.
+pub async fn wait_for_one(c: &Arc<Control>) {
+    let changed = c.duties.changed.listen();
+    c.w.within(PROPOSER_AGAIN + c.w.rand() % PROPOSER_AGAIN, changed).await;
+}
+
+/// The newest decided version of a document: what a majority of the core disks holds alike, or what the proposer proves.
+pub async fn newest(c: &Arc<Control>, name: &str, us: u64) -> Result<Decided, ChangeError> {
+    let until = c.w.now() + us;
+    loop {
+        match c.owner.newest(name, until.saturating_sub(c.w.now())).await {
+            Err(ChangeError::NotProposer) => {}
+            found => return found,
+        }
+        let left = until.saturating_sub(c.w.now());
+        if left < MS {
+            return Err(ChangeError::NotDone);
+        }
+        let question = Ask::Doc { name: name.into(), hops: 1 };
+        match forward(c, &question, &[], left.min(PEER_WAIT)).await {
+            Ok((Tell::Doc { seq, epoch }, raw)) => return Ok((seq, epoch, Arc::new(raw))),
+            _ => wait_for_one(c).await,
+        }
+    }
+}
--- a/yewcross-control/src/store/sessions.rs
+++ b/yewcross-control/src/store/sessions.rs
@@ -126,7 +126,7 @@
                 (Tell::Kept { code }, k.into_bytes())
             }
             // The front may ask again with this very shot: it keeps its reservation until it is barred.
-            Ok(Pre::No(Code::StoreAway)) | Err(Trouble::NotDone) => (Tell::No(Code::StoreAway), vec![]),
+            Ok(Pre::No(Code::StoreAway)) | Err(Trouble::NotDone | Trouble::NotProposer) => (Tell::No(Code::StoreAway), vec![]),
             Ok(Pre::No(c)) => {
                 free(self);
                 (Tell::No(c), vec![])
@@ -167,7 +167,7 @@
                 Tell::Committed
             }
             Ok(None) => Tell::No(Code::MayHaveRun),
-            Err(Trouble::NotDone) => Tell::No(Code::StoreAway),
+            Err(Trouble::NotDone | Trouble::NotProposer) => Tell::No(Code::StoreAway),
             Err(Trouble::Undecided) => Tell::No(Code::Undecided),
         }
     }
@@ -240,7 +240,7 @@
         match got {
             Ok(Ok(kv)) => Tell::Ended { kv },
             Ok(Err(c)) => Tell::No(c),
-            Err(Trouble::NotDone) => Tell::No(Code::StoreAway),
+            Err(Trouble::NotDone | Trouble::NotProposer) => Tell::No(Code::StoreAway),
             Err(Trouble::Undecided) => Tell::No(Code::Undecided),
         }
     }
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -316,13 +316,17 @@
         match a {
             Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => self.members.hear(a).await,
             Ask::Newer { .. } => self.follow.newer(),
-            Ask::Patch { name, seq, epoch, base, base_digest } => {
+            Ask::Departed { servers, .. } => {
+                self.book.depart(&servers);
+                Tell::Ok
+            }
+            Ask::Patch { name, seq, epoch, base, base_digest, .. } => {
                 if self.book.patch(&name, base, &base_digest, seq, epoch, &blob).is_ok() && name != "list" {
                     self.follow.reset();
                 }
                 Tell::Adopted { seq: self.book.page(&name).seq }
             }
-            Ask::Adopt { name, seq, epoch } => {
+            Ask::Adopt { name, seq, epoch, .. } => {
                 if self.book.adopt(&name, seq, epoch, blob) && name != "list" {
                     self.follow.reset();
                 }
--- a/yewcross-lab/src/tier.rs
+++ b/yewcross-lab/src/tier.rs
@@ -46,14 +46,18 @@
         Box::pin(async move {
             let t = match p.read::<Ask>() {
                 Some(a @ (Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. })) => self.members.hear(a).await,
-                Some(Ask::Adopt { name, seq, epoch }) => {
+                Some(Ask::Adopt { name, seq, epoch, .. }) => {
                     self.book.adopt(&name, seq, epoch, p.blob);
                     Tell::Adopted { seq: self.book.page(&name).seq }
                 }
-                Some(Ask::Patch { name, seq, epoch, base, base_digest }) => {
+                Some(Ask::Patch { name, seq, epoch, base, base_digest, .. }) => {
                     let _ = self.book.patch(&name, base, &base_digest, seq, epoch, &p.blob);
                     Tell::Adopted { seq: self.book.page(&name).seq }
                 }
+                Some(Ask::Departed { servers, .. }) => {
+                    self.book.depart(&servers);
+                    Tell::Ok
+                }
                 _ => Tell::No(Code::BadField),
             };
             (serde_json::to_vec(&t).unwrap(), vec![])
--- a/yewcross-lab/tests/contact.rs
+++ b/yewcross-lab/tests/contact.rs
@@ -20,7 +20,7 @@
 async fn news(t: &Arc<Tier>, name: &str) -> (Tell, Tell) {
     let asked = t.on(name, |c| {
         Box::pin(async move {
-            let newer = c.hear(Ask::Newer { have: c.book.have(), front: false }, vec![], "front1").await.0;
+            let newer = c.hear(Ask::Newer { have: c.book.have(), front: false, departed: 0 }, vec![], "front1").await.0;
             let page = c.hear(Ask::Page { name: "config".into(), more_than: 0 }, vec![], "front1").await.0;
             (newer, page)
         })
--- a/yewcross-lab/tests/histories.rs
+++ b/yewcross-lab/tests/histories.rs
@@ -108,7 +108,7 @@
             PutAnswer::InForce(number) => Some(ConfigAnswer::Taken { number }),
             PutAnswer::Conflict(current) => Some(ConfigAnswer::Conflict { current }),
             PutAnswer::Bad(_) => Some(ConfigAnswer::Invalid),
-            PutAnswer::NotFounded | PutAnswer::NoMajority | PutAnswer::Forgotten => Some(ConfigAnswer::NotDone),
+            PutAnswer::NotFounded | PutAnswer::NoMajority | PutAnswer::Busy | PutAnswer::Forgotten => Some(ConfigAnswer::NotDone),
             PutAnswer::Undecided => None,
         });
         let answer = answer.filter(|_| !answer_is_lost);
--- a/yewcross-lab/tests/models/lease.rs
+++ b/yewcross-lab/tests/models/lease.rs
@@ -10,7 +10,7 @@
 use std::hash::{Hash, Hasher};
 use yewcross::ask::Group;
 use yewcross::lease::{Candidate, LeaseCall, Verdict};
-use yewcross_control::lease::{Granter, Holder, LeaseTimes};
+use yewcross_control::lease::{Granter, Holder, KeptGrant, LeaseTimes};
 
 pub const TWO_HOLDERS: &str = "two processes hold the lease at once";
 
@@ -97,9 +97,10 @@
 
 impl Lease {
     fn restarted(&self, state: &State, granter: usize) -> Granter {
-        let term = state.granters[granter].term();
+        let kept = state.granters[granter].to_keep();
+        let term = kept.term;
         let now = if self.fault == Fault::GrantsAfterRestart { 0 } else { state.now };
-        let mut granter = Granter::new(TIMES, now, term, false);
+        let mut granter = Granter::new(TIMES, now, kept, false);
         granter.see_seats(now, SEATS, term, false);
         granter
     }
@@ -116,13 +117,13 @@
 
     fn initial(&self) -> Vec<State> {
         let granter = |_| {
-            let mut granter = Granter::new(TIMES, 0, 0, true);
+            let mut granter = Granter::new(TIMES, 0, KeptGrant::default(), true);
             granter.see_seats(0, SEATS, 0, true);
             granter
         };
         let process = |number: u64| Process {
             holder: Holder::new(TIMES),
-            candidate: Candidate { disk: GRANTERS[number as usize].into(), process: number },
+            candidate: Candidate { disk: GRANTERS[number as usize].into(), process: number, life: 1 },
             requests: self.requests,
             renewals: self.renewals,
         };
@@ -184,6 +185,7 @@
             }
             Action::Deliver { sent, granter, answered } => {
                 let sent = state.network.iter().nth(sent)?;
+                next.granters[granter].meet(&sent.candidate);
                 let verdict = next.granters[granter].answer(now, &sent.candidate, SEATS, sent.call());
                 let process = &mut next.processes[sent.process];
                 let is_asker = process.candidate == sent.candidate;
@@ -204,6 +206,7 @@
                 next.restarts -= 1;
                 next.processes[index].holder = Holder::new(TIMES);
                 next.processes[index].candidate.process += 2;
+                next.processes[index].candidate.life += 1;
             }
         }
         Some(next)
--- /dev/null
+++ b/yewcross-lab/tests/one_proposer.rs
@@ -0,0 +1,250 @@
+//! Documents have one proposer at a time: on slow processors, with many orders, after every core has restarted, a first
+//! change is decided and a holder is on duty in a bounded time, and few ballots are prepared (docs/control-safety.md, 1c).
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use yewcross::ask::Listed;
+use yewcross::consts::*;
+use yewcross::startup::Role;
+use yewcross_control::api::PutAnswer;
+use yewcross_lab::sim::Costs;
+use yewcross_lab::tier::*;
+
+/// us. Longest time from the return of the cores to a holder on duty: grants of an earlier life run out in 1 s, candidates
+/// step forward one after the other, and the holder takes three documents.
+const DUTY_WITHIN: u64 = 2_500 * MS;
+/// us. Longest time from their return to the first order decided.
+const ORDER_WITHIN: u64 = 3 * SEC;
+/// us. Longest time in which no order is decided while nothing is wrong.
+const CALM_WITHIN: u64 = 1_500 * MS;
+/// count. Ballots prepared for a document in one term: the holder's first, and others after rounds that were lost.
+const BALLOTS_A_TERM: u64 = 12;
+const OPERATORS: u64 = 8;
+/// bytes. A text as long as those of some sixty routes.
+const TEXT: usize = 18_000;
+
+/// What operators see of their orders.
+#[derive(Default)]
+struct Orders {
+    newest: AtomicU64,
+    decided: AtomicU64,
+    /// us. When an order was last acknowledged.
+    last_at: AtomicU64,
+    /// us. The longest pause between two acknowledgements since this was last emptied.
+    longest_pause: AtomicU64,
+    ended: AtomicBool,
+}
+
+impl Orders {
+    fn acknowledged(&self, now: u64, number: u64) {
+        self.newest.fetch_max(number, SeqCst);
+        self.decided.fetch_add(1, SeqCst);
+        let before = self.last_at.swap(now, SeqCst);
+        self.longest_pause.fetch_max(now - before, SeqCst);
+    }
+}
+
+/// An operator that builds on the newest version it has heard of, at any core, twice a second.
+async fn operate(tier: Arc<Tier>, orders: Arc<Orders>, me: u64) {
+    let cores = tier.names(Role::Core);
+    while !orders.ended.load(SeqCst) {
+        let base = orders.newest.load(SeqCst);
+        let text = format!("{} by{me} {}", base + 1, "x".repeat(TEXT));
+        let core = &cores[tier.op.rand() as usize % cores.len()];
+        match tier.put(core, base, &text).await {
+            Some(PutAnswer::InForce(number)) => orders.acknowledged(tier.op.now(), number),
+            Some(PutAnswer::Conflict(number)) => {
+                orders.newest.fetch_max(number, SeqCst);
+            }
+            _ => {}
+        }
+        tier.op.sleep(100 * MS + tier.op.rand() % (800 * MS)).await;
+    }
+}
+
+fn small_machines(seed: u64, counts: [usize; 3], lost: usize) -> Arc<Tier> {
+    let tier = Tier::new(seed, counts, lost);
+    for (role, share) in [(Role::Core, 11), (Role::Store, 30), (Role::Front, 12)] {
+        let costs = Costs { share, wake: 40, byte: 10, sync: 500 };
+        tier.names(role).iter().for_each(|name| tier.sim.charge(tier.sim.find(name), costs));
+    }
+    tier
+}
+
+fn ballots(tier: &Tier) -> u64 {
+    tier.control.lock().unwrap().values().map(|control| control.owner.takes.load(SeqCst)).sum()
+}
+
+fn terms(tier: &Tier) -> u64 {
+    tier.control.lock().unwrap().values().map(|control| control.duties.taken.load(SeqCst)).sum()
+}
+
+async fn begin(tier: &Arc<Tier>) -> Arc<Orders> {
+    up(tier).await;
+    tier.op.sleep(4 * SEC).await;
+    let orders: Arc<Orders> = Default::default();
+    tier.put_surely(0, "1 first").await;
+    orders.newest.store(1, SeqCst);
+    orders.last_at.store(tier.op.now(), SeqCst);
+    for me in 0..OPERATORS {
+        tier.op.go(operate(tier.clone(), orders.clone(), me));
+    }
+    orders
+}
+
+/// us from now until a core is on duty, and until an order is acknowledged.
+async fn back_after(tier: &Arc<Tier>, orders: &Orders) -> (u64, u64) {
+    let (begin, limit) = (tier.op.now(), 30 * SEC);
+    let (mut duty, mut order) = (0, 0);
+    while tier.op.now() < begin + limit && (duty == 0 || order == 0) {
+        tier.op.sleep(5 * MS).await;
+        let since = tier.op.now() - begin;
+        if duty == 0 && !tier.on_duty().is_empty() {
+            duty = since;
+        }
+        if order == 0 && orders.last_at.load(SeqCst) > begin {
+            order = since;
+        }
+    }
+    let or_never = |us: u64| if us == 0 { limit } else { us };
+    (or_never(duty), or_never(order))
+}
+
+#[test]
+fn after_all_cores_restart_there_is_a_holder_and_orders_are_decided() {
+    let worst: Arc<Mutex<(u64, u64)>> = Default::default();
+    let runs: Vec<(u64, bool)> = (0..6).map(|nth| (8800 + nth, nth % 2 == 1)).collect();
+    let late = yewcross_lab::proof::each(runs, |(seed, power)| {
+        let tier = small_machines(seed, [8, 9, 55], 2);
+        let times = play(&tier, |tier| {
+            Box::pin(async move {
+                let orders = begin(&tier).await;
+                let mut times = vec![];
+                for _ in 0..3 {
+                    tier.op.sleep(3 * SEC + tier.op.rand() % SEC).await;
+                    let cores = tier.names(Role::Core);
+                    cores.iter().for_each(|name| tier.kill(name, power));
+                    tier.op.sleep(700 * MS).await;
+                    for name in &cores {
+                        tier.boot(name, false);
+                        tier.op.sleep(tier.op.rand() % (10 * MS)).await;
+                    }
+                    times.push(back_after(&tier, &orders).await);
+                }
+                orders.ended.store(true, SeqCst);
+                times
+            })
+        });
+        println!(
+            "seed {seed}, power {power}: ms to a holder and to an order {:?}",
+            times.iter().map(|t| (t.0 / MS, t.1 / MS)).collect::<Vec<_>>()
+        );
+        let mut worst = worst.lock().unwrap();
+        times.iter().for_each(|(duty, order)| *worst = (worst.0.max(*duty), worst.1.max(*order)));
+        times.iter().all(|(duty, order)| *duty < DUTY_WITHIN && *order < ORDER_WITHIN)
+    });
+    let worst = worst.lock().unwrap();
+    println!("worst: a holder after {} ms, an order after {} ms", worst.0 / MS, worst.1 / MS);
+    assert_eq!(late, 0, "restarts after which the core was late");
+}
+
+/// A change that one other disk holds and no majority decided, and then all cores start again.
+#[test]
+fn a_write_that_one_disk_holds_does_not_hold_the_core_up() {
+    for seed in 0..4u64 {
+        let tier = small_machines(8900 + seed, [8, 9, 12], 2);
+        let (duty, order) = play(&tier, |tier| {
+            Box::pin(async move {
+                up(&tier).await;
+                tier.put_surely(0, "1 first").await;
+                tier.op.sleep(3 * SEC).await;
+                let cores = tier.names(Role::Core);
+                let writer = tier.on_duty().first().cloned().unwrap();
+                let witness = cores.iter().find(|name| **name != writer).unwrap().clone();
+                let others: Vec<String> = cores.iter().filter(|name| **name != witness).cloned().collect();
+                tier.cut_from(&writer, &others);
+                let text = format!("2 undecided {}", "x".repeat(TEXT));
+                tier.put(&writer, 1, &text).await;
+                tier.sim.heal();
+                cores.iter().for_each(|name| tier.kill(name, false));
+                tier.op.sleep(300 * MS).await;
+                cores.iter().for_each(|name| tier.boot(name, false));
+                let orders: Arc<Orders> = Default::default();
+                orders.newest.store(1, SeqCst);
+                orders.last_at.store(tier.op.now(), SeqCst);
+                for me in 0..OPERATORS {
+                    tier.op.go(operate(tier.clone(), orders.clone(), me));
+                }
+                let times = back_after(&tier, &orders).await;
+                orders.ended.store(true, SeqCst);
+                times
+            })
+        });
+        println!("seed {seed}: a holder after {} ms, an order after {} ms", duty / MS, order / MS);
+        assert!(duty < DUTY_WITHIN && order < ORDER_WITHIN, "{duty} {order}\n{}", tell(&tier));
+    }
+}
+
+/// Eight orders at a time on a core of a tenth of a processor a machine: the lease stays where it is, orders are decided all
+/// the time, and ballots are prepared by the holder alone.
+#[test]
+fn many_orders_neither_move_the_lease_nor_prepare_ballots() {
+    for seed in 0..3u64 {
+        let tier = small_machines(9000 + seed, [8, 9, 55], 2);
+        let (decided, pause, ballots, terms) = play(&tier, |tier| {
+            Box::pin(async move {
+                let orders = begin(&tier).await;
+                tier.op.sleep(SEC).await;
+                let before = (ballots(&tier), terms(&tier));
+                orders.decided.store(0, SeqCst);
+                orders.longest_pause.store(0, SeqCst);
+                tier.op.sleep(20 * SEC).await;
+                orders.ended.store(true, SeqCst);
+                let decided = orders.decided.load(SeqCst);
+                (decided, orders.longest_pause.load(SeqCst), ballots(&tier) - before.0, terms(&tier) - before.1)
+            })
+        });
+        println!("seed {seed}: {decided} orders decided in 20 s, longest pause {} ms, {ballots} ballots, {terms} new terms", pause / MS);
+        assert!(decided > 40 && pause < CALM_WITHIN, "{decided} {pause}");
+        assert!(ballots <= BALLOTS_A_TERM * (terms + 1), "{ballots} ballots in {} terms", terms + 1);
+        assert!(terms <= 1, "the lease changed hands {terms} times");
+    }
+}
+
+fn server(number: u8, leaving: bool) -> Listed {
+    let addr = std::net::SocketAddr::new([10, 7, 0, number].into(), 80);
+    Listed { server: format!("s{number}"), service: "llm".into(), addr, site: "z1".into(), leaving }
+}
+
+/// A server leaves while every core starts again, with orders on their way: all fronts know of it before a machine counts as
+/// in touch again.
+#[test]
+fn a_server_that_leaves_while_the_core_restarts_is_known_in_time() {
+    let mut worst = 0;
+    for seed in 0..4u64 {
+        let tier = small_machines(9100 + seed, [8, 9, 55], 2);
+        let us = play(&tier, |tier| {
+            Box::pin(async move {
+                let platform = tier.list_servers(vec![server(1, false), server(2, false)]).await;
+                let orders = begin(&tier).await;
+                tier.op.sleep(3 * SEC).await;
+                let cores = tier.names(Role::Core);
+                cores.iter().for_each(|name| tier.kill(name, seed % 2 == 1));
+                platform.edit(|list| list[0].leaving = true);
+                tier.op.sleep(700 * MS).await;
+                cores.iter().for_each(|name| tier.boot(name, false));
+                let begin = tier.op.now();
+                let knows = |front: &Arc<Bare>| front.book.list.load().1.servers.iter().all(|s| s.server != "s1" || s.leaving);
+                while !tier.fronts.lock().unwrap().values().all(knows) {
+                    tier.op.sleep(5 * MS).await;
+                    assert!(tier.op.now() < begin + 30 * SEC, "{}", tell(&tier));
+                }
+                orders.ended.store(true, SeqCst);
+                tier.op.now() - begin
+            })
+        });
+        println!("seed {seed}: all fronts know after {} ms", us / MS);
+        worst = worst.max(us);
+    }
+    assert!(worst < 3 * SEC, "{worst}");
+}
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -4,12 +4,17 @@
 use crate::consts::*;
 use crate::lease::{LeaseAsk, LeaseTell};
 use crate::member::Node;
+use crate::orders::{PutAnswer, RetireBegin};
 use crate::register::{Epoch, RegisterReply, RegisterRequest};
 use crate::tree::Rule;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize, strum::IntoStaticStr)]
 pub enum Ask {
     Probe {
@@ -39,6 +44,9 @@
     Newer {
         have: Vec<(String, u64)>,
         front: bool,
+        /// `Book::departures_digest` of the asker.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        departed: u64,
     },
     Doc {
         name: String,
@@ -53,6 +61,9 @@
         name: String,
         seq: u64,
         epoch: Epoch,
+        /// The processes that tell it on, each to its share of the nodes; empty where nobody is asked to.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        relays: Vec<String>,
     },
     /// The same as a change to the version named, for whoever holds that one.
     Patch {
@@ -63,6 +74,22 @@
         /// `hash::mark` of the version named; empty from nodes that don't tell it.
         #[serde(default)]
         base_digest: String,
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        relays: Vec<String>,
+    },
+    /// The platform shows these servers as leaving; see `departures`.
+    Departed {
+        servers: Vec<String>,
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        relays: Vec<String>,
+    },
+    /// An operator's order on top of version `base`, for the process that proposes. The text is the blob.
+    Order {
+        base: u64,
+    },
+    /// An operator's order that a store machine be emptied, for the process that proposes.
+    Retire {
+        node: String,
     },
     Grants {
         name: String,
@@ -172,7 +199,15 @@
     Newer {
         newest: Vec<(String, u64)>,
         sure: bool,
+        /// The teller has heard of a newer version of a document than it holds.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        behind: bool,
+        /// Servers known to be leaving, where the asker does not know the same.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        departed: Vec<String>,
     },
+    Order(PutAnswer),
+    Retire(RetireBegin),
     Doc {
         seq: u64,
         epoch: Epoch,
--- a/yewcross/src/book.rs
+++ b/yewcross/src/book.rs
@@ -1,6 +1,7 @@
 //! The documents every node keeps on hand: configuration, layout, platform list.
 
 use crate::ask::*;
+use crate::departures::Departures;
 use crate::member::Members;
 use crate::port::{Dialect, Native};
 use crate::reg::Epoch;
@@ -50,7 +51,9 @@
     pages: [ArcSwap<Page>; 3],
     pub config: ArcSwap<(u64, Tree)>,
     pub layout: ArcSwap<(u64, Layout)>,
+    /// The list decided last, with every server marked as leaving that was ever told to leave.
     pub list: ArcSwap<(u64, List)>,
+    departures: Mutex<Departures>,
 }
 
 impl Book {
@@ -70,6 +73,7 @@
             config: ArcSwap::default(),
             layout: ArcSwap::default(),
             list: ArcSwap::default(),
+            departures: Mutex::default(),
         })
     }
 
@@ -141,10 +145,43 @@
                 self.config.store(Arc::new((seq, tree)));
             }
             "layout" => self.layout.store(Arc::new((seq, serde_json::from_slice(raw).ok()?))),
-            _ => self.list.store(Arc::new((seq, serde_json::from_slice(raw).ok()?))),
+            _ => self.list.store(Arc::new((seq, self.with_departures(serde_json::from_slice(raw).ok()?)))),
         }
         Some(())
     }
+
+    fn with_departures(&self, mut list: List) -> List {
+        let departures = self.departures.lock().unwrap();
+        for server in list.servers.iter_mut().filter(|server| departures.is_marked(&server.server)) {
+            server.leaving = true;
+        }
+        list
+    }
+
+    /// The platform shows these servers as leaving: none of them is used from now on, whichever list names it. Whether any of
+    /// them is news here.
+    pub fn depart(&self, servers: &[String]) -> bool {
+        let _one_at_a_time = self.gate.lock().unwrap();
+        if !self.departures.lock().unwrap().mark(servers, self.w.now()) {
+            return false;
+        }
+        let list = self.list.load();
+        self.list.store(Arc::new((list.0, self.with_departures(list.1.clone()))));
+        self.w.log(&format!("told that {} leave", servers.join(" ")));
+        self.moved.notify(usize::MAX);
+        true
+    }
+
+    /// Alike on nodes that know the same servers to be leaving.
+    pub fn departures_digest(&self) -> u64 {
+        self.departures.lock().unwrap().digest()
+    }
+
+    /// The servers known to be leaving; none for whoever knows the same.
+    pub fn departures_beyond(&self, digest: u64) -> Vec<String> {
+        let departures = self.departures.lock().unwrap();
+        if departures.digest() == digest { vec![] } else { departures.servers() }
+    }
 }
 
 /// The live machines of a key's copies, first choice of owner first.
--- a/yewcross/src/code.rs
+++ b/yewcross/src/code.rs
@@ -66,6 +66,7 @@
     NotFounded = 6004, 503, NotRun, 2, "the tier has not been founded";
     NoMajority = 6005, 503, NotRun, 1, "no majority can be reached";
     BadLayout = 6006, 422, NotRun, 0, "the layout change is refused";
+    NotOnDuty = 6007, 503, NotRun, 1, "this process does not propose; another one may";
 }
 
 impl Code {
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -132,6 +132,23 @@
 pub const LEASE_WAIT: u64 = 400 * MS;
 /// us. An operator at a core that no majority answers is told so within this, well before it goes on by itself.
 pub const QUORUM_WAIT: u64 = 300 * MS;
+/// us. A holder of the lease that has not taken the documents within this gives it up: it cannot decide anything, and another
+/// one may.
+pub const FENCE_WITHIN: u64 = 1_500 * MS;
+/// us. And it does not stand again for this long.
+pub const UNFIT_FOR: u64 = 3 * SEC;
+/// us. An order that finds no proposer looks for one again after this, up to twice as long.
+pub const PROPOSER_AGAIN: u64 = 30 * MS;
+/// count. Orders that wait at the proposer at most: each takes some 10 ms on a tenth of a core, and an operator waits a second.
+pub const ORDERS_WAITING: usize = 64;
+/// us. Between two rounds of sending a document to all nodes; versions decided meanwhile travel as one.
+pub const PUSH_EVERY: u64 = 100 * MS;
+/// us. A core that has heard of a newer document than it holds waits this long for the push before it looks for it, doubled
+/// each time it finds none.
+pub const DOCUMENT_LATE: u64 = 150 * MS;
+pub const DOCUMENT_LATE_MOST: u64 = 1_200 * MS;
+/// us. How often a core compares what it holds with what it has heard of.
+pub const DOCUMENT_LOOK: u64 = 75 * MS;
 /// us. Candidates step forward one after another, so far apart that the first has its majority before the second asks.
 pub const LEASE_STAGGER: u64 = 40 * MS;
 /// us. A candidate that got no majority waits at least this long, and up to as much again by chance.
@@ -149,6 +166,8 @@
 pub const LIST_EVERY: u64 = 500 * MS;
 /// us. Poll of a platform's list in its own words: each page is a call that has its price.
 pub const PAGES_EVERY: u64 = SEC;
+/// us. A list that was read before its reader may decide is read again after this.
+pub const DECIDE_AGAIN: u64 = 250 * MS;
 /// us. The longest that a refused poll of it backs off to.
 pub const PAGES_BACK_OFF: u64 = 8 * SEC;
 /// us. Waiting for one page.
--- a/yewcross/src/follow.rs
+++ b/yewcross/src/follow.rs
@@ -74,7 +74,7 @@
     /// What this front tells other fronts: its version, if it was ever proved.
     pub fn newer(&self) -> Tell {
         let newest = self.book.have();
-        Tell::Newer { newest, sure: self.proved.load(SeqCst) }
+        Tell::Newer { newest, sure: self.proved.load(SeqCst), behind: false, departed: vec![] }
     }
 
     pub async fn fetch(&self, name: &str, more_than: u64) {
@@ -140,16 +140,19 @@
     /// any other core holds may be old: nothing is taken over from it.
     async fn ask_one(self: &Arc<Self>, n: &Node) -> bool {
         let have = self.book.have();
-        let a = Ask::Newer { have: have.clone(), front: false };
+        let a = Ask::Newer { have: have.clone(), front: false, departed: self.book.departures_digest() };
         let sent = self.w.now();
-        let Ok((Tell::Newer { newest, sure }, _)) = self.members.peers.ask(n.peer, &a, &[], SERVE_ASK).await else { return false };
+        let answer = self.members.peers.ask(n.peer, &a, &[], SERVE_ASK).await;
+        let Ok((Tell::Newer { newest, sure, behind, departed }, _)) = answer else { return false };
+        // Whoever says that a server leaves is right.
+        self.book.depart(&departed);
         if !sure {
             return false;
         }
         self.told_at.fetch_max(sent, SeqCst);
         for (d, s) in &newest {
             let more_than = have.iter().find(|h| h.0 == *d).map_or(0, |h| h.1);
-            if *s <= more_than {
+            if *s <= more_than || (more_than > 0 && self.was_pushed(d, *s).await) {
                 continue;
             }
             let a = Ask::Page { name: d.clone(), more_than };
@@ -157,8 +160,23 @@
                 self.book.adopt(d, seq, epoch, raw);
             }
         }
-        // A core may know of a version that it does not hold itself.
-        newest.iter().all(|(d, s)| self.book.page(d).seq >= *s)
+        !behind && newest.iter().all(|(d, s)| self.book.page(d).seq >= *s)
+    }
+
+    /// Whether the version comes by itself in a moment: what was just decided is on its way to every node as the few bytes that
+    /// changed, and a whole document need not be asked for.
+    async fn was_pushed(&self, name: &str, seq: u64) -> bool {
+        let until = self.w.now() + self.every / 4;
+        loop {
+            let moved = self.book.moved.listen();
+            if self.book.page(name).seq >= seq {
+                return true;
+            }
+            let left = until.saturating_sub(self.w.now());
+            if left == 0 || self.w.within(left, moved).await.is_none() {
+                return self.book.page(name).seq >= seq;
+            }
+        }
     }
 
     pub async fn run(self: Arc<Self>) {
@@ -191,7 +209,8 @@
             .iter()
             .chain(&fronts)
             .map(|n| {
-                let (p, n, a) = (self.members.peers.clone(), n.clone(), Ask::Newer { have: self.book.have(), front: self.front });
+                let (p, n, a) =
+                    (self.members.peers.clone(), n.clone(), Ask::Newer { have: self.book.have(), front: self.front, departed: 0 });
                 let f: Fut<'static, _> = Box::pin(async move {
                     let r = p.ask(n.peer, &a, &[], SERVE_ASK).await;
                     (n, r.ok())
@@ -203,7 +222,7 @@
         let mut want: BTreeMap<String, u64> = BTreeMap::new();
         let have = self.book.have();
         for _ in 0..k {
-            let Ok((n, Some((Tell::Newer { newest, sure }, _)))) = rx.recv().await else { continue };
+            let Ok((n, Some((Tell::Newer { newest, sure, .. }, _)))) = rx.recv().await else { continue };
             let more: Vec<_> = newest.iter().filter(|x| have.iter().any(|h| h.0 == x.0 && x.1 > h.1)).cloned().collect();
             more.iter().for_each(|(d, s)| {
                 let e = want.entry(d.clone()).or_default();
--- a/yewcross/src/lease.rs
+++ b/yewcross/src/lease.rs
@@ -9,6 +9,16 @@
     pub disk: String,
     /// Drawn at its start.
     pub process: u64,
+    /// How often processes have started on the disk; it is on the disk before the process asks for anything. 0: not known.
+    #[serde(default)]
+    pub life: u64,
+}
+
+impl Candidate {
+    /// Whether this is a process that started on the same disk after the other one had ended.
+    pub fn succeeds(&self, other: &Candidate) -> bool {
+        self.disk == other.disk && self.life > other.life
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -19,6 +29,9 @@
     /// Digest of the core seats that the asker counts its majority in.
     pub seats: u64,
     pub call: LeaseCall,
+    /// The asker has granted the lease to nobody and asks who holds it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub wants_holder: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -42,6 +55,9 @@
     pub verdict: Verdict,
     /// Newest version of each document that the granter's disk holds, decided or not.
     pub versions: Vec<(String, u64)>,
+    /// Who holds the lease, as far as the granter knows, where that was asked for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub holder: Option<Candidate>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/yewcross/src/lib.rs
+++ b/yewcross/src/lib.rs
@@ -9,12 +9,14 @@
 #[rustfmt::skip]
 pub mod frame_capnp;
 pub mod delta;
+pub mod departures;
 pub mod event;
 pub mod follow;
 pub mod hash;
 pub mod http;
 pub mod lease;
 pub mod member;
+pub mod orders;
 pub mod port;
 pub mod reactor;
 pub mod real;
--- a/yewcross/src/register/client.rs
+++ b/yewcross/src/register/client.rs
@@ -11,11 +11,14 @@
 use crate::world::*;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 
-/// us. Shortest pause before a change is tried again, and how much longer it may be by chance.
-const RETRY_PAUSE: u64 = 5 * MS;
-const RETRY_JITTER: u64 = 20 * MS;
+/// us. Least span from which the pause before a change is tried again is drawn. Where another proposer's ballot was higher, it
+/// doubles with each try and is never shorter than the try itself took: proposers on slow machines would outbid each other for
+/// ever.
+const RETRY_SPAN: u64 = 20 * MS;
+/// us. And the most that it grows to.
+const RETRY_SPAN_MOST: u64 = 640 * MS;
 
 /// What a change makes of the value that it finds.
 pub enum Step<R> {
@@ -28,9 +31,30 @@
 /// A decided value: its version, the ballot under which it stands, its bytes.
 pub type Decided = (u64, Ballot, Arc<Vec<u8>>);
 
+/// Why one try of a change failed.
+struct Failure {
+    error: ChangeError,
+    /// Another proposer was promised a higher ballot.
+    outbid: bool,
+}
+
+impl Failure {
+    fn of(round: &Round, error: ChangeError) -> Failure {
+        Failure { error, outbid: round.highest_promised > 0 }
+    }
+}
+
+impl From<ChangeError> for Failure {
+    fn from(error: ChangeError) -> Failure {
+        Failure { error, outbid: false }
+    }
+}
+
 type Votes = async_channel::Receiver<Vote>;
 type Cell = Arc<futures_util::lock::Mutex<Held>>;
 type Place = Arc<dyn Fn(&str) -> ReplicaSet + Send + Sync>;
+/// Whether this process may propose for a key at this moment.
+type Permit = Box<dyn Fn(&str) -> bool + Send + Sync>;
 
 /// A key's proposer, and when it was used last, us.
 #[derive(Default)]
@@ -47,6 +71,8 @@
     replica: Arc<Replica>,
     /// The replicas of a key, as the layout of now has them.
     place: Place,
+    /// None: any process may propose for any key.
+    permit: OnceLock<Permit>,
     held: Vec<Mutex<BTreeMap<String, Cell>>>,
     /// Ballots prepared so far.
     pub takes: AtomicU64,
@@ -60,11 +86,22 @@
             me: world.rand() | 1,
             replica: replica.clone(),
             place,
+            permit: OnceLock::new(),
             held: (0..SHARDS).map(|_| Mutex::default()).collect(),
             takes: AtomicU64::new(0),
         })
     }
 
+    /// From now on this process proposes for a key only while `permit` says so. Ballots keep two proposers from deciding
+    /// against each other; a permit that one process has at a time keeps them from outbidding each other.
+    pub fn restrict(&self, permit: impl Fn(&str) -> bool + Send + Sync + 'static) {
+        let _ = self.permit.set(Box::new(permit));
+    }
+
+    fn may_propose(&self, key: &str) -> bool {
+        self.permit.get().is_none_or(|permit| permit(key))
+    }
+
     /// Puts the request to all replicas at once; their votes arrive as they come.
     fn send(&self, replicas: &ReplicaSet, poll: &Poll) -> Votes {
         let sends = replicas
@@ -127,18 +164,25 @@
     pub async fn change<R>(&self, key: &str, us: u64, mut decide: impl FnMut(u64, &[u8]) -> Step<R>) -> Result<R, ChangeError> {
         let started = self.world.now();
         let Some(mut held) = self.world.within(us, self.cell(key).lock_owned()).await else { return Err(ChangeError::NotDone) };
-        let mut error = ChangeError::NotDone;
+        let mut undecided = false;
+        let mut span = RETRY_SPAN;
         loop {
-            held.used = self.world.now();
-            match self.try_change(key, &mut held.proposer, &mut decide).await {
+            let began = self.world.now();
+            held.used = began;
+            let Failure { error, outbid } = match self.try_change(key, &mut held.proposer, &mut decide).await {
                 Ok(result) => return Ok(result),
-                Err(ChangeError::Undecided) => error = ChangeError::Undecided,
-                Err(ChangeError::NotDone) => {}
+                Err(failure) => failure,
+            };
+            undecided |= error == ChangeError::Undecided;
+            let now = self.world.now();
+            if error == ChangeError::NotProposer || now >= started + us {
+                return Err(if undecided { ChangeError::Undecided } else { error });
             }
-            if self.world.now() >= started + us {
-                return Err(error);
+            if outbid {
+                span = (2 * span).max(now - began).min(RETRY_SPAN_MOST);
             }
-            self.world.sleep(RETRY_PAUSE + self.world.rand() % RETRY_JITTER).await;
+            let pause = span / 4 + self.world.rand() % span;
+            self.world.sleep(pause.min(started + us - now)).await;
         }
     }
 
@@ -147,21 +191,24 @@
         key: &str,
         proposer: &mut Proposer,
         decide: &mut impl FnMut(u64, &[u8]) -> Step<R>,
-    ) -> Result<R, ChangeError> {
+    ) -> Result<R, Failure> {
+        if !self.may_propose(key) {
+            return Err(ChangeError::NotProposer.into());
+        }
         let prepared_now = proposer.leads(&(self.place)(key)).is_none();
         if prepared_now {
-            self.take(key, proposer).await.map_err(|_| ChangeError::NotDone)?;
+            self.take(key, proposer).await.map_err(|round| Failure::of(&round, ChangeError::NotDone))?;
         }
         let replicas = (self.place)(key);
         // The layout may have changed while the ballot was prepared: it counts only where it was promised.
-        let Some(ballot) = proposer.leads(&replicas) else { return Err(ChangeError::NotDone) };
+        let Some(ballot) = proposer.leads(&replicas) else { return Err(ChangeError::NotDone.into()) };
         match decide(proposer.seq(), proposer.value()) {
             Step::Keep(result) => {
                 if prepared_now || self.confirm(key, &replicas, ballot).await {
                     return Ok(result);
                 }
                 proposer.resign();
-                Err(ChangeError::NotDone)
+                Err(ChangeError::NotDone.into())
             }
             Step::Write(value, result) => {
                 self.propose(key, &replicas, ballot, proposer, Arc::new(value)).await?;
@@ -182,7 +229,7 @@
         ballot: Ballot,
         proposer: &mut Proposer,
         value: Arc<Vec<u8>>,
-    ) -> Result<(), ChangeError> {
+    ) -> Result<(), Failure> {
         let delta = crate::delta::diff(proposer.value(), &value);
         let worth_it = 2 * delta.len() < value.len();
         let delta = worth_it.then(|| Arc::new(delta));
@@ -194,7 +241,7 @@
             }
             Err(round) => {
                 proposer.saw(round.highest_promised);
-                Err(round.failure())
+                Err(Failure::of(&round, round.failure()))
             }
         }
     }
@@ -231,7 +278,8 @@
     }
 
     /// The newest decided value, by the cheapest way that proves it: a key that all hold alike is not taken. Replicas differ
-    /// for a moment while a proposer writes; they are looked at again first, so that readers do not take the key from it.
+    /// for a moment while a proposer writes; they are looked at again first, so that readers do not take the key from it. Who
+    /// may not propose for the key never takes it.
     pub async fn newest(&self, key: &str, us: u64) -> Result<Decided, ChangeError> {
         let looks_end = self.world.now() + us / 4;
         for nth in 0..READ_LOOKS {
@@ -314,7 +362,7 @@
         let mut held = cell.lock().await;
         let proposer = &mut held.proposer;
         let replicas = (self.place)(key);
-        if proposer.leads(&replicas).is_none() && self.take(key, proposer).await.is_err() {
+        if !self.may_propose(key) || (proposer.leads(&replicas).is_none() && self.take(key, proposer).await.is_err()) {
             return false;
         }
         let Some(ballot) = proposer.leads(&replicas) else { return false };
--- a/yewcross/src/register/proposer.rs
+++ b/yewcross/src/register/proposer.rs
@@ -11,6 +11,8 @@
     NotDone,
     /// Some disk may hold it.
     Undecided,
+    /// Another process proposes for this key; nothing was done here.
+    NotProposer,
 }
 
 /// A reply of one disk.
--- a/yewcross/src/tree.rs
+++ b/yewcross/src/tree.rs
@@ -165,7 +165,7 @@
     pub routing: Routes,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Bad {
     pub path: String,
     pub why: String,
