--- a/yewcross-control/src/chain.rs
+++ b/yewcross-control/src/chain.rs
@@ -13,7 +13,7 @@
 use yewcross::consts::*;
 use yewcross::hash::wide;
 use yewcross::member::Members;
-use yewcross::reg::Epoch;
+use yewcross::register::Ballot;
 use yewcross::startup::Startup;
 use yewcross::vault::Vault;
 use yewcross::world::*;
@@ -26,7 +26,7 @@
 }
 
 pub struct Ledger {
-    pub promised: Epoch,
+    pub promised: Ballot,
     pub entries: HashMap<String, Entry>,
     pub spent: u64,
     /// ms of the middle clock of its last change.
@@ -38,7 +38,7 @@
 
 impl Default for Ledger {
     fn default() -> Ledger {
-        Ledger { promised: Epoch::default(), entries: HashMap::new(), spent: 0, at: 0, keep: 0, seg: u64::MAX }
+        Ledger { promised: Ballot::default(), entries: HashMap::new(), spent: 0, at: 0, keep: 0, seg: u64::MAX }
     }
 }
 
@@ -167,7 +167,7 @@
 /// A program that this store gives out the budget of.
 #[derive(Default)]
 struct Hold {
-    epoch: Option<Epoch>,
+    epoch: Option<Ballot>,
     /// Disks that promised it.
     by: BTreeSet<String>,
     /// Highest epoch number heard of.
@@ -431,7 +431,7 @@
 
     /// What is told to a disk by one who does not know the program's owner goes on to that owner.
     fn pass_on(self: &Arc<Self>, l: &LedgerRow) {
-        let by = |e: Epoch| e.by & !0xffff;
+        let by = |e: Ballot| e.by & !0xffff;
         let Some(real) = self.st.lock().unwrap().ledgers.get(&l.program).map(|x| by(x.promised)) else { return };
         let seats = self.line.seats();
         let to = seats.all().into_iter().find(|d| mark_of(d) == real && *d != self.me && real != by(l.epoch));
@@ -466,7 +466,7 @@
             }
             let mut items: Vec<Item> = rows.iter().filter(|r| g.get(&r.turn.id).is_none()).cloned().map(Item::Turn).collect();
             ledgers.into_iter().for_each(|mut l| {
-                l.epoch = Epoch::default();
+                l.epoch = Ballot::default();
                 g.ledgers.entry(l.program.clone()).or_default().merge(&l.entries, at, l.keep);
                 items.push(Item::Ledger(l, at));
             });
@@ -580,7 +580,7 @@
                 if let Some(d) = self.elsewhere(program, take) {
                     return Told::Owner(d);
                 }
-                let row = LedgerRow { program: program.into(), epoch: Epoch::default(), entries: entry.clone(), keep };
+                let row = LedgerRow { program: program.into(), epoch: Ballot::default(), entries: entry.clone(), keep };
                 match self.take(&mut h, &seats, row, until).await {
                     Taken::Yes => {}
                     Taken::Away => return Told::Away,
@@ -654,7 +654,7 @@
             order.retain(|d| *d != self.me);
             order.sort_by_cached_key(|d| (!self.line.prompt(d), !by.contains(d)));
             let ask = self.asker(seats.lay, What::Add { ledger: row }, until);
-            let mut refused = Epoch::default();
+            let mut refused = Ballot::default();
             let enough = |s: &BTreeSet<String>| seats.wrote(|d| s.contains(d) || d == self.me);
             let g = self
                 .line
@@ -681,7 +681,7 @@
                 h.top = h.top.max(refused.n);
             }
             drop(h);
-            if refused == Epoch::default() {
+            if refused == Ballot::default() {
                 return Told::Away;
             }
         }
@@ -706,7 +706,7 @@
         let rx = {
             let mut g = self.st.lock().unwrap();
             let l = g.ledgers.entry(row.program.clone()).or_default();
-            row.epoch = Epoch { n: l.promised.n.max(h.top) + 1, by: self.mark };
+            row.epoch = Ballot { n: l.promised.n.max(h.top) + 1, by: self.mark };
             l.promised = row.epoch;
             l.merge(&row.entries, at, row.keep);
             self.keep(vec![Item::Ledger(row.clone(), at)])
@@ -730,7 +730,7 @@
         order.retain(|d| *d != self.me);
         let ask = self.asker(seats.lay, What::Take { ledger: row }, until);
         let mut known: Vec<(String, Entry)> = vec![];
-        let mut refused = Epoch::default();
+        let mut refused = Ballot::default();
         let enough = |s: &BTreeSet<String>| seats.read(|d| s.contains(d) || d == self.me);
         let g = self
             .line
@@ -749,7 +749,7 @@
         if g.newer > seats.lay {
             return Taken::Newer(g.newer);
         }
-        if refused > Epoch::default() {
+        if refused > Ballot::default() {
             h.top = h.top.max(refused.n);
             return Taken::Refused;
         }
--- a/yewcross-control/src/config/distribution.rs
+++ b/yewcross-control/src/config/distribution.rs
@@ -1,6 +1,6 @@
 //! Sending a decided document to every node.
 //!
-//! Only decided documents are sent: what a majority of the core disks accepted under one epoch, as `Owner::change`, `read` and
+//! Only decided documents are sent: what a majority of the core disks accepted under one epoch, as `RegisterClient::change`, `read` and
 //! `newest` return it. A sequence number is decided once, so a document that comes late, or from a process that has been
 //! superseded, is older than what its receiver holds, or the same.
 //!
@@ -14,7 +14,7 @@
 use yewcross::book::Page;
 use yewcross::consts::{PEER_WAIT, PUSH_EVERY};
 use yewcross::member::Node;
-use yewcross::reg::Epoch;
+use yewcross::register::Ballot;
 use yewcross::startup::Role;
 use yewcross::wire::Lost;
 
@@ -59,7 +59,7 @@
 /// Takes a decided document on hand and tells every node of it; whoever misses it asks for it soon.
 pub fn push(c: &Arc<Control>, name: &'static str, seq: u64, document: Vec<u8>) {
     let before = c.book.page(name);
-    c.book.adopt(name, seq, Epoch::default(), document);
+    c.book.adopt(name, seq, Ballot::default(), document);
     if c.outbox.sending.lock().unwrap().contains_key(name) {
         return;
     }
@@ -153,7 +153,7 @@
         let patch = Ask::Patch {
             name: name.into(),
             seq,
-            epoch: Epoch::default(),
+            epoch: Ballot::default(),
             base: change.base,
             base_digest: change.base_digest.clone(),
             relays: std::mem::take(&mut relays),
@@ -173,7 +173,7 @@
     if page.seq < seq {
         return true;
     }
-    let whole = Ask::Adopt { name: name.into(), seq: page.seq, epoch: Epoch::default(), relays };
+    let whole = Ask::Adopt { name: name.into(), seq: page.seq, epoch: Ballot::default(), relays };
     for _ in 0..SENT_WHOLE {
         match c.peers.ask(node.peer, &whole, &page.raw, PEER_WAIT).await {
             Ok(_) => return true,
--- a/yewcross-control/src/config/orders.rs
+++ b/yewcross-control/src/config/orders.rs
@@ -15,7 +15,7 @@
 use yewcross::ask::{Ask, ConfigDoc, TakenOrder, Tell};
 use yewcross::code::Code;
 use yewcross::consts::*;
-use yewcross::reg::{Step, Trouble};
+use yewcross::register::{ChangeError, Step};
 use yewcross::startup::Bounds;
 use yewcross::tree::Bad;
 
@@ -254,9 +254,9 @@
             c.w.log("the configuration in the register cannot be read");
             PutAnswer::Undecided
         }
-        Err(Trouble::NotProposer) => return None,
-        Err(Trouble::NotDone) => PutAnswer::NoMajority,
-        Err(Trouble::Undecided) => PutAnswer::Undecided,
+        Err(ChangeError::NotProposer) => return None,
+        Err(ChangeError::NotDone) => PutAnswer::NoMajority,
+        Err(ChangeError::Undecided) => PutAnswer::Undecided,
     };
     Some(answer)
 }
--- a/yewcross-control/src/config/proved.rs
+++ b/yewcross-control/src/config/proved.rs
@@ -7,7 +7,7 @@
 use yewcross::ask::*;
 use yewcross::code::Code;
 use yewcross::consts::*;
-use yewcross::reg::*;
+use yewcross::register::*;
 use yewcross::startup::Role;
 use yewcross::tree::{Bad, Tree};
 
@@ -116,13 +116,13 @@
         }
         Ok(Err((_, Some(b)))) => Put::No(Code::NoMajority, b.why, vec![]),
         Ok(Err((s, None))) => Put::No(Code::Conflict, format!("newest is {s}"), vec![]),
-        Err(Trouble::NotDone | Trouble::NotProposer) => Put::No(Code::NoMajority, String::new(), vec![]),
-        Err(Trouble::Undecided) => Put::No(Code::Undecided, "some disk may hold it".into(), vec![]),
+        Err(ChangeError::NotDone | ChangeError::NotProposer) => Put::No(Code::NoMajority, String::new(), vec![]),
+        Err(ChangeError::Undecided) => Put::No(Code::Undecided, "some disk may hold it".into(), vec![]),
     }
 }
 
 /// Sends a decided document to every node; true once none can act on an older one.
-pub async fn carry(c: &Arc<Control>, name: &str, seq: u64, epoch: Epoch, raw: &Arc<Vec<u8>>) -> bool {
+pub async fn carry(c: &Arc<Control>, name: &str, seq: u64, epoch: Ballot, raw: &Arc<Vec<u8>>) -> bool {
     c.book.adopt(name, seq, epoch, raw.to_vec());
     let t0 = c.w.now();
     let (tx, rx) = async_channel::unbounded::<(String, bool)>();
--- a/yewcross-control/src/layout/change.rs
+++ b/yewcross-control/src/layout/change.rs
@@ -14,7 +14,7 @@
 use yewcross::book::DOCS;
 use yewcross::consts::*;
 use yewcross::member::{Node, State};
-use yewcross::register::Epoch;
+use yewcross::register::Ballot;
 use yewcross::register::Step;
 use yewcross::startup::Role;
 
@@ -184,7 +184,7 @@
     let page = c.book.page("layout");
     for node in reports.iter().filter(|r| r.kept < since).filter_map(|r| c.members.by_disk(&r.disk)) {
         let (me, raw) = (c.clone(), page.raw.clone());
-        let told = Ask::Adopt { name: "layout".into(), seq: page.seq, epoch: Epoch::default(), relays: vec![] };
+        let told = Ask::Adopt { name: "layout".into(), seq: page.seq, epoch: Ballot::default(), relays: vec![] };
         c.w.go(async move {
             let _ = me.peers.ask(node.peer, &told, &raw, PEER_WAIT).await;
         });
--- a/yewcross-control/src/layout/founding.rs
+++ b/yewcross-control/src/layout/founding.rs
@@ -8,7 +8,7 @@
 use yewcross::code::Code;
 use yewcross::consts::*;
 use yewcross::member::Node;
-use yewcross::reg::*;
+use yewcross::register::*;
 use yewcross::startup::Role;
 
 /// A core disk takes part only after it was founded, or once a decided layout names it.
@@ -23,11 +23,11 @@
     if p.seq > 0 {
         return if *p.raw == blob { Tell::Ok } else { Tell::No(Code::Conflict) };
     }
-    let b = serde_json::to_vec(&(1u64, Epoch::default(), String::from_utf8_lossy(&blob))).unwrap_or_default();
+    let b = serde_json::to_vec(&(1u64, Ballot::default(), String::from_utf8_lossy(&blob))).unwrap_or_default();
     if c.vault.keep("local", "layout", 1, &b).await.is_err() {
         return Tell::No(Code::StoreAway);
     }
-    c.book.adopt("layout", 1, Epoch::default(), blob);
+    c.book.adopt("layout", 1, Ballot::default(), blob);
     c.replica.lay.fetch_max(1, SeqCst);
     Tell::Ok
 }
@@ -162,7 +162,7 @@
     let founded_now = c.owner.change("config", SEC, configuration).await;
     if founded_now == Ok(true) {
         c.w.log("founded");
-        c.book.adopt("config", 1, Epoch::default(), empty);
+        c.book.adopt("config", 1, Ballot::default(), empty);
         config::tell_all_of(c, "layout");
         config::tell_all_of(c, "config");
     }
--- a/yewcross-control/src/layout/manual.rs
+++ b/yewcross-control/src/layout/manual.rs
@@ -76,7 +76,7 @@
             }
         })
         .await;
-    let r = got.unwrap_or_else(|t| Err((if t == Trouble::Undecided { Code::Undecided } else { Code::NoMajority }, String::new())));
+    let r = got.unwrap_or_else(|t| Err((if t == ChangeError::Undecided { Code::Undecided } else { Code::NoMajority }, String::new())));
     spread(c).await;
     r
 }
--- a/yewcross-control/src/layout/planning.rs
+++ b/yewcross-control/src/layout/planning.rs
@@ -7,7 +7,7 @@
 use yewcross::ask::{Group, Layout};
 use yewcross::consts::{SEAT_LOST, SEAT_MISSING};
 use yewcross::member::{Node, State};
-use yewcross::reg::majority;
+use yewcross::register::majority;
 use yewcross::startup::Role;
 
 /// The core first: nothing can be decided without its majority.
--- a/yewcross-control/src/layout/retire.rs
+++ b/yewcross-control/src/layout/retire.rs
@@ -7,7 +7,7 @@
 use yewcross::ask::*;
 use yewcross::code::Code;
 use yewcross::consts::*;
-use yewcross::reg::*;
+use yewcross::register::*;
 use yewcross::startup::Role;
 
 /// Has it written down that a store machine is to be emptied, here or by the process that proposes.
--- a/yewcross-control/src/lease_holder.rs
+++ b/yewcross-control/src/lease_holder.rs
@@ -10,7 +10,7 @@
 use yewcross::consts::*;
 use yewcross::lease::*;
 use yewcross::member::State;
-use yewcross::register::{Epoch, Step};
+use yewcross::register::{Ballot, Step};
 use yewcross::world::Fut;
 
 /// Documents that only the holder of the lease writes where operators' orders are decided by any core.
@@ -184,7 +184,7 @@
     if c.options.tends && seq > held {
         match held {
             0 => {
-                c.book.adopt(name, seq, Epoch::default(), document);
+                c.book.adopt(name, seq, Ballot::default(), document);
             }
             _ => config::push(c, name, seq, document),
         }
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -42,7 +42,7 @@
     pub book: Arc<Book>,
     pub vault: Arc<Vault>,
     pub replica: Arc<Replica>,
-    pub owner: Arc<Owner>,
+    pub owner: Arc<RegisterClient>,
     pub store: Arc<store::Store>,
     pub chain: Arc<chain::Engine>,
     pub follow: Arc<Follow>,
@@ -99,9 +99,9 @@
     }
 }
 
-fn place(book: &Arc<Book>, members: &Arc<Members>, key: &str) -> Copies {
+fn place(book: &Arc<Book>, members: &Arc<Members>, key: &str) -> ReplicaSet {
     let l = book.layout.load();
-    Copies::of(key, &l.1, l.0, |d| members.by_disk(d).map(|n| n.peer))
+    ReplicaSet::of(key, &l.1, l.0, |d| members.by_disk(d).map(|n| n.peer))
 }
 
 impl Control {
@@ -126,7 +126,7 @@
         let proved = vault.load("local", "proved").await.map_err(disk)?.map(|x| x.0).unwrap_or(0);
         replica.lay.store(book.layout.load().0, SeqCst);
         let (b, m) = (book.clone(), members.clone());
-        let owner = Owner::new(w, &peers, &replica, Arc::new(move |k| place(&b, &m, k)));
+        let owner = RegisterClient::new(w, &peers, &replica, Arc::new(move |k| place(&b, &m, k)));
         let (b, m, p) = (book.clone(), members.clone(), peers.clone());
         let me = st.peer;
         let own: Arc<Mutex<Option<std::sync::Weak<store::Store>>>> = Default::default();
@@ -333,7 +333,7 @@
     let mut kept = BTreeMap::new();
     for (name, file_version, body) in folder {
         let Some(document) = DOCS.into_iter().find(|d| d == name) else { continue };
-        let body = body.as_ref().and_then(|b| serde_json::from_slice::<(u64, Epoch, String)>(b).ok());
+        let body = body.as_ref().and_then(|b| serde_json::from_slice::<(u64, Ballot, String)>(b).ok());
         if let Some((seq, epoch, raw)) = body {
             book.adopt(document, seq, epoch, raw.into_bytes());
         }
--- a/yewcross-control/src/store/budgets.rs
+++ b/yewcross-control/src/store/budgets.rs
@@ -6,7 +6,7 @@
 use yewcross::ask::{Ask, Tell};
 use yewcross::code::Code;
 use yewcross::consts::{AUDIT_AFTER, MS, PEER_WAIT};
-use yewcross::reg::Step;
+use yewcross::register::Step;
 
 impl Store {
     pub async fn reserve(&self, budget: &str, e: &str, o: Open, limit: u64) -> Tell {
--- a/yewcross-control/src/store/mod.rs
+++ b/yewcross-control/src/store/mod.rs
@@ -10,10 +10,10 @@
 
 use std::sync::Arc;
 use yewcross::ask::{Ask, Tell};
-use yewcross::reg::Owner;
+use yewcross::register::RegisterClient;
 
 pub struct Store {
-    pub owner: Arc<Owner>,
+    pub owner: Arc<RegisterClient>,
     pub members: Arc<yewcross::member::Members>,
     pub w: yewcross::world::World,
     /// Asks the owner of another key.
--- a/yewcross-control/src/store/sessions.rs
+++ b/yewcross-control/src/store/sessions.rs
@@ -7,7 +7,7 @@
 use yewcross::ask::{Ask, Begin, Begun, Commit, Kv, Tell};
 use yewcross::code::Code;
 use yewcross::consts::{BAR_KEPT, HORIZON_MAX, KEEP_MAX, MS, OUTCOMES_KEPT, PEER_WAIT, RUN_GRACE};
-use yewcross::reg::{Step, Trouble};
+use yewcross::register::{ChangeError, Step};
 
 #[allow(clippy::large_enum_variant)]
 enum Pre {
@@ -126,12 +126,12 @@
                 (Tell::Kept { code }, k.into_bytes())
             }
             // The front may ask again with this very shot: it keeps its reservation until it is barred.
-            Ok(Pre::No(Code::StoreAway)) | Err(Trouble::NotDone | Trouble::NotProposer) => (Tell::No(Code::StoreAway), vec![]),
+            Ok(Pre::No(Code::StoreAway)) | Err(ChangeError::NotDone | ChangeError::NotProposer) => (Tell::No(Code::StoreAway), vec![]),
             Ok(Pre::No(c)) => {
                 free(self);
                 (Tell::No(c), vec![])
             }
-            Err(Trouble::Undecided) => (Tell::No(Code::Undecided), vec![]),
+            Err(ChangeError::Undecided) => (Tell::No(Code::Undecided), vec![]),
         }
     }
 
@@ -167,8 +167,8 @@
                 Tell::Committed
             }
             Ok(None) => Tell::No(Code::MayHaveRun),
-            Err(Trouble::NotDone | Trouble::NotProposer) => Tell::No(Code::StoreAway),
-            Err(Trouble::Undecided) => Tell::No(Code::Undecided),
+            Err(ChangeError::NotDone | ChangeError::NotProposer) => Tell::No(Code::StoreAway),
+            Err(ChangeError::Undecided) => Tell::No(Code::Undecided),
         }
     }
 
@@ -240,8 +240,8 @@
         match got {
             Ok(Ok(kv)) => Tell::Ended { kv },
             Ok(Err(c)) => Tell::No(c),
-            Err(Trouble::NotDone | Trouble::NotProposer) => Tell::No(Code::StoreAway),
-            Err(Trouble::Undecided) => Tell::No(Code::Undecided),
+            Err(ChangeError::NotDone | ChangeError::NotProposer) => Tell::No(Code::StoreAway),
+            Err(ChangeError::Undecided) => Tell::No(Code::Undecided),
         }
     }
 
--- a/yewcross-control/tests/orders.rs
+++ b/yewcross-control/tests/orders.rs
@@ -2,7 +2,7 @@
 
 use yewcross::ask::ConfigDoc;
 use yewcross::consts::*;
-use yewcross::reg::Step;
+use yewcross::register::Step;
 use yewcross::startup::Bounds;
 use yewcross_control::config::orders::{Decision, Order, decide, kept_ms};
 
--- a/yewcross-lab/examples/chain_load.rs
+++ b/yewcross-lab/examples/chain_load.rs
@@ -12,7 +12,7 @@
 use yewcross::consts::*;
 use yewcross::member::Members;
 use yewcross::real::Real;
-use yewcross::reg::Epoch;
+use yewcross::register::Ballot;
 use yewcross::startup::{Bounds, Role, Startup};
 use yewcross::vault::Vault;
 use yewcross::wire::*;
@@ -116,7 +116,7 @@
         l.sites.insert(n.0.clone(), n.2.clone());
     });
     let raw = serde_json::to_vec(&l).unwrap_or_default();
-    nodes.lock().unwrap().iter().for_each(|n| _ = n.1.adopt("layout", 1, Epoch::default(), raw.clone()));
+    nodes.lock().unwrap().iter().for_each(|n| _ = n.1.adopt("layout", 1, Ballot::default(), raw.clone()));
     nap(500);
     let idle = times();
     nap(3000);
--- a/yewcross-lab/examples/relay_load.rs
+++ b/yewcross-lab/examples/relay_load.rs
@@ -14,7 +14,7 @@
 use yewcross::consts::*;
 use yewcross::port::{AnswerMeta, BackEnd, Caller, RequestMeta};
 use yewcross::real::Real;
-use yewcross::reg::Epoch;
+use yewcross::register::Ballot;
 use yewcross::route::Limits;
 use yewcross::world::*;
 use yewcross_front::relay::Relay;
@@ -136,10 +136,10 @@
         book.adopt(
             "config",
             1,
-            Epoch::default(),
+            Ballot::default(),
             serde_json::to_vec(&json!({"text": t.to_string(), "put": "", "note": "", "past": []})).unwrap(),
         );
-        book.adopt("list", 1, Epoch::default(), serde_json::to_vec(&List { rev: 1, term: 0, servers }).unwrap());
+        book.adopt("list", 1, Ballot::default(), serde_json::to_vec(&List { rev: 1, term: 0, servers }).unwrap());
         let relay = Arc::new(Relay {
             w: front.clone(),
             book,
--- a/yewcross-lab/src/grind.rs
+++ b/yewcross-lab/src/grind.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use yewcross::consts::*;
-use yewcross::reg::{Step, Trouble};
+use yewcross::register::{ChangeError, Step};
 use yewcross::startup::Role;
 
 #[derive(Clone, Debug)]
@@ -14,7 +14,7 @@
     pub key: String,
     pub from: u64,
     pub to: Option<u64>,
-    pub won: Option<Result<(), Trouble>>,
+    pub won: Option<Result<(), ChangeError>>,
 }
 
 pub struct Ground {
@@ -136,7 +136,7 @@
         let mine: Vec<&Op> = g.ops.iter().filter(|o| o.key == *k).collect();
         mine.iter().for_each(|o| match (&o.won, at.contains_key(&o.id)) {
             (Some(Ok(())), false) => v.push(format!("{k}: change {} was acknowledged at {:?} and is lost", o.id, o.to)),
-            (Some(Err(Trouble::NotDone)), true) => v.push(format!("{k}: change {} was refused at {:?} and stands", o.id, o.to)),
+            (Some(Err(ChangeError::NotDone)), true) => v.push(format!("{k}: change {} was refused at {:?} and stands", o.id, o.to)),
             _ => {}
         });
         let by: BTreeMap<u64, &&Op> = mine.iter().map(|o| (o.id, o)).collect();
@@ -157,8 +157,8 @@
     (
         g.ops.len(),
         n(&|o| o.won == Some(Ok(()))),
-        n(&|o| o.won == Some(Err(Trouble::NotDone))),
-        n(&|o| o.won == Some(Err(Trouble::Undecided))),
+        n(&|o| o.won == Some(Err(ChangeError::NotDone))),
+        n(&|o| o.won == Some(Err(ChangeError::Undecided))),
     )
 }
 
--- a/yewcross-lab/tests/chain.rs
+++ b/yewcross-lab/tests/chain.rs
@@ -12,7 +12,7 @@
 use yewcross::chain_wire::*;
 use yewcross::consts::*;
 use yewcross::member::Members;
-use yewcross::reg::Epoch;
+use yewcross::register::Ballot;
 use yewcross::startup::{Bounds, Role, Startup};
 use yewcross::vault::Vault;
 use yewcross::wire::*;
@@ -187,7 +187,7 @@
             let members = Members::new(&w, &st, &peers, &disk);
             let book = Book::new(&w);
             past.into_iter().for_each(|(s, l)| {
-                book.adopt("layout", s, Epoch::default(), serde_json::to_vec(&l).unwrap());
+                book.adopt("layout", s, Ballot::default(), serde_json::to_vec(&l).unwrap());
             });
             let engine = match &vault {
                 Some(v) => Engine::start(&w, &st, &members, &book, v).await.ok(),
@@ -256,7 +256,7 @@
         for (n, x) in nodes.iter().filter(|x| !apart.contains(x.0)) {
             // Now and then, so that some have it before others.
             if x.book.layout.load().0 < seq && self.sim.rand().is_multiple_of(4) {
-                x.book.adopt("layout", seq, Epoch::default(), serde_json::to_vec(&l).unwrap());
+                x.book.adopt("layout", seq, Ballot::default(), serde_json::to_vec(&l).unwrap());
                 self.had.lock().unwrap().insert(n.clone(), seq);
             }
         }
@@ -721,14 +721,14 @@
     let d = t.disk("store1");
     let ledger = |n, e: &[(&str, Entry)]| LedgerRow {
         program: "p".into(),
-        epoch: Epoch { n, by: 7 },
+        epoch: Ballot { n, by: 7 },
         entries: e.iter().map(|(k, e)| (k.to_string(), *e)).collect(),
         keep: 1000,
     };
     let ask = |what| told(&t, "store1", &d, 1, what);
     let (open, done) = (("a", Entry::Open(5)), ("a", Entry::Done(2)));
-    let e = |n| Epoch { n, by: 7 };
-    assert_eq!(ask(What::Add { ledger: ledger(1, &[open]) }), Told::Refused(Epoch::default()), "nothing was promised");
+    let e = |n| Ballot { n, by: 7 };
+    assert_eq!(ask(What::Add { ledger: ledger(1, &[open]) }), Told::Refused(Ballot::default()), "nothing was promised");
     assert_eq!(ask(What::Take { ledger: ledger(3, &[open]) }), Told::Taken(vec![("a".into(), Entry::Open(5))]));
     assert_eq!(ask(What::Take { ledger: ledger(2, &[]) }), Told::Refused(e(3)), "a promise goes back");
     assert_eq!(ask(What::Add { ledger: ledger(2, &[]) }), Told::Refused(e(3)));
@@ -853,7 +853,7 @@
     for seed in 900..908 {
         let t = Town::new(seed, 4, 2, 1);
         let d = t.disk("store1");
-        let epoch = Epoch { n: 5, by: 7 };
+        let epoch = Ballot { n: 5, by: 7 };
         let ledger = |e: &[(&str, Entry)]| LedgerRow {
             program: "p".into(),
             epoch,
@@ -1048,7 +1048,7 @@
         t.pass(300);
         let d = t.disk("store2");
         assert_eq!(told(&t, "store2", &d, 1, What::Find { id: "never".into() }), Told::Away, "seed {seed}");
-        let ledger = LedgerRow { program: "p0".into(), epoch: Epoch { n: 99, by: 1 }, ..Default::default() };
+        let ledger = LedgerRow { program: "p0".into(), epoch: Ballot { n: 99, by: 1 }, ..Default::default() };
         assert_eq!(told(&t, "store2", &d, 1, What::Take { ledger }), Told::Away, "seed {seed}");
         others.iter().for_each(|n| t.boot(n));
         t.pass(3_000);
--- a/yewcross-lab/tests/defects.rs
+++ b/yewcross-lab/tests/defects.rs
@@ -172,7 +172,7 @@
 /// An owner frozen past the keeping time wrote over the key's next life: its epoch was higher than the new one's.
 #[test]
 fn an_owner_that_wakes_after_its_key_was_forgotten_cannot_bring_it_back() {
-    use yewcross::reg::Step;
+    use yewcross::register::Step;
     let add = |what: &'static str| {
         move |_: u64, v: &[u8]| {
             if v.ends_with(what.as_bytes()) { Step::Keep(()) } else { Step::Write([v, what.as_bytes()].concat(), ()) }
--- a/yewcross-lab/tests/disk.rs
+++ b/yewcross-lab/tests/disk.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use yewcross::chain_wire::{LedgerRow, encode};
 use yewcross::consts::*;
-use yewcross::register::{Epoch, RegisterReply, RegisterRequest, Replica};
+use yewcross::register::{Ballot, RegisterReply, RegisterRequest, Replica};
 use yewcross::startup::Role;
 use yewcross::vault::{Vault, seal};
 use yewcross::world::{Fut, World};
@@ -53,8 +53,8 @@
     }
 }
 
-fn epoch(n: u64) -> Epoch {
-    Epoch { n, by: 1 }
+fn epoch(n: u64) -> Ballot {
+    Ballot { n, by: 1 }
 }
 
 fn promise(n: u64) -> RegisterRequest {
--- a/yewcross-lab/tests/histories.rs
+++ b/yewcross-lab/tests/histories.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use yewcross::ask::ConfigDoc;
 use yewcross::consts::*;
-use yewcross::reg::Step;
+use yewcross::register::Step;
 use yewcross::startup::Role;
 use yewcross_control::api::*;
 use yewcross_lab::history::*;
@@ -185,7 +185,7 @@
     }
 }
 
-/// Trouble with as many machines as may be lost at once, one kind after another, each over before the next.
+/// ChangeError with as many machines as may be lost at once, one kind after another, each over before the next.
 async fn trouble(tier: Arc<Tier>, plan: Plan) {
     let until = tier.op.now() + plan.length;
     let mut spare = 60;
--- a/yewcross-lab/tests/relay/requests.rs
+++ b/yewcross-lab/tests/relay/requests.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::AtomicUsize;
 use yewcross::book::Book;
 use yewcross::consts::*;
-use yewcross::reg::Epoch;
+use yewcross::register::Ballot;
 use yewcross::route::Limits;
 use yewcross::world::*;
 use yewcross_front::relay::Relay;
@@ -115,9 +115,9 @@
             };
             let one = ask("early");
             w.sleep(100 * MS).await;
-            book.adopt("config", 1, Epoch::default(), config(routes()));
+            book.adopt("config", 1, Ballot::default(), config(routes()));
             w.sleep(100 * MS).await;
-            book.adopt("list", 1, Epoch::default(), old.raw.to_vec());
+            book.adopt("list", 1, Ballot::default(), old.raw.to_vec());
             one.recv().await.unwrap()
         })
     });
--- a/yewcross-lab/tests/relay/rig.rs
+++ b/yewcross-lab/tests/relay/rig.rs
@@ -13,7 +13,7 @@
 use yewcross::book::Book;
 use yewcross::chain::{Chains, OpenTurn, OpenedTurn, Refusal, Turn};
 use yewcross::consts::*;
-use yewcross::reg::Epoch;
+use yewcross::register::Ballot;
 use yewcross::route::Limits;
 use yewcross::world::*;
 use yewcross_front::relay::Relay;
@@ -156,12 +156,12 @@
     }
 
     pub fn configure(&self, seq: u64, routes: Value) {
-        assert!(self.relay.book.adopt("config", seq, Epoch::default(), config(routes)));
+        assert!(self.relay.book.adopt("config", seq, Ballot::default(), config(routes)));
     }
 
     pub fn list(&self, seq: u64, v: &[Listed]) {
         let l = List { rev: seq, term: 0, servers: v.to_vec() };
-        assert!(self.relay.book.adopt("list", seq, Epoch::default(), serde_json::to_vec(&l).unwrap()));
+        assert!(self.relay.book.adopt("list", seq, Ballot::default(), serde_json::to_vec(&l).unwrap()));
     }
 
     /// One machine carries a server of service `a` at port 1 and one of `model` at port 2.
--- a/yewcross-lab/tests/relay/streams.rs
+++ b/yewcross-lab/tests/relay/streams.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross::chain::Refusal;
 use yewcross::consts::*;
-use yewcross::reg::Epoch;
+use yewcross::register::Ballot;
 
 /// A caller takes an answer for whole once all the bytes that its head names are there, so the head may name none
 /// where the end waits for the turn to be kept.
@@ -34,9 +34,9 @@
             {"name": "a", "engine": engine(1)}, {"name": "model", "engine": engine(5)}]}});
         serde_json::to_vec(&json!({"text": t.to_string(), "put": "", "note": "", "past": []})).unwrap()
     };
-    assert!(rig.relay.book.adopt("config", 2, Epoch::default(), config("a")));
+    assert!(rig.relay.book.adopt("config", 2, Ballot::default(), config("a")));
     let (book, moved) = (rig.relay.book.clone(), config("model"));
-    *rig.memory.on_open.lock().unwrap() = Some(Box::new(move || assert!(book.adopt("config", 3, Epoch::default(), moved))));
+    *rig.memory.on_open.lock().unwrap() = Some(Box::new(move || assert!(book.adopt("config", 3, Ballot::default(), moved))));
     let h = rig.ask("t1", "/kept/stream/x", &[("program", "p"), ("budget", "500"), ("most", "50")], "in");
     assert_eq!((h.status, h.whole, rig.runs("t1")[0].server.as_str()), (200, true, "model0"), "{h:?}");
     assert_eq!(*rig.memory.settled.lock().unwrap(), [("kept t1".into(), 20)]);
--- a/yewcross-lab/tests/votes.rs
+++ b/yewcross-lab/tests/votes.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use yewcross::consts::*;
-use yewcross::register::{Owner, Step};
+use yewcross::register::{RegisterClient, Step};
 use yewcross_lab::proof::Lab;
 use yewcross_lab::script::on_fleet_of;
 
@@ -15,7 +15,7 @@
     }
 }
 
-fn owner(lab: &Lab, node: &str) -> Arc<Owner> {
+fn owner(lab: &Lab, node: &str) -> Arc<RegisterClient> {
     lab.control(node).unwrap().owner.clone()
 }
 
@@ -74,7 +74,7 @@
                 lab.sim.power_on(machine("store1"));
                 lab.boot("store1");
                 lab.op.sleep(6 * SEC).await;
-                let mut value = Err(yewcross::register::Trouble::NotDone);
+                let mut value = Err(yewcross::register::ChangeError::NotDone);
                 while value.is_err() {
                     value = owner(&lab, "store1").read(KEY, 2 * SEC).await;
                 }
--- a/yewcross-plan/src/lib.rs
+++ b/yewcross-plan/src/lib.rs
@@ -13,7 +13,7 @@
 use yewcross::consts::*;
 use yewcross::http::fetch;
 use yewcross::member::Node;
-use yewcross::reg::Copies;
+use yewcross::register::ReplicaSet;
 use yewcross::startup::Role;
 use yewcross::tree::{Bad, Family, Tree};
 use yewcross::world::World;
@@ -194,7 +194,7 @@
     pub news: Vec<Moved>,
     /// How many keys change their usual owner.
     pub owners: u64,
-    /// Copies to be made.
+    /// ReplicaSet to be made.
     pub copies: Vec<Copying>,
     /// Bytes copied within sites.
     pub bytes_within: u64,
@@ -289,9 +289,9 @@
         *e = (*e).max((h.seq, h.bytes));
     });
     for (key, (_, bytes)) in top {
-        let a = Copies::of(key, &c.layout, 0, |_| None).now;
-        let b = Copies::of(key, &next, 0, |_| None).now;
-        let owner = |v: &[yewcross::reg::Seat]| v.first().map(|s| s.disk.clone()).unwrap_or_default();
+        let a = ReplicaSet::of(key, &c.layout, 0, |_| None).now;
+        let b = ReplicaSet::of(key, &next, 0, |_| None).now;
+        let owner = |v: &[yewcross::register::Seat]| v.first().map(|s| s.disk.clone()).unwrap_or_default();
         p.owners += (owner(&a) != owner(&b)) as u64;
         b.iter().filter(|s| !a.contains(s)).for_each(|s| {
             let across = !a.iter().any(|x| site(&x.disk) == site(&s.disk));
@@ -339,7 +339,7 @@
     duties(c, p, &[gone].into(), &cores);
     let disk = c.nodes.iter().find(|n| n.name == gone).map(|n| n.disk.clone()).unwrap_or_default();
     let keys: BTreeSet<&str> = c.held.values().flatten().map(|h| h.key.as_str()).collect();
-    p.owners = keys.iter().filter(|k| Copies::of(k, &c.layout, 0, |_| None).now.first().is_some_and(|s| s.disk == disk)).count() as u64;
+    p.owners = keys.iter().filter(|k| ReplicaSet::of(k, &c.layout, 0, |_| None).now.first().is_some_and(|s| s.disk == disk)).count() as u64;
 }
 
 /// What the change would move. Nothing is changed.
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -5,7 +5,7 @@
 use crate::lease::{LeaseAsk, LeaseTell};
 use crate::member::Node;
 use crate::orders::{PutAnswer, RetireBegin};
-use crate::register::{Epoch, RegisterReply, RegisterRequest};
+use crate::register::{Ballot, RegisterReply, RegisterRequest};
 use crate::tree::Rule;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -60,7 +60,7 @@
     Adopt {
         name: String,
         seq: u64,
-        epoch: Epoch,
+        epoch: Ballot,
         /// The processes that tell it on, each to its share of the nodes; empty where nobody is asked to.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         relays: Vec<String>,
@@ -69,7 +69,7 @@
     Patch {
         name: String,
         seq: u64,
-        epoch: Epoch,
+        epoch: Ballot,
         base: u64,
         /// `hash::mark` of the version named; empty from nodes that don't tell it.
         #[serde(default)]
@@ -210,7 +210,7 @@
     Retire(RetireBegin),
     Doc {
         seq: u64,
-        epoch: Epoch,
+        epoch: Ballot,
     },
     Adopted {
         seq: u64,
--- a/yewcross/src/book.rs
+++ b/yewcross/src/book.rs
@@ -4,7 +4,7 @@
 use crate::departures::Departures;
 use crate::member::Members;
 use crate::port::{Dialect, Native};
-use crate::reg::Epoch;
+use crate::register::Ballot;
 use crate::tree::Tree;
 use crate::world::World;
 use arc_swap::ArcSwap;
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Page {
     pub seq: u64,
-    pub epoch: Epoch,
+    pub epoch: Ballot,
     pub raw: Arc<Vec<u8>>,
 }
 
@@ -91,7 +91,7 @@
 
     /// Takes a decided document as a change to the version on hand. `base_digest` is that version's `hash::mark`; empty from
     /// nodes that don't tell it, whose delta's own checksum alone then holds.
-    pub fn patch(&self, name: &str, base: u64, base_digest: &str, seq: u64, epoch: Epoch, delta: &[u8]) -> Result<(), DocumentRejected> {
+    pub fn patch(&self, name: &str, base: u64, base_digest: &str, seq: u64, epoch: Ballot, delta: &[u8]) -> Result<(), DocumentRejected> {
         let page = self.page(name);
         if seq <= page.seq {
             return Err(DocumentRejected::NotNewer { held: page.seq });
@@ -105,13 +105,13 @@
     }
 
     /// Whether the document was taken; see `try_adopt`.
-    pub fn adopt(&self, name: &str, seq: u64, epoch: Epoch, raw: Vec<u8>) -> bool {
+    pub fn adopt(&self, name: &str, seq: u64, epoch: Ballot, raw: Vec<u8>) -> bool {
         self.try_adopt(name, seq, epoch, raw).is_ok()
     }
 
     /// Takes a decided document; never an older one than is on hand. The sequence number alone names the content: a number is
     /// decided once, though the epoch under which it stands may rise. So the epoch is not compared.
-    pub fn try_adopt(&self, name: &str, seq: u64, epoch: Epoch, raw: Vec<u8>) -> Result<(), DocumentRejected> {
+    pub fn try_adopt(&self, name: &str, seq: u64, epoch: Ballot, raw: Vec<u8>) -> Result<(), DocumentRejected> {
         let _one_at_a_time = self.gate.lock().unwrap();
         let index = DOCS.iter().position(|d| *d == name).ok_or(DocumentRejected::UnknownName)?;
         let held = self.pages[index].load();
--- a/yewcross/src/chain_wire.rs
+++ b/yewcross/src/chain_wire.rs
@@ -7,7 +7,7 @@
 use crate::follow::Follow;
 use crate::hash::{ranked, weigh};
 use crate::member::{Members, Node, State};
-use crate::reg::Epoch;
+use crate::register::Ballot;
 use crate::wire::Lost;
 use crate::world::*;
 use serde::{Deserialize, Serialize};
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LedgerRow {
     pub program: String,
-    pub epoch: Epoch,
+    pub epoch: Ballot,
     pub entries: Vec<(String, Entry)>,
     pub keep: u64,
 }
@@ -119,7 +119,7 @@
     /// Certain: this disk does not hold it.
     No,
     Taken(Vec<(String, Entry)>),
-    Refused(Epoch),
+    Refused(Ballot),
     /// A turn that comes before is not here, so the rows were not kept.
     Lacks(String),
     Have(Vec<bool>),
@@ -183,7 +183,7 @@
         self.lost(&self.now)
     }
 
-    /// Copies that outlast the losses, of the present disks.
+    /// ReplicaSet that outlast the losses, of the present disks.
     pub fn copies(&self) -> usize {
         self.lost(&self.now) + 1
     }
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -67,7 +67,7 @@
 /// bytes. Largest frame accepted from a peer.
 pub const FRAME_MAX: usize = 64 << 20;
 
-/// count. Copies of each store key: one disk may be lost and the next change still lands on two.
+/// count. ReplicaSet of each store key: one disk may be lost and the next change still lands on two.
 pub const STORE_COPIES: usize = 3;
 /// us. A disk that has not synced within this is treated as stalled for that exchange.
 pub const SYNC_WAIT: u64 = 600 * MS;
--- a/yewcross/src/delta.rs
+++ b/yewcross/src/delta.rs
@@ -13,7 +13,7 @@
     matches!(byte, b'\n' | b'}')
 }
 
-/// Copies of runs of old chunks and new bytes between them, closed by a checksum of the whole.
+/// ReplicaSet of runs of old chunks and new bytes between them, closed by a checksum of the whole.
 pub fn diff(old: &[u8], new: &[u8]) -> Vec<u8> {
     let mut at = BTreeMap::new();
     // Most values grow at their end: what leads both alike is skipped in blocks, then cut at the end of a chunk.
--- a/yewcross/src/lib.rs
+++ b/yewcross/src/lib.rs
@@ -28,6 +28,3 @@
 pub mod web;
 pub mod wire;
 pub mod world;
-
-/// The name that other modules still use.
-pub use register as reg;
--- a/yewcross/src/register/mod.rs
+++ b/yewcross/src/register/mod.rs
@@ -24,10 +24,10 @@
 pub mod replica;
 mod restore;
 
-pub use client::{RegisterClient, RegisterClient as Owner, Step};
-pub use message::{Ballot, Ballot as Epoch, RegisterReply, RegisterRequest};
-pub use proposer::{ChangeError, ChangeError as Trouble};
-pub use quorum::{ReplicaSet, ReplicaSet as Copies, Seat, majority};
+pub use client::{RegisterClient, Step};
+pub use message::{Ballot, RegisterReply, RegisterRequest};
+pub use proposer::ChangeError;
+pub use quorum::{ReplicaSet, Seat, majority};
 pub use replica::Replica;
 
 /// Number of independent locks over the keys of a replica or a client.
