--- a/yewcross-control/src/api.rs
+++ b/yewcross-control/src/api.rs
@@ -1,6 +1,6 @@
 //! What another interface starts a control node with, and asks of it.
 
-use crate::{Control, config, duty, layout};
+use crate::{Control, config, layout, quorum_contact};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 pub use yewcross::orders::{PutAnswer, RetireBegin};
@@ -61,7 +61,7 @@
     /// Puts an operator's text in force on top of version `base` (0: the first). Any core node may be asked; answers
     /// within `Bounds::ack`.
     pub async fn put(self: &Arc<Self>, base: u64, text: Vec<u8>) -> PutAnswer {
-        if !duty::reach_quorum(self).await {
+        if !quorum_contact::reach_quorum(self).await {
             return if self.book.layout.load().0 == 0 { PutAnswer::NotFounded } else { PutAnswer::NoMajority };
         }
         config::order(self, base, text).await
@@ -69,7 +69,7 @@
 
     /// The newest decided configuration, by a majority of core disks.
     pub async fn read_config(self: &Arc<Self>) -> ReadAnswer {
-        if !duty::reach_quorum(self).await {
+        if !quorum_contact::reach_quorum(self).await {
             return ReadAnswer::Away;
         }
         config::newest(self).await
@@ -77,14 +77,14 @@
 
     /// Orders a store machine to be emptied for good. Any core node may be asked, and again.
     pub async fn retire_begin(self: &Arc<Self>, node: &str) -> RetireBegin {
-        if !duty::reach_quorum(self).await {
+        if !quorum_contact::reach_quorum(self).await {
             return RetireBegin::Away;
         }
         layout::retire(self, node).await
     }
 
     pub async fn retire_state(self: &Arc<Self>, node: &str) -> RetireState {
-        if !duty::reach_quorum(self).await {
+        if !quorum_contact::reach_quorum(self).await {
             return RetireState::Away;
         }
         layout::retired(self, node).await
--- /dev/null
+++ b/yewcross-control/src/lease_granter.rs
@@ -0,0 +1,116 @@
+//! The granter of the duty lease that runs on each core seat: it answers candidates and holders, and keeps its grants on disk.
+
+use crate::Control;
+use crate::lease::*;
+use std::io;
+use std::sync::atomic::Ordering::SeqCst;
+use yewcross::ask::Layout;
+use yewcross::book::DOCS;
+use yewcross::consts::SYNC_WAIT;
+use yewcross::lease::*;
+use yewcross::vault::Vault;
+use yewcross::world::World;
+
+/// Name of the file that keeps the highest term granted.
+const TERM_FILE: &str = "lease";
+
+/// Name of the file that counts the processes that have started on the disk.
+const LIFE_FILE: &str = "life";
+
+/// The last grant on this disk, and the version of the file that says so.
+pub struct GrantFile {
+    version: u64,
+    pub grant: KeptGrant,
+}
+
+/// Counts this process among those that have started on the disk; 0 where the disk cannot say or keep it.
+pub async fn begin_life(w: &World, vault: &Vault) -> io::Result<u64> {
+    let before = vault.load("local", LIFE_FILE).await?.map_or(0, |kept| kept.0);
+    let life = before + 1;
+    let kept = w.within(SYNC_WAIT, vault.keep("local", LIFE_FILE, life, &life.to_le_bytes())).await;
+    Ok(if matches!(kept, Some(Ok(()))) { life } else { 0 })
+}
+
+impl GrantFile {
+    /// Reads the last grant that this disk has given.
+    pub async fn read(vault: &Vault) -> io::Result<GrantFile> {
+        let kept = vault.load("local", TERM_FILE).await?;
+        let grant = kept.as_ref().map(|(_, body)| read_grant(body)).unwrap_or_default();
+        Ok(GrantFile { version: kept.map_or(0, |file| file.0), grant })
+    }
+}
+
+/// Programs before the holder was kept wrote the term alone.
+fn read_grant(body: &[u8]) -> KeptGrant {
+    let term_alone = || <[u8; 8]>::try_from(body).map(u64::from_le_bytes).unwrap_or(0);
+    serde_json::from_slice(body).unwrap_or_else(|_| KeptGrant { term: term_alone(), ..KeptGrant::default() })
+}
+
+/// Runs `f` on this seat's granter, which first hears of the core seats as they are known now.
+pub fn with_granter<T>(c: &Control, f: impl FnOnce(&mut Granter, u64) -> T) -> T {
+    let l = c.book.layout.load();
+    let mut granter = c.duties.granter.lock().unwrap();
+    let now = c.w.now();
+    granter.see_seats(now, seats_digest(&l.1), l.1.term, l.0 == 1);
+    f(&mut granter, now)
+}
+
+/// Answers for this disk, which alone gives its grants.
+pub async fn answer(c: &Control, ask: &LeaseAsk) -> LeaseTell {
+    let verdict = if ask.granter == c.vault.id { decide(c, ask).await } else { Verdict::Refused(Refusal::OtherDisk) };
+    if verdict == Verdict::Released {
+        c.duties.changed.notify(usize::MAX);
+    }
+    let (term, holder) = with_granter(c, |granter, now| (granter.term(), granter.holder(now).cloned()));
+    let holder = holder.filter(|_| ask.wants_holder);
+    LeaseTell { granter: c.vault.id.clone(), term, verdict, versions: versions(c).await, holder }
+}
+
+async fn decide(c: &Control, ask: &LeaseAsk) -> Verdict {
+    if c.vault.failed.load(SeqCst) {
+        return Verdict::Refused(Refusal::DiskFailed);
+    }
+    if !has_seat(&c.book.layout.load().1, &c.vault.id) {
+        return Verdict::Refused(Refusal::OtherSeats);
+    }
+    let (is_freed, verdict, to_keep) = with_granter(c, |granter, now| {
+        let is_freed = granter.meet(&ask.candidate);
+        let verdict = granter.answer(now, &ask.candidate, ask.seats, ask.call);
+        (is_freed, verdict, granter.to_keep())
+    });
+    if is_freed {
+        c.duties.changed.notify(usize::MAX);
+    }
+    if verdict == Verdict::Granted && !keep_grant(c, &to_keep).await {
+        return Verdict::Refused(Refusal::DiskFailed);
+    }
+    verdict
+}
+
+/// Returns once the grant is on disk. Its extensions change nothing there, until they count in other seats.
+async fn keep_grant(c: &Control, grant: &KeptGrant) -> bool {
+    let mut kept = c.duties.kept.lock().await;
+    if kept.grant == *grant || kept.grant.term > grant.term {
+        return true;
+    }
+    let version = kept.version + 1;
+    let body = serde_json::to_vec(grant).unwrap_or_default();
+    if c.vault.keep("local", TERM_FILE, version, &body).await.is_err() {
+        return false;
+    }
+    *kept = GrantFile { version, grant: grant.clone() };
+    true
+}
+
+pub fn has_seat(l: &Layout, disk: &str) -> bool {
+    l.core.now.iter().chain(&l.core.old).any(|d| d == disk)
+}
+
+async fn versions(c: &Control) -> Vec<(String, u64)> {
+    let mut v = vec![];
+    for document in DOCS {
+        let on_disk = c.replica.peek(document).await.map_or(0, |slot| slot.seq);
+        v.push((document.to_string(), on_disk.max(c.book.page(document).seq)));
+    }
+    v
+}
--- a/yewcross-control/src/lease_holder.rs
+++ b/yewcross-control/src/lease_holder.rs
@@ -1,7 +1,8 @@
 //! Taking, renewing and giving up the duty lease.
 
-use crate::duty::*;
 use crate::lease::*;
+use crate::lease_granter::with_granter;
+use crate::quorum_contact::{all_seats, ask_seat, ask_seats};
 use crate::{Control, config, layout};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod duty;
 pub mod layout;
 pub mod lease;
+mod lease_granter;
 pub mod lease_holder;
 pub mod operator;
 pub mod platform_list;
 pub mod proposer;
+pub mod quorum_contact;
 pub mod store;
 
 use config::{Change, Notice};
@@ -257,7 +259,7 @@
             Ask::Grants { name, seq } => (config::grants(self, &name, seq).await, vec![]),
             Ask::Proved { seq } => (config::proved(self, seq).await, vec![]),
             Ask::Found => (layout::found_here(self, blob).await, vec![]),
-            Ask::Lease(ask) => (Tell::Lease(duty::answer(self, &ask).await), vec![]),
+            Ask::Lease(ask) => (Tell::Lease(lease_granter::answer(self, &ask).await), vec![]),
             Ask::SweepNow => {
                 self.sweep_now.store(true, SeqCst);
                 self.sweep_call.notify(usize::MAX);
--- a/yewcross-control/src/operator.rs
+++ b/yewcross-control/src/operator.rs
@@ -138,8 +138,7 @@
 
 async fn status(c: &Arc<Control>) -> Response {
     let holder = duty::holder_name(c);
-    let duties: Vec<Value> =
-        duty::DUTIES.iter().enumerate().map(|(i, d)| json!({"duty": d, "held_here": c.on_duty(i), "given": holder})).collect();
+    let duties: Vec<Value> = duty::DUTIES.iter().map(|d| json!({"duty": d, "held_here": c.on_duty(), "given": holder})).collect();
     let versions: serde_json::Map<String, Value> = c.book.have().into_iter().map(|(k, v)| (k, v.into())).collect();
     reply(
         200,
--- a/yewcross-lab/src/proof/faults/processes.rs
+++ b/yewcross-lab/src/proof/faults/processes.rs
@@ -68,8 +68,8 @@
     /// The holder of a duty dies, freezes, or dies while a server is listed as leaving.
     pub(super) async fn kill_duty(self: &Arc<Self>, act: Act) {
         let s = self.sim.clone();
-        let held = |i: usize| self.names(Role::Core).into_iter().find(|n| self.control(n).is_some_and(|c| c.on_duty(i)));
-        let n = held(if act == Act::ListedDutyDies { 0 } else { s.rand() as usize % 2 }).unwrap_or("core1".into());
+        let holder = self.names(Role::Core).into_iter().find(|n| self.control(n).is_some_and(|c| c.on_duty()));
+        let n = holder.unwrap_or("core1".into());
         let server = self.any_back(true);
         let p = self.platform.lock().unwrap().clone();
         let listed = |on: bool| p.iter().for_each(|p| p.edit(|v| v.iter_mut().filter(|x| x.server == server).for_each(|x| x.leaving = on)));
--- a/yewcross-lab/src/tier.rs
+++ b/yewcross-lab/src/tier.rs
@@ -148,7 +148,7 @@
 
     /// Machines that hold the duties at this moment.
     pub fn on_duty(&self) -> Vec<String> {
-        self.control.lock().unwrap().iter().filter(|c| c.1.on_duty(0)).map(|c| c.0.clone()).collect()
+        self.control.lock().unwrap().iter().filter(|c| c.1.on_duty()).map(|c| c.0.clone()).collect()
     }
 
     pub fn names(&self, r: Role) -> Vec<String> {
--- a/yewcross-lab/tests/control.rs
+++ b/yewcross-lab/tests/control.rs
@@ -442,7 +442,7 @@
             Box::pin(async move {
                 up(&t).await;
                 t.op.sleep(2 * SEC).await;
-                let on = |t: &Tier| t.control.lock().unwrap().iter().filter(|c| c.1.on_duty(0)).map(|c| c.0.clone()).collect::<Vec<_>>();
+                let on = |t: &Tier| t.control.lock().unwrap().iter().filter(|c| c.1.on_duty()).map(|c| c.0.clone()).collect::<Vec<_>>();
                 let was = on(&t);
                 assert_eq!(was.len(), 1);
                 t.kill(&was[0], power);
--- a/yewcross-lab/tests/seats.rs
+++ b/yewcross-lab/tests/seats.rs
@@ -150,7 +150,7 @@
             let (mut core, mut store) = (0, 0);
             for round in 0..4 {
                 let stores: Vec<String> = (0..lost).map(|i| format!("store{}", 1 + (round * lost + i) % counts[1])).collect();
-                let has_duty = |n: &String| t.at(n).is_some_and(|c| c.on_duty(1));
+                let has_duty = |n: &String| t.at(n).is_some_and(|c| c.on_duty());
                 let mut cores = t.names(Role::Core);
                 cores.rotate_left(round % counts[0]);
                 let lost_core = cores.into_iter().find(|n| has_duty(n) == with_duty).unwrap();
@@ -224,7 +224,7 @@
                 for round in 0..4 {
                     let mut cores = t.names(Role::Core);
                     cores.rotate_left(round % counts[0]);
-                    let core = cores.into_iter().find(|n| t.at(n).is_some_and(|c| !c.on_duty(1))).unwrap();
+                    let core = cores.into_iter().find(|n| t.at(n).is_some_and(|c| !c.on_duty())).unwrap();
                     lose(&t, &core);
                     t.op.sleep(1_200 * MS).await;
                     t.boot(&core, false);
