Tell leaving servers again only to whom they were not told; keep the life off the start's way

And the write of a process's life was dropped midway where a disk stalls at a start.

Change: who asks names the digest of what this core told it last; the life is written on its own.

--- a/yewcross-control/src/duty.rs
+++ b/yewcross-control/src/duty.rs
@@ -58,7 +58,7 @@
 
 impl Duties {
     /// Reads the last grant that this disk has given.
-    pub async fn open(w: &World, vault: &Vault, book: &Book, process: u64, role: Role) -> io::Result<Duties> {
+    pub async fn open(w: &World, vault: &Arc<Vault>, book: &Book, process: u64, role: Role) -> io::Result<Duties> {
         let kept = GrantFile::read(vault).await?;
         let life = if role == Role::Core { begin_life(w, vault).await? } else { 0 };
         let fresh = book.layout.load().0 == 0;
--- a/yewcross-control/src/lease_granter.rs
+++ b/yewcross-control/src/lease_granter.rs
@@ -3,6 +3,7 @@
 use crate::Control;
 use crate::lease::*;
 use std::io;
+use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross::ask::Layout;
 use yewcross::book::DOCS;
@@ -24,11 +25,17 @@
 }
 
 /// Counts this process among those that have started on the disk; 0 where the disk cannot say or keep it.
-pub async fn begin_life(w: &World, vault: &Vault) -> io::Result<u64> {
+pub async fn begin_life(w: &World, vault: &Arc<Vault>) -> io::Result<u64> {
     let before = vault.load("local", LIFE_FILE).await?.map_or(0, |kept| kept.0);
     let life = before + 1;
-    let kept = w.within(SYNC_WAIT, vault.keep("local", LIFE_FILE, life, &life.to_le_bytes())).await;
-    Ok(if matches!(kept, Some(Ok(()))) { life } else { 0 })
+    let (done_tx, done) = async_channel::bounded(1);
+    let kept_vault = vault.clone();
+    // On its own: a write under way is never abandoned halfway, and a slow disk holds no start up.
+    w.go(async move {
+        let _ = done_tx.try_send(kept_vault.keep("local", LIFE_FILE, life, &life.to_le_bytes()).await);
+    });
+    let kept = w.within(SYNC_WAIT, done.recv()).await;
+    Ok(if matches!(kept, Some(Ok(Ok(())))) { life } else { 0 })
 }
 
 impl GrantFile {
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -44,7 +44,7 @@
     Newer {
         have: Vec<(String, u64)>,
         front: bool,
-        /// `Book::departures_digest` of the asker.
+        /// `departures::digest` of the servers that this node told the asker of last.
         #[serde(default, skip_serializing_if = "is_zero")]
         departed: u64,
     },
@@ -202,7 +202,7 @@
         /// The teller has heard of a newer version of a document than it holds.
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         behind: bool,
-        /// Servers known to be leaving, where the asker does not know the same.
+        /// All servers known to be leaving, where the asker was not told just these before.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         departed: Vec<String>,
     },
--- a/yewcross/src/book.rs
+++ b/yewcross/src/book.rs
@@ -172,12 +172,7 @@
         true
     }
 
-    /// Alike on nodes that know the same servers to be leaving.
-    pub fn departures_digest(&self) -> u64 {
-        self.departures.lock().unwrap().digest()
-    }
-
-    /// The servers known to be leaving; none for whoever knows the same.
+    /// The servers known to be leaving; none for whoever was told just these before, by their digest.
     pub fn departures_beyond(&self, digest: u64) -> Vec<String> {
         let departures = self.departures.lock().unwrap();
         if departures.digest() == digest { vec![] } else { departures.servers() }
--- a/yewcross/src/departures.rs
+++ b/yewcross/src/departures.rs
@@ -17,6 +17,11 @@
     digest: u64,
 }
 
+/// Alike for alike sets of servers; 0 for the empty one.
+pub fn digest<'a>(servers: impl IntoIterator<Item = &'a String>) -> u64 {
+    servers.into_iter().fold(0, |sum, server| sum ^ crate::hash::weigh(server, ""))
+}
+
 impl Departures {
     /// Marks servers; whether any of them was not marked before.
     pub fn mark(&mut self, servers: &[String], now: u64) -> bool {
@@ -27,7 +32,7 @@
         let is_news = self.marked_at.len() > before;
         if is_news {
             self.drop_old(now);
-            self.digest = self.servers().iter().fold(0, |sum, server| sum ^ crate::hash::weigh(server, ""));
+            self.digest = digest(self.marked_at.keys());
         }
         is_news
     }
@@ -48,7 +53,7 @@
         self.marked_at.keys().cloned().collect()
     }
 
-    /// Alike for alike sets; 0 for the empty one.
+    /// The digest of all that are marked.
     pub fn digest(&self) -> u64 {
         self.digest
     }
--- a/yewcross/src/follow.rs
+++ b/yewcross/src/follow.rs
@@ -3,6 +3,7 @@
 use crate::ask::{Ask, Tell};
 use crate::book::Book;
 use crate::consts::*;
+use crate::departures;
 use crate::member::{Members, Node, State};
 use crate::register::majority;
 use crate::startup::Role;
@@ -24,6 +25,8 @@
     pub proved: AtomicBool,
     rounds: AtomicU64,
     heard: Mutex<BTreeMap<String, u64>>,
+    /// The digest of the leaving servers that each core told of last, by its name: a core tells them again only if they differ.
+    departures_told: Mutex<BTreeMap<String, u64>>,
     was: AtomicBool,
     /// us. When the question was sent that a core with a majority answered last; 0 before the first.
     told_at: AtomicU64,
@@ -52,6 +55,7 @@
             proved: AtomicBool::new(false),
             rounds: AtomicU64::new(w.rand() % 64),
             heard: Default::default(),
+            departures_told: Mutex::default(),
             was: AtomicBool::new(false),
             told_at: AtomicU64::new(0),
         })
@@ -140,12 +144,16 @@
     /// any other core holds may be old: nothing is taken over from it.
     async fn ask_one(self: &Arc<Self>, n: &Node) -> bool {
         let have = self.book.have();
-        let a = Ask::Newer { have: have.clone(), front: false, departed: self.book.departures_digest() };
+        let told_before = self.departures_told.lock().unwrap().get(&n.name).copied().unwrap_or(0);
+        let a = Ask::Newer { have: have.clone(), front: false, departed: told_before };
         let sent = self.w.now();
         let answer = self.members.peers.ask(n.peer, &a, &[], SERVE_ASK).await;
         let Ok((Tell::Newer { newest, sure, behind, departed }, _)) = answer else { return false };
-        // Whoever says that a server leaves is right.
-        self.book.depart(&departed);
+        if !departed.is_empty() {
+            // Whoever says that a server leaves is right.
+            self.book.depart(&departed);
+            self.departures_told.lock().unwrap().insert(n.name.clone(), departures::digest(&departed));
+        }
         if !sure {
             return false;
         }
