--- a/yewcross-control/src/config/read.rs
+++ b/yewcross-control/src/config/read.rs
@@ -4,14 +4,14 @@
 use crate::{Control, proposer};
 use std::sync::Arc;
 use yewcross::ask::ConfigDoc;
-use yewcross::consts::PEER_WAIT;
+use yewcross::consts::READ_BACK_WITHIN;
 
 /// The newest decided configuration: linearizable with the orders, for a majority of the core disks is asked each time.
 pub async fn newest(c: &Arc<Control>) -> ReadAnswer {
     if c.book.layout.load().0 == 0 {
         return ReadAnswer::Away;
     }
-    let Ok((seq, epoch, raw)) = proposer::newest(c, "config", PEER_WAIT).await else { return ReadAnswer::Away };
+    let Ok((seq, epoch, raw)) = proposer::newest(c, "config", READ_BACK_WITHIN).await else { return ReadAnswer::Away };
     c.book.adopt("config", seq, epoch, raw.to_vec());
     let Ok(document) = ConfigDoc::decode(&raw) else { return ReadAnswer::Away };
     if document.text.is_empty() {
--- a/yewcross-control/src/lease_holder.rs
+++ b/yewcross-control/src/lease_holder.rs
@@ -145,6 +145,8 @@
     while holds(&c) && c.w.now() < until {
         if take_documents(&c).await {
             c.duties.fenced.store(term, SeqCst);
+            // Copies that missed the new ballot are brought to it now: readers find all alike.
+            c.sweep_call.notify(usize::MAX);
             c.duties.changed.notify(usize::MAX);
             return;
         }
--- a/yewcross-control/src/proposer.rs
+++ b/yewcross-control/src/proposer.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use yewcross::ask::{Ask, Tell};
 use yewcross::code::Code;
-use yewcross::consts::{MS, PEER_WAIT, PROPOSER_AGAIN};
+use yewcross::consts::{LOOKS_WITHIN, MS, PROPOSER_AGAIN};
 use yewcross::register::ChangeError;
 use yewcross::register::client::Decided;
 use yewcross::wire::Lost;
@@ -41,7 +41,7 @@
 pub async fn newest(c: &Arc<Control>, name: &str, us: u64) -> Result<Decided, ChangeError> {
     let until = c.w.now() + us;
     loop {
-        match c.owner.newest(name, until.saturating_sub(c.w.now())).await {
+        match c.owner.newest(name, until.saturating_sub(c.w.now()).min(LOOKS_WITHIN)).await {
             Err(ChangeError::NotProposer) => {}
             found => return found,
         }
@@ -50,7 +50,7 @@
             return Err(ChangeError::NotDone);
         }
         let question = Ask::Doc { name: name.into(), hops: 1 };
-        match forward(c, &question, &[], left.min(PEER_WAIT)).await {
+        match forward(c, &question, &[], left.min(LOOKS_WITHIN)).await {
             Ok((Tell::Doc { seq, epoch }, raw)) => return Ok((seq, epoch, Arc::new(raw))),
             _ => wait_for_one(c).await,
         }
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -81,6 +81,10 @@
 pub const READ_LOOKS: usize = 4;
 /// us. Between two looks, up to twice this: an owner's write reaches a majority within a few ms.
 pub const READ_LOOK_AGAIN: u64 = 10 * MS;
+/// us. A reader that does not propose looks at the copies for this long, and then gives the proposer as long to answer.
+pub const LOOKS_WITHIN: u64 = 400 * MS;
+/// us. An operator that reads the configuration back is answered within this: it goes on to another node after a second.
+pub const READ_BACK_WITHIN: u64 = 850 * MS;
 /// us. An idle key's owner forgets its value after this, to bound memory.
 pub const HELD_IDLE: u64 = 120 * SEC;
 /// us. Pause between keys of the repair sweep.
--- a/yewcross/src/register/client.rs
+++ b/yewcross/src/register/client.rs
@@ -281,12 +281,14 @@
     /// for a moment while a proposer writes; they are looked at again first, so that readers do not take the key from it. Who
     /// may not propose for the key never takes it.
     pub async fn newest(&self, key: &str, us: u64) -> Result<Decided, ChangeError> {
-        let looks_end = self.world.now() + us / 4;
+        // An answer that is lost must not use up the time of the next look.
+        let a_look = us / 4;
+        let looks_end = self.world.now() + us / 2;
         for nth in 0..READ_LOOKS {
             if nth > 0 {
                 self.world.sleep(READ_LOOK_AGAIN + self.world.rand() % READ_LOOK_AGAIN).await;
             }
-            if let Some(found) = self.world.within(us, self.look(key)).await.flatten() {
+            if let Some(found) = self.world.within(a_look, self.look(key)).await.flatten() {
                 return Ok(found);
             }
             if self.world.now() >= looks_end {
