--- a/yewcross-lab/tests/one_proposer.rs
+++ b/yewcross-lab/tests/one_proposer.rs
@@ -1,15 +1,17 @@
 //! Documents have one proposer at a time: on slow processors, with many orders, after every core has restarted, a first
 //! change is decided and a holder is on duty in a bounded time, and few ballots are prepared (docs/control-safety.md, 1c).
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::atomic::Ordering::SeqCst;
 use std::sync::{Arc, Mutex};
 use yewcross::ask::Listed;
 use yewcross::consts::*;
 use yewcross::startup::Role;
-use yewcross_control::api::{PutAnswer, ReadAnswer};
-use yewcross_lab::sim::Costs;
 use yewcross_lab::tier::*;
 
+#[path = "support/operators.rs"]
+mod operators;
+use operators::{Orders, TEXT, begin, operators_at, small_machines};
+
 /// us. Longest time from the return of the cores to a holder on duty: grants of an earlier life run out in 1 s, candidates
 /// step forward one after the other, and the holder takes three documents.
 const DUTY_WITHIN: u64 = 2_500 * MS;
@@ -19,57 +21,6 @@
 const CALM_WITHIN: u64 = 1_500 * MS;
 /// count. Ballots prepared for a document in one term: the holder's first, and others after rounds that were lost.
 const BALLOTS_A_TERM: u64 = 12;
-const OPERATORS: u64 = 8;
-/// bytes. A text as long as those of some sixty routes.
-const TEXT: usize = 18_000;
-
-/// What operators see of their orders.
-#[derive(Default)]
-struct Orders {
-    newest: AtomicU64,
-    decided: AtomicU64,
-    /// us. When an order was last acknowledged.
-    last_at: AtomicU64,
-    /// us. The longest pause between two acknowledgements since this was last emptied.
-    longest_pause: AtomicU64,
-    ended: AtomicBool,
-}
-
-impl Orders {
-    fn acknowledged(&self, now: u64, number: u64) {
-        self.newest.fetch_max(number, SeqCst);
-        self.decided.fetch_add(1, SeqCst);
-        let before = self.last_at.swap(now, SeqCst);
-        self.longest_pause.fetch_max(now - before, SeqCst);
-    }
-}
-
-/// An operator that builds on the newest version it has heard of, at any core, twice a second.
-async fn operate(tier: Arc<Tier>, orders: Arc<Orders>, me: u64) {
-    let cores = tier.names(Role::Core);
-    while !orders.ended.load(SeqCst) {
-        let base = orders.newest.load(SeqCst);
-        let text = format!("{} by{me} {}", base + 1, "x".repeat(TEXT));
-        let core = &cores[tier.op.rand() as usize % cores.len()];
-        match tier.put(core, base, &text).await {
-            Some(PutAnswer::InForce(number)) => orders.acknowledged(tier.op.now(), number),
-            Some(PutAnswer::Conflict(number)) => {
-                orders.newest.fetch_max(number, SeqCst);
-            }
-            _ => {}
-        }
-        tier.op.sleep(100 * MS + tier.op.rand() % (800 * MS)).await;
-    }
-}
-
-fn small_machines(seed: u64, counts: [usize; 3], lost: usize) -> Arc<Tier> {
-    let tier = Tier::new(seed, counts, lost);
-    for (role, share) in [(Role::Core, 11), (Role::Store, 30), (Role::Front, 12)] {
-        let costs = Costs { share, wake: 40, byte: 10, sync: 500 };
-        tier.names(role).iter().for_each(|name| tier.sim.charge(tier.sim.find(name), costs));
-    }
-    tier
-}
 
 fn ballots(tier: &Tier) -> u64 {
     tier.control.lock().unwrap().values().map(|control| control.owner.takes.load(SeqCst)).sum()
@@ -79,19 +30,6 @@
     tier.control.lock().unwrap().values().map(|control| control.duties.taken.load(SeqCst)).sum()
 }
 
-async fn begin(tier: &Arc<Tier>) -> Arc<Orders> {
-    up(tier).await;
-    tier.op.sleep(4 * SEC).await;
-    let orders: Arc<Orders> = Default::default();
-    tier.put_surely(0, "1 first").await;
-    orders.newest.store(1, SeqCst);
-    orders.last_at.store(tier.op.now(), SeqCst);
-    for me in 0..OPERATORS {
-        tier.op.go(operate(tier.clone(), orders.clone(), me));
-    }
-    orders
-}
-
 /// us from now until a core is on duty, and until an order is acknowledged.
 async fn back_after(tier: &Arc<Tier>, orders: &Orders) -> (u64, u64) {
     let (begin, limit) = (tier.op.now(), 30 * SEC);
@@ -169,12 +107,7 @@
                 cores.iter().for_each(|name| tier.kill(name, false));
                 tier.op.sleep(300 * MS).await;
                 cores.iter().for_each(|name| tier.boot(name, false));
-                let orders: Arc<Orders> = Default::default();
-                orders.newest.store(1, SeqCst);
-                orders.last_at.store(tier.op.now(), SeqCst);
-                for me in 0..OPERATORS {
-                    tier.op.go(operate(tier.clone(), orders.clone(), me));
-                }
+                let orders = operators_at(&tier, 1);
                 let times = back_after(&tier, &orders).await;
                 orders.ended.store(true, SeqCst);
                 times
@@ -286,117 +219,3 @@
     println!("held {} ms at most in {terms} terms, a holder on duty {} ms after the disks answer", longest / MS, back / MS);
     assert!(longest < FENCE_WITHIN + SEC && terms >= 3 && back < DUTY_WITHIN + UNFIT_FOR);
 }
-
-/// us. Longest time from the return of all machines until an operator reads the newest acknowledged configuration, and until
-/// every front holds it: within what a deployment gives for recovery, 12 s and more.
-const READ_WITHIN: u64 = 4 * SEC;
-const HELD_WITHIN: u64 = 8 * SEC;
-
-/// Every machine loses power right after an order was acknowledged, those without a disk too, and as many disks are lost at the
-/// same moment as may be, the proposer's among them.
-#[test]
-fn what_was_acknowledged_outlives_all_power_and_the_disks_that_may_be_lost() {
-    let runs: Vec<u64> = (0..6).collect();
-    let late = yewcross_lab::proof::each(runs, |nth| {
-        let tier = small_machines(9200 + nth, [8, 9, 30], 2);
-        let (read, held) = play(&tier, |tier| {
-            Box::pin(async move {
-                let orders = begin(&tier).await;
-                tier.op.sleep(2 * SEC + tier.op.rand() % SEC).await;
-                let before = orders.newest.load(SeqCst);
-                while orders.newest.load(SeqCst) == before {
-                    tier.op.sleep(MS).await;
-                }
-                let acknowledged = orders.newest.load(SeqCst);
-                orders.ended.store(true, SeqCst);
-                let (cores, stores) = (tier.names(Role::Core), tier.names(Role::Store));
-                let holder = tier.on_duty().first().cloned().unwrap();
-                let other = cores.iter().find(|name| **name != holder).unwrap().clone();
-                let lost = if nth % 2 == 0 { vec![holder, other] } else { vec![holder, stores[0].clone()] };
-                let all: Vec<String> = tier.specs.lock().unwrap().keys().cloned().collect();
-                all.iter().for_each(|name| tier.kill(name, true));
-                lost.iter().for_each(|name| tier.sim.wipe(tier.sim.find(name)));
-                tier.op.sleep(600 * MS).await;
-                all.iter().for_each(|name| tier.boot(name, false));
-                let begin = tier.op.now();
-                let reader = cores.iter().find(|name| !lost.contains(name)).unwrap();
-                loop {
-                    match tier.read(reader).await {
-                        Some(ReadAnswer::Text(number, _)) if number >= acknowledged => break,
-                        Some(ReadAnswer::Text(number, _)) => panic!("{number} is read, {acknowledged} was acknowledged\n{}", tell(&tier)),
-                        _ => tier.op.sleep(20 * MS).await,
-                    }
-                    assert!(tier.op.now() < begin + 30 * SEC, "not read back\n{}", tell(&tier));
-                }
-                let read = tier.op.now() - begin;
-                let holds =
-                    |front: &Arc<Bare>| front.text().split(' ').next().is_some_and(|n| n.parse::<u64>().unwrap_or(0) >= acknowledged);
-                let fronts = tier.names(Role::Front).len();
-                while tier.fronts.lock().unwrap().values().filter(|front| holds(front)).count() < fronts {
-                    tier.op.sleep(20 * MS).await;
-                    assert!(tier.op.now() < begin + 30 * SEC, "not held by all\n{}", tell(&tier));
-                }
-                (read, tier.op.now() - begin)
-            })
-        });
-        println!("seed {}: read back after {} ms, held by all fronts after {} ms", 9200 + nth, read / MS, held / MS);
-        read < READ_WITHIN && held < HELD_WITHIN
-    });
-    assert_eq!(late, 0, "runs that were late");
-}
-
-/// The core is cut into halves, which all other machines reach: an operator reads the newest at any core, or is sent on.
-#[test]
-fn a_read_in_a_split_core_is_the_newest_or_none() {
-    for (nth, (counts, lost)) in [([4, 4, 4], 1), ([8, 5, 4], 2), ([5, 5, 4], 2)].into_iter().enumerate() {
-        let tier = Tier::new(9300 + nth as u64, counts, lost);
-        let (read, sent_on) = play(&tier, |tier| {
-            Box::pin(async move {
-                up(&tier).await;
-                tier.put_surely(0, "1 first").await;
-                let cores = tier.names(Role::Core);
-                let (mut newest, mut read, mut sent_on) = (1, 0, 0);
-                for _ in 0..4 {
-                    let machines: Vec<usize> = cores.iter().map(|name| tier.sim.find(name)).collect();
-                    let (left, right) = machines.split_at(machines.len() / 2);
-                    tier.sim.split(left, right);
-                    let end = tier.op.now() + 3 * SEC;
-                    while tier.op.now() < end {
-                        let core = &cores[tier.op.rand() as usize % cores.len()];
-                        if let Some(PutAnswer::InForce(number)) = tier.put(core, newest, &format!("{} next", newest + 1)).await {
-                            newest = number;
-                        }
-                        for core in &cores {
-                            match tier.read(core).await {
-                                Some(ReadAnswer::Text(number, _)) => {
-                                    assert!(number >= newest, "{core} reads {number} of {newest}\n{}", tell(&tier));
-                                    read += 1;
-                                }
-                                _ => sent_on += 1,
-                            }
-                        }
-                    }
-                    tier.sim.heal();
-                    newest = read_surely(&tier, newest).await;
-                    tier.op.sleep(SEC).await;
-                }
-                (read, sent_on)
-            })
-        });
-        println!("{} cores: {read} reads answered, {sent_on} sent on", counts[0]);
-        let a_half_has_a_majority = counts[0] % 2 == 1;
-        assert!(sent_on > 0 && (read > 0) == a_half_has_a_majority);
-    }
-}
-
-/// The number in force once a majority answers: an order that was under way may have been taken.
-async fn read_surely(tier: &Arc<Tier>, at_least: u64) -> u64 {
-    for _ in 0..200 {
-        if let Some(ReadAnswer::Text(number, _)) = tier.read("core1").await {
-            assert!(number >= at_least, "{number} is read, {at_least} was acknowledged");
-            return number;
-        }
-        tier.op.sleep(50 * MS).await;
-    }
-    panic!("no read after the cut\n{}", tell(tier))
-}
--- /dev/null
+++ b/yewcross-lab/tests/support/operators.rs
@@ -0,0 +1,81 @@
+//! Operators that put orders all the time, and machines as small as those of a grown deployment.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use yewcross::consts::*;
+use yewcross::startup::Role;
+use yewcross_control::api::PutAnswer;
+use yewcross_lab::sim::Costs;
+use yewcross_lab::tier::*;
+
+const OPERATORS: u64 = 8;
+/// bytes. A text as long as those of some sixty routes.
+pub const TEXT: usize = 18_000;
+
+/// What operators see of their orders.
+#[derive(Default)]
+pub struct Orders {
+    pub newest: AtomicU64,
+    pub decided: AtomicU64,
+    /// us. When an order was last acknowledged.
+    pub last_at: AtomicU64,
+    /// us. The longest pause between two acknowledgements since this was last emptied.
+    pub longest_pause: AtomicU64,
+    pub ended: AtomicBool,
+}
+
+impl Orders {
+    fn acknowledged(&self, now: u64, number: u64) {
+        self.newest.fetch_max(number, SeqCst);
+        self.decided.fetch_add(1, SeqCst);
+        let before = self.last_at.swap(now, SeqCst);
+        self.longest_pause.fetch_max(now - before, SeqCst);
+    }
+}
+
+/// An operator that builds on the newest version it has heard of, at any core, twice a second.
+async fn operate(tier: Arc<Tier>, orders: Arc<Orders>, me: u64) {
+    let cores = tier.names(Role::Core);
+    while !orders.ended.load(SeqCst) {
+        let base = orders.newest.load(SeqCst);
+        let text = format!("{} by{me} {}", base + 1, "x".repeat(TEXT));
+        let core = &cores[tier.op.rand() as usize % cores.len()];
+        match tier.put(core, base, &text).await {
+            Some(PutAnswer::InForce(number)) => orders.acknowledged(tier.op.now(), number),
+            Some(PutAnswer::Conflict(number)) => {
+                orders.newest.fetch_max(number, SeqCst);
+            }
+            _ => {}
+        }
+        tier.op.sleep(100 * MS + tier.op.rand() % (800 * MS)).await;
+    }
+}
+
+/// Machines of a tenth to a third of a core, as a grown deployment has them.
+pub fn small_machines(seed: u64, counts: [usize; 3], lost: usize) -> Arc<Tier> {
+    let tier = Tier::new(seed, counts, lost);
+    for (role, share) in [(Role::Core, 11), (Role::Store, 30), (Role::Front, 12)] {
+        let costs = Costs { share, wake: 40, byte: 10, sync: 500 };
+        tier.names(role).iter().for_each(|name| tier.sim.charge(tier.sim.find(name), costs));
+    }
+    tier
+}
+
+/// Founds the tier, puts a first configuration and lets operators begin.
+pub async fn begin(tier: &Arc<Tier>) -> Arc<Orders> {
+    up(tier).await;
+    tier.op.sleep(4 * SEC).await;
+    tier.put_surely(0, "1 first").await;
+    operators_at(tier, 1)
+}
+
+/// Operators who know this version as the newest.
+pub fn operators_at(tier: &Arc<Tier>, version: u64) -> Arc<Orders> {
+    let orders: Arc<Orders> = Default::default();
+    orders.newest.store(version, SeqCst);
+    orders.last_at.store(tier.op.now(), SeqCst);
+    for me in 0..OPERATORS {
+        tier.op.go(operate(tier.clone(), orders.clone(), me));
+    }
+    orders
+}
