--- a/yewcross-lab/tests/documents.rs
+++ b/yewcross-lab/tests/documents.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
-use yewcross::ask::List;
+use yewcross::ask::{List, Listed};
 use yewcross::book::{Book, DocumentRejected};
+use yewcross::departures;
 use yewcross::register::Ballot;
 use yewcross_lab::sim::Sim;
 
@@ -61,3 +62,45 @@
     assert_eq!(book.patch("list", 5, &digest(list(5)), 6, epoch, &changes), Err(DocumentRejected::NotNewer { held: 6 }));
     assert_eq!(*book.page("list").raw, list(6));
 }
+
+fn list_of(rev: u64, names: &[&str]) -> Vec<u8> {
+    let listed = |name: &&str| Listed {
+        server: name.to_string(),
+        service: "llm".into(),
+        addr: ([10, 7, 0, 1], 80).into(),
+        site: "z1".into(),
+        leaving: false,
+    };
+    serde_json::to_vec(&List { rev, term: 0, servers: names.iter().map(listed).collect() }).unwrap()
+}
+
+fn leaving(book: &Book) -> Vec<String> {
+    let list = book.list.load();
+    list.1.servers.iter().filter(|server| server.leaving).map(|server| server.server.clone()).collect()
+}
+
+/// That a server leaves is final: it counts in the list on hand, in one that comes later, and in one that was decided by an
+/// older reading.
+#[test]
+fn a_server_told_to_leave_leaves_every_list() {
+    let book = book();
+    book.adopt("list", 1, Ballot::default(), list_of(1, &["a", "b"]));
+    assert!(leaving(&book).is_empty());
+    assert!(book.depart(&["b".into(), "c".into()]));
+    assert_eq!(leaving(&book), ["b"]);
+    book.adopt("list", 2, Ballot::default(), list_of(2, &["a", "b", "c"]));
+    assert_eq!(leaving(&book), ["b", "c"]);
+    assert!(!book.depart(&["c".into()]), "it is no news");
+}
+
+/// A node is told of the marks once, and again only when they differ.
+#[test]
+fn marks_are_told_to_whoever_was_not_told_them() {
+    let book = book();
+    book.depart(&["b".into()]);
+    let told = book.departures_beyond(0);
+    assert_eq!(told, ["b"]);
+    assert!(book.departures_beyond(departures::digest(&told)).is_empty());
+    book.depart(&["a".into()]);
+    assert_eq!(book.departures_beyond(departures::digest(&told)), ["a", "b"]);
+}
