End one line only by a line feed that comes alone behind a carriage return

Cause: where an event stream was cut between a carriage return and its line feed, and that line feed was all of the next piece, the scan kept waiting for it and swallowed the next line feed too: an event's end was missed, and a whole answer looked unfinished.

Change: the wait ends with any byte. A test names the cut.

--- a/yewcross-front/src/scan.rs
+++ b/yewcross-front/src/scan.rs
@@ -33,10 +33,11 @@
     }
 
     pub fn push(&mut self, mut b: &[u8]) {
-        if self.cr && b.first() == Some(&b'\n') {
-            b = &b[1..];
+        match b.first() {
+            Some(b'\n') if self.cr => (b, self.cr) = (&b[1..], false),
+            Some(_) => self.cr = false,
+            None => {}
         }
-        self.cr = self.cr && b.is_empty();
         while let Some(i) = b.iter().position(|c| *c == b'\n' || *c == b'\r') {
             if self.line.is_empty() {
                 self.end_line(&b[..i]);
--- a/yewcross-front/tests/scan.rs
+++ b/yewcross-front/tests/scan.rs
@@ -25,6 +25,13 @@
     rows.iter().for_each(|(t, n, w, d)| assert_eq!(read(&[t.as_bytes()]), (*n, *w, d.to_string()), "{t:?}"));
 }
 
+/// A line feed that comes alone behind a carriage return ends that line, and only that one.
+#[test]
+fn a_line_feed_cut_off_from_its_carriage_return_ends_one_line() {
+    let pieces: [&[u8]; 4] = [b"data\r", b"\n", b"", b"\n"];
+    assert_eq!(read(&pieces), read(&[&pieces.concat()]));
+}
+
 #[test]
 fn cuts_change_nothing() {
     arbtest(|u| {
