Price servers by what answers show, and part the choice into modules

Cause: turns of a busy deployment went to few servers. A prompt was priced at 30 tokens a ms (these servers read 145) and a request under way at 1 ms (it adds some 20 to a stream).

Change: the price of a token and of a neighbour are slopes, learned by service from first events and from the pace of streams. balance.rs becomes modules of one job each; every mechanism has a name in policy.rs and can be left out.

--- /dev/null
+++ b/yewcross-front/src/balance/cost.rs
@@ -0,0 +1,54 @@
+//! The price of sending a request to a server, in us until its answer is whole.
+
+use super::Need;
+use super::observed::Observed;
+use super::server::ServerState;
+use crate::policy::{Mechanism, Policies};
+
+use yewcross::consts::*;
+
+/// What the choice knows of the service and the moment.
+pub(super) struct Pricing<'a> {
+    pub(super) need: &'a Need,
+    pub(super) observed: &'a Observed,
+    /// us from dispatch to the head.
+    pub(super) usual: f64,
+    pub(super) now: u64,
+    pub(super) policies: Policies,
+}
+
+impl Pricing<'_> {
+    /// us that the request takes there, as far as it depends on the server.
+    pub(super) fn work(&self, state: &ServerState, server: &str) -> f64 {
+        let load = state.load(self.now);
+        if self.need.engine.is_none() {
+            return self.usual.max(LEAST_USUAL) * (load + 1.0) / state.slots(self.need).max(1) as f64;
+        }
+        let tokens = (state.missing(self.need, server, self.policies) + state.reading) as f64;
+        tokens * self.token_us() + load * self.neighbour_us()
+    }
+
+    fn token_us(&self) -> f64 {
+        if self.policies.has(Mechanism::LearnedReading) { self.observed.reading.value() } else { ASSUMED_READING_US }
+    }
+
+    /// us that each request under way beside it adds.
+    pub(super) fn neighbour_us(&self) -> f64 {
+        if self.policies.has(Mechanism::LearnedCrowding) { self.observed.neighbour_us() } else { ASSUMED_NEIGHBOUR_US }
+    }
+
+    /// What a server of another zone costs more.
+    pub(super) fn distance(&self, site: &str) -> f64 {
+        let is_near = site == self.need.site || !self.policies.has(Mechanism::ZonePreference);
+        match (is_near, self.need.engine.is_some()) {
+            (true, _) => 0.0,
+            (false, true) => ZONE_COST_MODEL,
+            (false, false) => ZONE_COST_PLAIN,
+        }
+    }
+
+    /// What a server costs more to which no connection is kept.
+    pub(super) fn dial(&self, is_kept: bool) -> f64 {
+        if is_kept || !self.policies.has(Mechanism::KeptConnection) { 0.0 } else { DIAL_COST }
+    }
+}
--- /dev/null
+++ b/yewcross-front/src/balance/mod.rs
@@ -0,0 +1,211 @@
+//! Which server takes a request.
+//!
+//! `server` holds what is known of one server, `observed` what a service's answers teach, `cost` ranks servers by it,
+//! `ejection` leaves ill ones out, `queue` orders those who wait, `claim` is a place that was taken.
+
+mod claim;
+mod cost;
+mod ejection;
+mod observed;
+mod queue;
+mod server;
+
+pub use claim::Claim;
+pub use observed::{Observed, Slope};
+
+use crate::policy::{Mechanism, Policies};
+use cost::Pricing;
+use queue::Queue;
+use server::ServerState;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, RwLock};
+use yewcross::ask::Listed;
+use yewcross::consts::*;
+use yewcross::route::Engine;
+use yewcross::world::World;
+
+/// What is known of one service.
+#[derive(Default)]
+struct ServiceState {
+    servers: HashMap<String, ServerState>,
+    queue: Queue,
+    /// us from dispatch to the head.
+    usual: f64,
+    observed: Observed,
+}
+
+/// What a request needs of a server.
+#[derive(Clone, Default)]
+pub struct Need {
+    pub service: String,
+    pub engine: Option<Engine>,
+    /// Parts of its prompt in order, with their tokens.
+    pub parts: Vec<(u64, u64)>,
+    /// Tokens of the prompt and of the output.
+    pub prompt: u64,
+    pub output: u64,
+    /// The server that ran the turn before, and the tokens that it may still hold of it.
+    pub prev: String,
+    pub prev_tokens: u64,
+    pub site: String,
+    pub target_us: u64,
+    /// Place in the queue: rank, then us of the world's clock by which it should be over.
+    pub rank: (u8, u64),
+    /// Connections that we may have to one server.
+    pub conns: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NoSeat {
+    /// The list names no server that may take it.
+    None,
+    /// All places are taken; one is due in so many us.
+    Full(u64),
+}
+
+/// The choice of servers, over all services.
+#[derive(Default)]
+pub struct Balance {
+    pub policies: Policies,
+    services: RwLock<HashMap<String, Arc<Mutex<ServiceState>>>>,
+}
+
+impl ServiceState {
+    /// us until a place is due.
+    fn due(&self, need: &Need, servers: usize, now: u64) -> u64 {
+        let most = self.servers.values().map(|s| s.slots(need)).max().unwrap_or(1).max(1);
+        let slots = most as usize * servers.max(1);
+        let first_free = self.servers.values().map(|s| s.full_until.saturating_sub(now)).min().unwrap_or(0);
+        ((self.queue.len() + 1) as f64 * self.usual.max(LEAST_USUAL) / slots as f64) as u64 + first_free
+    }
+
+    /// Those that are neither ejected nor silent; all where none is well.
+    fn sound<'a>(&self, servers: Vec<&'a Listed>, now: u64, policies: Policies) -> Vec<&'a Listed> {
+        let is_well = |server: &&&Listed| {
+            let ejection = &self.servers[&server.server].ejection;
+            let ejected = policies.has(Mechanism::Ejection) && ejection.is_ejected(now);
+            let silent = policies.has(Mechanism::Silence) && ejection.is_silent(now, self.usual);
+            !ejected && !silent
+        };
+        let sound: Vec<&Listed> = servers.iter().filter(is_well).copied().collect();
+        if sound.is_empty() { servers } else { sound }
+    }
+}
+
+/// Fronts that all saw the same load must not all choose the same server. One of the two is near.
+fn two_at_random<'a>(w: &World, need: &Need, free: Vec<&'a Listed>) -> Vec<&'a Listed> {
+    if free.len() < 3 {
+        return free;
+    }
+    let near: Vec<usize> = (0..free.len()).filter(|i| free[*i].site == need.site).collect();
+    let first = near.get(w.pick(near.len())).copied().unwrap_or_else(|| w.pick(free.len()));
+    let second = (first + 1 + w.pick(free.len() - 1)) % free.len();
+    vec![free[first], free[second]]
+}
+
+impl Balance {
+    pub fn with(policies: Policies) -> Balance {
+        Balance { policies, ..Balance::default() }
+    }
+
+    fn service(&self, name: &str) -> Arc<Mutex<ServiceState>> {
+        if let Some(state) = self.services.read().unwrap().get(name) {
+            return state.clone();
+        }
+        self.services.write().unwrap().entry(name.into()).or_default().clone()
+    }
+
+    /// us from dispatch to the head at this service; 0 while unknown.
+    pub fn usual(&self, service: &str) -> u64 {
+        self.service(service).lock().unwrap().usual as u64
+    }
+
+    /// What the answers of a service have taught so far.
+    pub fn observed(&self, service: &str) -> Observed {
+        self.service(service).lock().unwrap().observed.clone()
+    }
+
+    /// Requests that wait for a place.
+    pub fn waiting(&self, service: &str) -> usize {
+        self.service(service).lock().unwrap().queue.len()
+    }
+
+    /// The best place at this moment, or why there is none.
+    pub fn pick(&self, w: &World, n: &Need, servers: &[Listed], tried: &[String], kept: impl Fn(&str) -> bool) -> Result<Claim, NoSeat> {
+        let (service, now, policies) = (self.service(&n.service), w.now(), self.policies);
+        let mut g = service.lock().unwrap();
+        let may: Vec<&Listed> = servers.iter().filter(|s| s.service == n.service && !s.leaving && !tried.contains(&s.server)).collect();
+        for server in &may {
+            g.servers.entry(server.server.clone()).or_default();
+        }
+        let sound = g.sound(may, now, policies);
+        if sound.is_empty() {
+            return Err(NoSeat::None);
+        }
+        let is_free = |server: &&&Listed| !g.servers[&server.server].full(n, &server.server, now, g.usual, policies);
+        let free: Vec<&Listed> = sound.iter().filter(is_free).copied().collect();
+        let candidates = match n.engine.is_none() && policies.has(Mechanism::ChoiceOfTwo) {
+            true => two_at_random(w, n, free),
+            false => free,
+        };
+        let pricing = Pricing { need: n, observed: &g.observed, usual: g.usual, now, policies };
+        // Those that cost about the same take turns: what is known of the load is a little old, and the same at all fronts.
+        let jitter = if n.engine.is_some() { pricing.neighbour_us().max(1.0) as usize } else { 1 };
+        let price = |server: &&&Listed| {
+            let work = pricing.work(&g.servers[&server.server], &server.server);
+            (work + pricing.distance(&server.site) + pricing.dial(kept(&server.server))) as u64 + w.pick(jitter) as u64
+        };
+        let Some(to) = candidates.iter().min_by_key(price).map(|s| (*s).clone()) else {
+            return Err(NoSeat::Full(g.due(n, sound.len(), now)));
+        };
+        let state = g.servers.get_mut(&to.server).expect("every server has a state");
+        let missing = if n.engine.is_some() { state.missing(n, &to.server, policies) } else { 0 };
+        let tokens = if n.engine.is_some() { missing + n.output } else { 0 };
+        let load = state.load(now);
+        let had_slot = load < state.slots(n) as f64;
+        let reading_ahead = state.reading;
+        state.in_flight += 1;
+        state.reading += missing;
+        state.tokens += tokens;
+        state.ejection.sent(now);
+        drop(g);
+        Ok(Claim { service, w: w.clone(), policies, to, at: now, missing, reading_ahead, tokens, load, had_slot, headed_at: 0 })
+    }
+
+    /// Waits for a place to come free, until `until`; false if none did.
+    pub async fn wait(&self, w: &World, n: &Need, until: u64) -> bool {
+        let rank = self.policies.has(Mechanism::WaitingOrder).then_some(n.rank);
+        let rx = self.service(&n.service).lock().unwrap().queue.join(rank);
+        w.within(until.saturating_sub(w.now()), rx.recv()).await.is_some()
+    }
+
+    /// What we have under way, by server.
+    pub fn in_flight(&self) -> Vec<(String, u32)> {
+        let services = self.services.read().unwrap();
+        let mut counts = vec![];
+        for service in services.values() {
+            let g = service.lock().unwrap();
+            counts.extend(g.servers.iter().filter(|(_, s)| s.in_flight > 0).map(|(server, s)| (server.clone(), s.in_flight)));
+        }
+        counts
+    }
+
+    /// Takes what other fronts have under way at each server; none where they are not known.
+    pub fn learn_load(&self, now: u64, others: impl Fn(&str) -> Option<u32>) {
+        for service in self.services.read().unwrap().values() {
+            let mut g = service.lock().unwrap();
+            for (server, state) in &mut g.servers {
+                others(server).iter().for_each(|count| state.shared(*count, now));
+            }
+        }
+    }
+
+    /// Forgets servers no longer listed, and waiters that left.
+    pub fn tidy(&self, listed: impl Fn(&str) -> bool) {
+        for service in self.services.read().unwrap().values() {
+            let mut g = service.lock().unwrap();
+            g.servers.retain(|server, state| state.in_flight > 0 || listed(server));
+            g.queue.tidy();
+        }
+    }
+}
--- /dev/null
+++ b/yewcross-front/src/balance/observed.rs
@@ -0,0 +1,77 @@
+//! What a service's answers tell of its servers: the time that a token of a prompt takes to read, and by how much a
+//! request slows those beside it.
+
+use yewcross::consts::*;
+
+/// Least squares of `y` over `x`, in which older samples count less, drawn towards a slope that is assumed at first.
+#[derive(Clone, Debug)]
+pub struct Slope {
+    assumed: f64,
+    /// Weight of the assumed slope, as a sum of squared deviations of `x`.
+    stiffness: f64,
+    n: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+impl Slope {
+    /// `spread` is the usual deviation of `x`; the assumed slope weighs as much as `SLOPE_PRIOR` samples of it.
+    pub fn new(assumed: f64, spread: f64) -> Slope {
+        Slope { assumed, stiffness: SLOPE_PRIOR * spread * spread, n: 0.0, x: 0.0, y: 0.0, xx: 0.0, xy: 0.0 }
+    }
+
+    pub fn add(&mut self, x: f64, y: f64) {
+        [&mut self.n, &mut self.x, &mut self.y, &mut self.xx, &mut self.xy].into_iter().for_each(|sum| *sum *= SLOPE_DECAY);
+        self.n += 1.0;
+        self.x += x;
+        self.y += y;
+        self.xx += x * x;
+        self.xy += x * y;
+    }
+
+    /// Never below zero: no request is made faster by more work.
+    pub fn value(&self) -> f64 {
+        if self.n < 1.0 {
+            return self.assumed;
+        }
+        let variance = self.xx - self.x * self.x / self.n;
+        let covariance = self.xy - self.x * self.y / self.n;
+        ((covariance + self.stiffness * self.assumed) / (variance + self.stiffness)).max(0.0)
+    }
+}
+
+/// What is learned of one service.
+#[derive(Clone, Debug)]
+pub struct Observed {
+    /// us a token that is read before the first event.
+    pub reading: Slope,
+    /// us between two events for each request beside it.
+    pub crowding: Slope,
+    /// Events of a stream, the mean.
+    events: f64,
+}
+
+impl Default for Observed {
+    fn default() -> Self {
+        Observed {
+            reading: Slope::new(ASSUMED_READING_US, READING_SPREAD),
+            crowding: Slope::new(ASSUMED_CROWDING_US, CROWDING_SPREAD),
+            events: ASSUMED_EVENTS,
+        }
+    }
+}
+
+impl Observed {
+    /// A stream of so many events came to its end, `gap_us` apart, beside `load` others.
+    pub fn streamed(&mut self, events: u64, gap_us: f64, load: f64) {
+        self.events = self.events * SLOPE_DECAY + events as f64 * (1.0 - SLOPE_DECAY);
+        self.crowding.add(load, gap_us);
+    }
+
+    /// us that one more request beside it adds to a stream.
+    pub fn neighbour_us(&self) -> f64 {
+        self.crowding.value() * self.events
+    }
+}
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod kv;
 pub mod lookup;
 pub mod news;
+pub mod policy;
 pub mod pool;
 pub mod relay;
 pub mod scan;
--- /dev/null
+++ b/yewcross-front/src/policy.rs
@@ -0,0 +1,74 @@
+//! Which mechanisms take part in placing requests. All do in a release; tests and measurements switch single ones off
+//! to see what each is worth.
+
+use strum::{EnumIter, EnumString, IntoEnumIterator};
+
+/// One mechanism that decides something about a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter, EnumString, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Mechanism {
+    /// Prompts go where their parts are held.
+    PrefixPlacement,
+    /// A turn goes on at the server of the turn before it.
+    PreviousServer,
+    /// The price of a prompt's tokens is learned from first events.
+    LearnedReading,
+    /// The price of requests under way beside it is learned from the pace of streams.
+    LearnedCrowding,
+    /// Fronts tell each other what they have under way.
+    LoadExchange,
+    /// What a server says of its load in its answers counts.
+    ToldLoad,
+    /// Two candidates at random, and the better one, where a service is no model.
+    ChoiceOfTwo,
+    /// Servers of our own zone cost less.
+    ZonePreference,
+    /// Servers with a kept connection cost less.
+    KeptConnection,
+    /// A full server is passed by.
+    FullServers,
+    /// The memory of a model server bounds what it is sent.
+    MemoryBound,
+    /// Connections to one server are bounded.
+    ConnectionBound,
+    /// Those who wait for a place are let in by rank and time left.
+    WaitingOrder,
+    /// A request waits a moment for a place before it is refused.
+    Patience,
+    /// A server that failed is left alone for a while.
+    Ejection,
+    /// A server that owes answers for long is left alone.
+    Silence,
+    /// A second server is asked where the first one is silent.
+    Hedging,
+    /// Urgency is told to model servers.
+    Urgency,
+}
+
+/// The mechanisms that take part.
+#[derive(Clone, Copy, Debug)]
+pub struct Policies(u64);
+
+impl Policies {
+    pub fn all() -> Policies {
+        Policies(u64::MAX)
+    }
+
+    pub fn without(self, mechanism: Mechanism) -> Policies {
+        Policies(self.0 & !(1 << mechanism as u64))
+    }
+
+    pub fn has(self, mechanism: Mechanism) -> bool {
+        self.0 & (1 << mechanism as u64) != 0
+    }
+}
+
+impl Default for Policies {
+    /// All but those that the build was told to leave out: `YEWCROSS_ABLATE` holds their names, joined by commas, while
+    /// it is compiled. No setting of a running process changes them.
+    fn default() -> Policies {
+        let ablated = option_env!("YEWCROSS_ABLATE").unwrap_or_default();
+        let is_named = |m: &Mechanism| ablated.split(',').any(|name| name == m.to_string());
+        Mechanism::iter().filter(is_named).fold(Policies::all(), Policies::without)
+    }
+}
--- a/yewcross-front/src/relay/streaming.rs
+++ b/yewcross-front/src/relay/streaming.rs
@@ -91,6 +91,8 @@
 
     /// The server's part is over: its place and connection are free, and the turn is kept.
     fn over(&mut self) -> Result<(), &'static str> {
+        let events = self.scan.as_ref().map_or(0, |s| s.events());
+        self.claim.iter().for_each(|c| c.streamed(events));
         let server = self.claim.take().map(|c| c.to.server.clone()).unwrap_or_default();
         if let Some(l) = self.link.take() {
             self.relay.give_back(&server, l, &self.meta);
--- a/yewcross-lab/tests/balance.rs
+++ b/yewcross-lab/tests/balance.rs
@@ -77,7 +77,7 @@
     (0..8).for_each(|_| assert_eq!(take(&b, &w, &plain(), &v).unwrap().to.server, "s1"));
     // Where it is the only one, it is still asked.
     assert_eq!(take(&b, &w, &plain(), &v[..1]).unwrap().to.server, "s0");
-    rest(&sim, &w, SEAT_BACKOFF);
+    rest(&sim, &w, EJECTION_TIME);
     assert_eq!(take(&b, &w, &plain(), &v).unwrap().to.server, "s0", "its zone is ours");
 }
 
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -328,13 +328,37 @@
 /// percent of a route's aim that a request may wait for a place; above a quarter it is priced as held.
 pub const PLACE_PATIENCE: u64 = 20;
 /// count. Requests beyond a server's slots that its own queue is trusted with.
-pub const SEAT_QUEUE: f64 = 2.0;
-/// us. A server that failed is left alone this long, doubled with each failure in a row up to sixteen times.
-pub const SEAT_BACKOFF: u64 = 250 * MS;
-/// us. What a server told of its load fades towards its mean at this pace.
-pub const TOLD_FADE: u64 = 300 * MS;
-/// tokens a ms that a server reads, as the platforms at hand name them.
-pub const READ_PER_MS: u64 = 30;
+pub const SERVER_QUEUE: f64 = 2.0;
+/// us. A server that failed is left alone this long, doubled with each failure in a row.
+pub const EJECTION_TIME: u64 = 250 * MS;
+/// count. Doublings of that time at most: a server that is well again is found in 4 s.
+pub const EJECTION_DOUBLINGS: u32 = 4;
+/// A server is silent that owes an answer for so many times the usual time from dispatch to the head, and this (us) longer.
+pub const SILENCE_FACTOR: f64 = 4.0;
+pub const SILENCE_LEAST: u64 = 150 * MS;
+/// us. What was heard of a server's load fades towards its mean at this pace: about as long as a request takes.
+pub const LOAD_FADE: u64 = 300 * MS;
+/// us. A server that said it is full is passed by for a quarter of the usual time to a head, within these.
+pub const FULL_PAUSE_LEAST: u64 = 5 * MS;
+pub const FULL_PAUSE_MOST: u64 = 100 * MS;
+/// us. Time from dispatch to the head that is assumed at least, also before any was observed.
+pub const LEAST_USUAL: f64 = 10_000.0;
+/// Share of a sample's weight that is left when the next one comes: the last few hundred count.
+pub const SLOPE_DECAY: f64 = 0.995;
+/// count. Samples as which an assumed slope weighs.
+pub const SLOPE_PRIOR: f64 = 4.0;
+/// us a token of a prompt, until first events have shown it.
+pub const ASSUMED_READING_US: f64 = 33.0;
+/// tokens. Usual deviation of what a server has to read.
+pub const READING_SPREAD: f64 = 1_000.0;
+/// us between two events for each request beside it, until streams have shown it.
+pub const ASSUMED_CROWDING_US: f64 = 500.0;
+/// count. Usual deviation of the requests beside one.
+pub const CROWDING_SPREAD: f64 = 2.0;
+/// count. Events of a stream, until some have been seen.
+pub const ASSUMED_EVENTS: f64 = 10.0;
+/// us that a request beside it adds, where that is not learned.
+pub const ASSUMED_NEIGHBOUR_US: f64 = 1_000.0;
 /// us. What a prompt's bytes between zones are worth against its time to the first event.
 pub const ZONE_COST_MODEL: f64 = 20_000.0;
 /// us. The same of a lookup's bytes against its answer.
