Let fronts tell each other what they have under way at each server

Cause: 65 fronts see each a 65th of the load. Servers that tell none are chosen by it alone.

Change: a front reports its counts every 50 ms to one front of its zone, whose answer carries the sums of all; collectors tell each other by zone.

--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod balance;
 pub mod judge;
 pub mod kv;
+pub mod load_exchange;
 pub mod lookup;
 pub mod news;
 pub mod policy;
@@ -12,6 +13,8 @@
 pub mod server_table;
 pub mod turn;
 
+use crate::load_exchange::LoadExchange;
+use crate::policy::Mechanism;
 use http_types::{Method, Response};
 use serde_json::json;
 use snafu::Snafu;
@@ -106,6 +109,7 @@
     pub counts: Counts,
     /// Where routed requests are served instead of the product's own paths.
     pub relay: OnceLock<Arc<relay::Relay>>,
+    load_exchange: OnceLock<Arc<load_exchange::LoadExchange>>,
     web: Arc<web::Gate>,
     leaving: AtomicBool,
 }
@@ -182,11 +186,12 @@
 impl Listener for Ear {
     fn hear(self: Arc<Self>, p: Parcel) -> Fut<'static, (Vec<u8>, Vec<u8>)> {
         Box::pin(async move {
-            let t = match p.read::<Ask>() {
-                Some(a) => self.0.hear(a, p.blob).await,
-                None => Tell::No(Code::BadBody),
+            let (tell, blob) = match p.read::<Ask>() {
+                Some(Ask::InFlight { by_site }) => self.0.hear_load(&p, by_site),
+                Some(ask) => (self.0.hear(ask, p.blob).await, vec![]),
+                None => (Tell::No(Code::BadBody), vec![]),
             };
-            (serde_json::to_vec(&t).unwrap_or_default(), vec![])
+            (serde_json::to_vec(&tell).unwrap_or_default(), blob)
         })
     }
 }
@@ -234,6 +239,11 @@
         let b = f.book.clone();
         w.go(web::serve(w.clone(), http, h, Arc::new(move || b.config.load().1.routing.limits.clone()), f.web.clone()));
         f.run();
+        if relay.balance.policies.has(Mechanism::LoadExchange) {
+            let exchange = LoadExchange::new(&f.members, &f.book, &f.st.name, &f.st.site);
+            let _ = f.load_exchange.set(exchange.clone());
+            w.go(exchange.run(relay.clone()));
+        }
         let w = w.clone();
         self.w.go(async move {
             loop {
@@ -307,12 +317,22 @@
             spares: Default::default(),
             counts: Default::default(),
             relay: Default::default(),
+            load_exchange: Default::default(),
             web: Default::default(),
             leaving: Default::default(),
             st,
         })
     }
 
+    /// A report of what another front, or another site, has under way.
+    fn hear_load(&self, report: &Parcel, by_site: bool) -> (Tell, Vec<u8>) {
+        let from = if by_site { &report.site } else { &report.from };
+        match self.load_exchange.get().and_then(|exchange| exchange.answer(from, by_site, &report.blob)) {
+            Some(loads) => (Tell::InFlight, loads),
+            None => (Tell::No(Code::BadField), vec![]),
+        }
+    }
+
     async fn hear(self: &Arc<Self>, a: Ask, blob: Vec<u8>) -> Tell {
         match a {
             Ask::Probe { .. } | Ask::Second { .. } | Ask::Table { .. } | Ask::Heard { .. } => self.members.hear(a).await,
--- /dev/null
+++ b/yewcross-front/src/load_exchange.rs
@@ -0,0 +1,223 @@
+//! Fronts tell each other what they have under way at each server, so that each chooses by the load of all.
+//!
+//! One front of each site collects what the fronts there report, and its answers tell them the sums. Collectors tell each
+//! other what their sites have under way in the other's, and hear the load of the servers there. Nothing rests on it but the
+//! quality of a choice: what is not heard in time fades, and a collector that cannot be reached is replaced as soon as
+//! membership says so.
+
+use crate::balance::Balance;
+use crate::relay::Relay;
+use crate::server_table::home_of;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, Mutex};
+use yewcross::ask::{Ask, Listed, Tell};
+use yewcross::book::Book;
+use yewcross::consts::*;
+use yewcross::hash::weigh;
+use yewcross::member::{Members, Node};
+use yewcross::startup::Role;
+use yewcross::world::World;
+
+/// Names the front of a site that collects, among its fronts.
+const COLLECTOR: &str = "load collector";
+
+/// A server's name in few bytes. Two servers under one key would share a load, and nothing worse.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ServerKey(u32);
+
+impl ServerKey {
+    pub fn of(server: &str) -> ServerKey {
+        ServerKey(weigh(server, "") as u32)
+    }
+}
+
+/// Requests under way at one server.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServerLoad {
+    pub server: ServerKey,
+    pub in_flight: u32,
+}
+
+/// What one front, or the collector of another site, last reported.
+struct Report {
+    at: u64,
+    loads: HashMap<ServerKey, u32>,
+}
+
+/// The collector's side: the newest report of each front of its site, and of each other site.
+#[derive(Default)]
+pub struct Collected {
+    fronts: HashMap<String, Report>,
+    sites: HashMap<String, Report>,
+    /// Load of the servers of other sites, as their collectors told it.
+    elsewhere: HashMap<String, Vec<ServerLoad>>,
+}
+
+impl Collected {
+    pub fn report(&mut self, from: &str, by_site: bool, loads: &[ServerLoad], now: u64) {
+        let report = Report { at: now, loads: loads.iter().map(|l| (l.server, l.in_flight)).collect() };
+        let reports = if by_site { &mut self.sites } else { &mut self.fronts };
+        reports.insert(from.into(), report);
+    }
+
+    /// Load at these servers by all reports that still count.
+    pub fn total<'a>(&self, servers: impl Iterator<Item = &'a Listed>, now: u64) -> Vec<ServerLoad> {
+        let counting: Vec<&Report> = self.fronts.values().chain(self.sites.values()).filter(|r| r.counts(now)).collect();
+        let sum = |server: ServerKey| counting.iter().filter_map(|r| r.loads.get(&server)).sum();
+        servers.map(|s| ServerKey::of(&s.server)).map(|server| ServerLoad { server, in_flight: sum(server) }).collect()
+    }
+
+    /// What the fronts of this site alone have under way at these servers.
+    fn ours<'a>(&self, servers: impl Iterator<Item = &'a Listed>, now: u64) -> Vec<ServerLoad> {
+        let counting: Vec<&Report> = self.fronts.values().filter(|r| r.counts(now)).collect();
+        let sum = |server: ServerKey| counting.iter().filter_map(|r| r.loads.get(&server)).sum();
+        let all = servers.map(|s| ServerKey::of(&s.server)).map(|server| ServerLoad { server, in_flight: sum(server) });
+        all.filter(|l| l.in_flight > 0).collect()
+    }
+
+    fn tidy(&mut self, now: u64) {
+        self.fronts.retain(|_, r| r.counts(now));
+        self.sites.retain(|_, r| r.counts(now));
+    }
+}
+
+impl Report {
+    fn counts(&self, now: u64) -> bool {
+        now < self.at + LOAD_KEPT
+    }
+}
+
+/// A front's part in the exchange.
+pub struct LoadExchange {
+    w: World,
+    name: String,
+    site: String,
+    members: Arc<Members>,
+    book: Arc<Book>,
+    collected: Mutex<Collected>,
+}
+
+impl LoadExchange {
+    pub fn new(members: &Arc<Members>, book: &Arc<Book>, name: &str, site: &str) -> Arc<LoadExchange> {
+        Arc::new(LoadExchange {
+            w: members.w.clone(),
+            name: name.into(),
+            site: site.into(),
+            members: members.clone(),
+            book: book.clone(),
+            collected: Default::default(),
+        })
+    }
+
+    /// Answers a report with the load of all servers known here.
+    pub fn answer(&self, from: &str, by_site: bool, blob: &[u8]) -> Option<Vec<u8>> {
+        let loads: Vec<ServerLoad> = postcard::from_bytes(blob).ok()?;
+        let now = self.w.now();
+        let mut collected = self.collected.lock().unwrap();
+        collected.report(from, by_site, &loads, now);
+        let told = if by_site { self.least_loaded(&collected, now) } else { self.known(&collected, now) };
+        postcard::to_allocvec(&told).ok()
+    }
+
+    /// Load of the servers of our site, and of those of others as far as they were told.
+    fn known(&self, collected: &Collected, now: u64) -> Vec<ServerLoad> {
+        let list = self.book.list.load();
+        let mut all = collected.total(list.1.servers.iter().filter(|s| s.site == self.site), now);
+        all.extend(collected.elsewhere.values().flatten());
+        all
+    }
+
+    /// Load of the servers of our site that another site would send requests to.
+    fn least_loaded(&self, collected: &Collected, now: u64) -> Vec<ServerLoad> {
+        let list = self.book.list.load();
+        let mut all = collected.total(list.1.servers.iter().filter(|s| s.site == self.site), now);
+        all.sort_by_key(|l| l.in_flight);
+        all.truncate(LOAD_SITE_SERVERS);
+        all
+    }
+
+    /// Reports and hears, again and again.
+    pub async fn run(self: Arc<Self>, relay: Arc<Relay>) {
+        let (mut idle_since, mut next_sites) = (0, 0);
+        loop {
+            self.w.sleep(LOAD_EVERY * 9 / 10 + self.w.rand() % (LOAD_EVERY / 5)).await;
+            let now = self.w.now();
+            let loads = own_loads(&relay.balance);
+            // A front without requests has nothing to tell and nothing to choose.
+            if loads.is_empty() && now < idle_since + LOAD_IDLE_EVERY {
+                continue;
+            }
+            idle_since = now;
+            let fronts = self.members.alive(Role::Front);
+            let collector = home_of(&fronts, COLLECTOR, &self.site);
+            if collector.as_deref() == Some(self.name.as_str()) {
+                self.collect(&loads, &relay.balance);
+                if now >= next_sites {
+                    next_sites = now + LOAD_SITES_EVERY;
+                    self.tell_sites(&fronts);
+                }
+            } else if let Some(node) = collector.and_then(|name| fronts.into_iter().find(|n| n.name == name)) {
+                self.report_to(&node, &loads, &relay.balance).await;
+            }
+        }
+    }
+
+    /// The collector's own report.
+    fn collect(&self, loads: &[ServerLoad], balance: &Balance) {
+        let now = self.w.now();
+        let mut collected = self.collected.lock().unwrap();
+        collected.tidy(now);
+        collected.report(&self.name, false, loads, now);
+        let known = self.known(&collected, now);
+        drop(collected);
+        apply(balance, &known, loads, now);
+    }
+
+    async fn report_to(&self, collector: &Node, loads: &[ServerLoad], balance: &Balance) {
+        let Ok(blob) = postcard::to_allocvec(loads) else { return };
+        let answer = self.members.peers.ask(collector.peer, &Ask::InFlight { by_site: false }, &blob, LOAD_WAIT).await;
+        let Ok((Tell::InFlight, blob)) = answer else { return };
+        if let Ok(known) = postcard::from_bytes::<Vec<ServerLoad>>(&blob) {
+            apply(balance, &known, loads, self.w.now());
+        }
+    }
+
+    /// Tells the collector of each other site what this one has under way there, and takes what it tells.
+    fn tell_sites(self: &Arc<Self>, fronts: &[Node]) {
+        let sites: BTreeSet<&str> = fronts.iter().map(|n| n.site.as_str()).filter(|s| *s != self.site).collect();
+        for site in sites {
+            let Some(node) = home_of(fronts, COLLECTOR, site).and_then(|name| fronts.iter().find(|n| n.name == name)) else { continue };
+            let (me, node) = (self.clone(), node.clone());
+            self.w.go(async move { me.tell_site(node).await });
+        }
+    }
+
+    async fn tell_site(self: Arc<Self>, node: Node) {
+        let ours = {
+            let list = self.book.list.load();
+            let there = list.1.servers.iter().filter(|s| s.site == node.site);
+            self.collected.lock().unwrap().ours(there, self.w.now())
+        };
+        let Ok(blob) = postcard::to_allocvec(&ours) else { return };
+        let answer = self.members.peers.ask(node.peer, &Ask::InFlight { by_site: true }, &blob, LOAD_WAIT).await;
+        let told = match answer {
+            Ok((Tell::InFlight, blob)) => postcard::from_bytes(&blob).unwrap_or_default(),
+            _ => vec![],
+        };
+        self.collected.lock().unwrap().elsewhere.insert(node.site, told);
+    }
+}
+
+fn own_loads(balance: &Balance) -> Vec<ServerLoad> {
+    balance.in_flight().into_iter().map(|(server, in_flight)| ServerLoad { server: ServerKey::of(&server), in_flight }).collect()
+}
+
+/// Hands the balance what others have under way: all that is known, less what we reported ourselves.
+fn apply(balance: &Balance, known: &[ServerLoad], reported: &[ServerLoad], now: u64) {
+    let mut others: HashMap<ServerKey, u32> = known.iter().map(|l| (l.server, l.in_flight)).collect();
+    for own in reported {
+        others.entry(own.server).and_modify(|n| *n = n.saturating_sub(own.in_flight));
+    }
+    balance.learn_load(now, |server| others.get(&ServerKey::of(server)).copied());
+}
--- a/yewcross/src/ask.rs
+++ b/yewcross/src/ask.rs
@@ -166,12 +166,19 @@
     SweepNow,
     /// Turns and ledgers; the question is the blob, see `chain_wire`.
     Chain,
+    /// A front, or the collector of a site, tells the collector of a site what it has under way at the servers there; the
+    /// loads are the blob. Answered as `Tell::InFlight`, with the loads of all.
+    InFlight {
+        by_site: bool,
+    },
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Tell {
     No(Code),
     Ok,
+    /// Loads of servers; they are the blob.
+    InFlight,
     Probe {
         dig: u64,
         nodes: Vec<Node>,
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -338,6 +338,18 @@
 pub const SILENCE_LEAST: u64 = 150 * MS;
 /// us. What was heard of a server's load fades towards its mean at this pace: about as long as a request takes.
 pub const LOAD_FADE: u64 = 300 * MS;
+/// us. A front tells what it has under way this often: several times in the life of a request.
+pub const LOAD_EVERY: u64 = 50 * MS;
+/// us. And one that has nothing under way, this often.
+pub const LOAD_IDLE_EVERY: u64 = 500 * MS;
+/// us. Collectors of different sites tell each other this often.
+pub const LOAD_SITES_EVERY: u64 = 100 * MS;
+/// us. A front that has not reported for this long counts for nothing: its requests may be over.
+pub const LOAD_KEPT: u64 = SEC;
+/// us. Waiting for the answer to a report; the next report is due by then.
+pub const LOAD_WAIT: u64 = 100 * MS;
+/// count. Servers of a site that other sites hear of, those with the least load.
+pub const LOAD_SITE_SERVERS: usize = 64;
 /// us. A server that said it is full is passed by for a quarter of the usual time to a head, within these.
 pub const FULL_PAUSE_LEAST: u64 = 5 * MS;
 pub const FULL_PAUSE_MOST: u64 = 100 * MS;
