Retry, hedge and resume streams that may be resumed, within a retry budget

Cause: `resumable` and `gap_ms` were read from the configuration and used by nothing. A caption was lost with its first server, and its program late.

Change: before its first event such a stream is repeatable; after it, one that breaks off or stalls is taken up at another server behind its last whole event, within the answer that the client has. A budget bounds all second attempts.

--- a/yewcross-front/src/balance/claim.rs
+++ b/yewcross-front/src/balance/claim.rs
@@ -47,6 +47,18 @@
         }
     }
 
+    /// us that the server takes to read the prompt and what it reads before it, as far as is known.
+    pub fn reading_us(&self) -> u64 {
+        let token_us = self.service.lock().unwrap().observed.reading.value();
+        ((self.missing + self.reading_ahead) as f64 * token_us) as u64
+    }
+
+    /// us of silence after which a stream is stalled, where a pause of `gap_ms` is still in time.
+    pub fn stalled_after(&self, gap_ms: u64) -> u64 {
+        let usual = self.service.lock().unwrap().observed.pause_us();
+        (gap_ms * MS * STALL_GAP_PERCENT / 100).max((STALL_FACTOR * usual) as u64)
+    }
+
     /// A stream of so many events came to its end.
     pub fn streamed(&self, events: u64) {
         let took = self.w.now() - self.headed_at;
--- a/yewcross-front/src/balance/observed.rs
+++ b/yewcross-front/src/balance/observed.rs
@@ -49,8 +49,9 @@
     pub reading: Slope,
     /// us between two events for each request beside it.
     pub crowding: Slope,
-    /// Events of a stream, the mean.
+    /// Events of a stream, and us between two of them, the means.
     events: f64,
+    pause: f64,
 }
 
 impl Default for Observed {
@@ -59,6 +60,7 @@
             reading: Slope::new(ASSUMED_READING_US, READING_SPREAD),
             crowding: Slope::new(ASSUMED_CROWDING_US, CROWDING_SPREAD),
             events: ASSUMED_EVENTS,
+            pause: 0.0,
         }
     }
 }
@@ -67,9 +69,15 @@
     /// A stream of so many events came to its end, `gap_us` apart, beside `load` others.
     pub fn streamed(&mut self, events: u64, gap_us: f64, load: f64) {
         self.events = self.events * SLOPE_DECAY + events as f64 * (1.0 - SLOPE_DECAY);
+        self.pause = if self.pause == 0.0 { gap_us } else { self.pause * SLOPE_DECAY + gap_us * (1.0 - SLOPE_DECAY) };
         self.crowding.add(load, gap_us);
     }
 
+    /// us between two events of a stream, the mean.
+    pub fn pause_us(&self) -> f64 {
+        self.pause
+    }
+
     /// us that one more request beside it adds to a stream.
     pub fn neighbour_us(&self) -> f64 {
         self.crowding.value() * self.events
--- a/yewcross-front/src/lib.rs
+++ b/yewcross-front/src/lib.rs
@@ -231,6 +231,7 @@
             fronts: Default::default(),
             pool: Default::default(),
             balance: Default::default(),
+            retries: Default::default(),
             counts: Default::default(),
         });
         let _ = f.relay.set(relay.clone());
--- a/yewcross-front/src/policy.rs
+++ b/yewcross-front/src/policy.rs
@@ -41,6 +41,14 @@
     Silence,
     /// A second server is asked where the first one is silent.
     Hedging,
+    /// Second attempts are bounded by a share of the first ones.
+    RetryBudget,
+    /// A stream that may be resumed counts as repeatable before its first event.
+    StreamRetry,
+    /// A stream that broke off is taken up at another server.
+    Resumption,
+    /// So is one that stalls.
+    StallDetection,
     /// Urgency is told to model servers.
     Urgency,
 }
--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -1,17 +1,22 @@
 //! The path of a routed request, from its head to the last byte of its answer.
 //!
-//! `admission` reads it whole, finds its route and opens its turn; `dispatch` chooses servers and counts attempts;
-//! `attempt` sends it to one of them and judges what comes back; `streaming` forwards the answer; `turn` settles it.
+//! `admission` reads it whole, finds its route and opens its turn; `dispatch` chooses servers and counts attempts, `hedge`
+//! asks a second one where the first is silent, `retry_budget` bounds both; `attempt` sends it to one server and judges what
+//! comes back; `streaming` forwards the answer, `resume` takes up a broken one elsewhere; `turn` settles it.
 
 mod admission;
 mod attempt;
 mod dispatch;
 mod headers;
+mod hedge;
+mod resume;
+mod retry_budget;
 mod streaming;
 mod turn;
 
 use crate::balance::Balance;
 use crate::pool::Pool;
+pub use retry_budget::RetryBudget;
 use bytes::Bytes;
 use http::{Request, Response, request};
 use hyper::body::Incoming;
@@ -38,7 +43,7 @@
     };
 }
 
-counts!(taken, sent, passed, not_run, unsent, withdrawn, lost, strangers, refused, expired, second, broken, unkept);
+counts!(taken, sent, passed, not_run, unsent, withdrawn, lost, strangers, refused, expired, second, resumed, broken, unkept);
 
 /// The data plane of a front: takes clients' requests and sends them on to servers.
 pub struct Relay {
@@ -52,10 +57,12 @@
     pub fronts: AtomicUsize,
     pub pool: Pool,
     pub balance: Balance,
+    pub retries: RetryBudget,
     pub counts: Counts,
 }
 
 /// One try of a caller, read whole.
+#[derive(Clone)]
 struct ClientRequest {
     head: request::Parts,
     meta: RequestMeta,
--- a/yewcross-front/src/relay/admission.rs
+++ b/yewcross-front/src/relay/admission.rs
@@ -1,6 +1,7 @@
 //! What comes before a request is sent: reading it whole, its route, and the opening of its turn.
 
 use super::headers::strip_hop_by_hop;
+use super::resume::Resumption;
 use super::turn::{OpenedTurn, is_accounted, name_parts, open_request, prompt};
 use super::{ClientRequest, Rejection, Relay};
 use http::{HeaderMap, Request, Response, header, request};
@@ -31,7 +32,9 @@
         let input = request.body.clone();
         let (mut turn, previous) = self.open_turn(&mut request, &route, &upstream).await?;
 
-        let (route, answer) = self.dispatch(&request, &route, previous.as_deref()).await?;
+        let request = Arc::new(request);
+        let dispatched = self.dispatch(&request, &route, previous.as_deref()).await?;
+        let (route, answer) = (&dispatched.route, &dispatched.answer);
         let service = &answer.claim.to.service;
         if let (Some(opened), Some(tokens)) = (&mut turn, self.tokens_per_event(service)) {
             opened.tokens_per_event = tokens;
@@ -50,7 +53,8 @@
         if !streamed {
             drop(turn.take());
         }
-        Ok(self.forward(answer, turn, keep, request.until, streamed))
+        let resumption = if streamed { Resumption::of(&self, &request, &dispatched) } else { None };
+        Ok(self.forward(dispatched.answer, turn, keep, request.until, streamed, resumption))
     }
 
     /// Reads a request whole: no server hears of one that its caller has not finished.
--- a/yewcross-front/src/relay/dispatch.rs
+++ b/yewcross-front/src/relay/dispatch.rs
@@ -3,7 +3,7 @@
 use super::attempt::{Answer, Outcome};
 use super::{ClientRequest, Rejection, Relay};
 use crate::balance::{Claim, Need, NoSeat};
-use futures_lite::FutureExt;
+use crate::policy::Mechanism;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross::chain::Turn;
@@ -11,31 +11,49 @@
 use yewcross::consts::*;
 use yewcross::route::{Mode, Route, Upstream};
 
-/// Whether a request may run more than once.
-fn repeatable(m: Mode) -> bool {
-    m == Mode::Pure
+/// What became of a request that a server answered.
+pub(super) struct Dispatched {
+    pub(super) route: Route,
+    pub(super) answer: Answer,
+    /// Servers that were chosen, and how many of them a byte of it was sent to.
+    pub(super) tried: Vec<String>,
+    pub(super) sent: u32,
 }
 
 impl Relay {
+    /// Whether a request may run more than once.
+    fn repeatable(&self, route: &Route) -> bool {
+        match route.mode {
+            Mode::Pure => true,
+            Mode::Stream => route.resumable && self.balance.policies.has(Mechanism::StreamRetry),
+            Mode::Effectful => false,
+        }
+    }
+
     /// Sends it to one server after another until one answers; at most `max_tries` of them ever see a byte of it.
     pub(super) async fn dispatch(
         self: &Arc<Self>,
         s: &ClientRequest,
         first: &Route,
         prev: Option<&Turn>,
-    ) -> Result<(Route, Answer), Rejection> {
+    ) -> Result<Dispatched, Rejection> {
         let (mut tried, mut sent, mut lost): (Vec<String>, u32, bool) = (vec![], 0, false);
         let mut last: Option<Answer> = None;
+        self.retries.deposit();
+        let done = |route: Route, answer: Answer, tried: Vec<String>, sent: u32| Dispatched { route, answer, tried, sent };
         loop {
             let (route, claim) = match self.seat(s, first, prev, &tried).await {
                 Ok(x) => x,
-                Err(e) => return last.map(|a| (first.clone(), a)).ok_or(if lost { self.gave_up(s) } else { e }),
+                Err(e) => {
+                    let rejection = if lost { self.gave_up(s) } else { e };
+                    return last.map(|a| done(first.clone(), a, tried, sent)).ok_or(rejection);
+                }
             };
-            let again = repeatable(route.mode) && sent + 1 < route.max_tries;
+            let repeatable = self.repeatable(&route);
             let server = claim.to.server.clone();
             tried.push(server.clone());
-            let got = if again {
-                self.attempt_with_backup(s, &route, claim, &mut tried, &mut sent).await
+            let got = if repeatable && sent + 1 < route.max_tries {
+                self.attempt_hedged(s, &route, claim, &mut tried, &mut sent).await
             } else {
                 self.attempt(s, claim, &route).await
             };
@@ -44,8 +62,8 @@
             match got {
                 Outcome::Answer(a) => {
                     let ill = a.head.status.is_server_error();
-                    if !(ill && repeatable(route.mode) && more) {
-                        return Ok((route, *a));
+                    if !(ill && repeatable && more && self.retries.withdraw()) {
+                        return Ok(done(route, *a, tried, sent));
                     }
                     last = Some(*a);
                 }
@@ -54,13 +72,13 @@
                 Outcome::NotRun | Outcome::Unsent if more => {}
                 Outcome::NotRun | Outcome::Unsent if lost => return Err(self.gave_up(s)),
                 Outcome::NotRun | Outcome::Unsent => {
-                    return last.map(|a| (route.clone(), a)).ok_or(Rejection(
+                    return last.map(|a| done(route.clone(), a, tried, sent)).ok_or(Rejection(
                         Code::LineFull,
                         "every server turned it away",
                         self.soon(&route),
                     ));
                 }
-                Outcome::Lost if repeatable(route.mode) && more => lost = true,
+                Outcome::Lost if repeatable && more && self.retries.withdraw() => lost = true,
                 Outcome::Lost => return Err(self.gave_up(s)),
             }
         }
@@ -75,7 +93,7 @@
     }
 
     /// A place at a server, by the newest configuration and list at the moment it is taken.
-    async fn seat(&self, s: &ClientRequest, first: &Route, prev: Option<&Turn>, tried: &[String]) -> Result<(Route, Claim), Rejection> {
+    pub(super) async fn seat(&self, s: &ClientRequest, first: &Route, prev: Option<&Turn>, tried: &[String]) -> Result<(Route, Claim), Rejection> {
         let patience = self.w.now() + first.target_ms.max(40) * MS * PLACE_PATIENCE / 100;
         loop {
             let now = self.w.now();
@@ -130,33 +148,4 @@
         let hurry = s.meta.finish_ms.is_some_and(|f| f < 4 * r.target_ms.max(1));
         up.then(|| (2 + 3 * r.rank.min(2)).saturating_sub(hurry as u8).min(9))
     }
-
-    /// A repeatable request to whose silence a second server is asked.
-    async fn attempt_with_backup(
-        self: &Arc<Self>,
-        s: &ClientRequest,
-        r: &Route,
-        c: Claim,
-        tried: &mut Vec<String>,
-        sent: &mut u32,
-    ) -> Outcome {
-        let usual = self.balance.usual(&c.to.service);
-        let pause = (3 * usual).max(r.target_ms * MS * 6 / 10).max(50 * MS);
-        let mut one = std::pin::pin!(self.attempt(s, c, r));
-        if let Some(x) = self.w.within(pause, one.as_mut()).await {
-            return x;
-        }
-        let Ok((route, c)) = self.seat(s, r, None, tried).await else { return one.await };
-        self.counts.second.fetch_add(1, SeqCst);
-        tried.push(c.to.server.clone());
-        *sent += 1;
-        let mut two = std::pin::pin!(self.attempt(s, c, &route));
-        // The first good answer of the two; a bad one leaves the other to be waited for.
-        let (x, first) = async { (one.as_mut().await, true) }.or(async { (two.as_mut().await, false) }).await;
-        match x {
-            Outcome::Answer(_) => x,
-            _ if first => x.or(two.await),
-            _ => x.or(one.await),
-        }
-    }
 }
--- a/yewcross-front/src/scan.rs
+++ b/yewcross-front/src/scan.rs
@@ -11,6 +11,23 @@
     keep: bool,
     data: Vec<u8>,
     events: u64,
+    /// Bytes of data of whole events.
+    whole_data: usize,
+    /// The id of the event that is being read, and of the last one that was whole.
+    id: Option<Vec<u8>>,
+    last_id: Option<Vec<u8>>,
+    falling_ids: bool,
+    /// Bytes of the last piece up to the end of its last whole event.
+    whole_bytes: usize,
+}
+
+fn value(line: &[u8], name_length: usize) -> &[u8] {
+    let value = line.get(name_length + 1..).unwrap_or_default();
+    value.strip_prefix(b" ").unwrap_or(value)
+}
+
+fn number(id: &[u8]) -> Option<u64> {
+    std::str::from_utf8(id).ok()?.parse().ok()
 }
 
 impl Scan {
@@ -22,23 +39,37 @@
     fn end_line(&mut self, l: &[u8]) {
         if l.is_empty() {
             self.events += std::mem::take(&mut self.open) as u64;
+            self.whole_data = self.data.len();
+            self.end_id();
+        } else if l.starts_with(b"id:") {
+            self.id = Some(value(l, 2).to_vec());
         } else if l == b"data" || l.starts_with(b"data:") {
             self.open = true;
             if self.keep {
-                let v = l.get(5..).unwrap_or_default();
-                self.data.extend_from_slice(v.strip_prefix(b" ").unwrap_or(v));
+                self.data.extend_from_slice(value(l, 4));
                 self.data.push(b'\n');
             }
         }
     }
 
-    pub fn push(&mut self, mut b: &[u8]) {
+    /// An event that bears an id is over.
+    fn end_id(&mut self) {
+        let Some(id) = self.id.take() else { return };
+        let before = self.last_id.as_deref().and_then(number);
+        self.falling_ids |= matches!((before, number(&id)), (Some(a), Some(b)) if b <= a);
+        self.last_id = Some(id);
+    }
+
+    pub fn push(&mut self, piece: &[u8]) {
+        self.whole_bytes = 0;
+        let mut b = piece;
         match b.first() {
             Some(b'\n') if self.cr => (b, self.cr) = (&b[1..], false),
             Some(_) => self.cr = false,
             None => {}
         }
         while let Some(i) = b.iter().position(|c| *c == b'\n' || *c == b'\r') {
+            let is_blank = i == 0 && self.line.is_empty();
             if self.line.is_empty() {
                 self.end_line(&b[..i]);
             } else {
@@ -57,6 +88,9 @@
                     _ => {}
                 }
             }
+            if is_blank {
+                self.whole_bytes = piece.len() - b.len();
+            }
         }
         self.line.extend_from_slice(b);
     }
@@ -71,6 +105,28 @@
         !self.open && self.line.is_empty()
     }
 
+    /// What was read of an event that is not whole never came: the stream goes on behind the last whole one.
+    pub fn forget_event(&mut self) {
+        (self.open, self.cr, self.id) = (false, false, None);
+        self.line.clear();
+        self.data.truncate(self.whole_data);
+    }
+
+    /// Bytes of the last piece that belong to whole events, or end one.
+    pub fn whole_bytes(&self) -> usize {
+        self.whole_bytes
+    }
+
+    /// The id of the last whole event that bore one.
+    pub fn last_id(&self) -> Option<&[u8]> {
+        self.last_id.as_deref()
+    }
+
+    /// The ids, as far as they are numbers, rose from event to event.
+    pub fn ids_rise(&self) -> bool {
+        !self.falling_ids
+    }
+
     pub fn data(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.data)
     }
--- a/yewcross-lab/src/routed/ports.rs
+++ b/yewcross-lab/src/routed/ports.rs
@@ -53,6 +53,11 @@
             h.insert("urgency", u16::from(u).into());
         });
     }
+    fn resume_after(&self, h: &mut HeaderMap, event_id: &[u8]) {
+        http::HeaderValue::from_bytes(event_id).into_iter().for_each(|v| {
+            h.insert("resume-after", v);
+        });
+    }
     fn answer(&self, status: u16, h: &HeaderMap) -> AnswerMeta {
         let load: Vec<u32> = text(h, "load").split(',').filter_map(|x| x.parse().ok()).collect();
         AnswerMeta {
--- a/yewcross-lab/tests/relay/rig.rs
+++ b/yewcross-lab/tests/relay/rig.rs
@@ -128,6 +128,7 @@
             fronts: AtomicUsize::new(1),
             pool: Default::default(),
             balance: Default::default(),
+            retries: Default::default(),
             counts: Default::default(),
         });
         let door: SocketAddr = "10.0.0.1:80".parse().unwrap();
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -371,6 +371,18 @@
 pub const ASSUMED_EVENTS: f64 = 10.0;
 /// us that a request beside it adds, where that is not learned.
 pub const ASSUMED_NEIGHBOUR_US: f64 = 1_000.0;
+/// Second attempts for each request, on the long run, and how many may come at once (count).
+pub const RETRY_SHARE: f64 = 0.1;
+pub const RETRY_BURST: f64 = 10.0;
+/// A second server is asked once the first is silent for so many times the usual time to a head, for this share of the
+/// aim, and for this long (us), whichever is longest.
+pub const HEDGE_FACTOR: u64 = 3;
+pub const HEDGE_AIM_PERCENT: u64 = 60;
+pub const HEDGE_LEAST: u64 = 50 * MS;
+/// A stream is stalled that is silent for this share of the longest pause in time (percent), and for so many times the
+/// usual pause: what is left of the pause is enough to take it up elsewhere.
+pub const STALL_GAP_PERCENT: u64 = 60;
+pub const STALL_FACTOR: f64 = 4.0;
 /// us. What a prompt's bytes between zones are worth against its time to the first event.
 pub const ZONE_COST_MODEL: f64 = 20_000.0;
 /// us. The same of a lookup's bytes against its answer.
--- a/yewcross/src/port.rs
+++ b/yewcross/src/port.rs
@@ -58,6 +58,8 @@
 pub trait BackEnd: Send + Sync {
     /// Adds what only the tier knows: whom it is meant for, what is left of its deadline, how urgent it is (0 first).
     fn dress(&self, h: &mut HeaderMap, to: &Listed, left_ms: u64, urgency: Option<u8>);
+    /// Asks that a stream go on behind the event of this id.
+    fn resume_after(&self, h: &mut HeaderMap, event_id: &[u8]);
     fn answer(&self, status: u16, h: &HeaderMap) -> AnswerMeta;
 }
 
