Read a refused request whole, so that its rest is not taken for a head

Cause: a front that refused by the head alone (no configuration yet) left the body on the connection.

Change: the request is read whole before it is refused.

--- a/yewcross-front/src/relay/admission.rs
+++ b/yewcross-front/src/relay/admission.rs
@@ -62,14 +62,16 @@
         let (mut head, body) = q.into_parts();
         let meta = self.caller.request(&head.headers).map_err(|_| Rejection(Code::BadHead, "a field of the head is wrong", 0))?;
         let host = the_host(&head.headers).ok_or(Rejection(Code::BadHead, "one host is needed", 0))?;
-        let (route, upstream, limit) = {
+        let (found, limit) = {
             let c = self.book.config.load();
-            let (route, upstream) = self.route(&c.1.routing, c.0, &host, &head, &meta)?;
-            (route, upstream, c.1.routing.limits.body_bytes)
+            (self.route(&c.1.routing, c.0, &host, &head, &meta), c.1.routing.limits.body_bytes)
         };
-        let until = began + meta.deadline_ms.unwrap_or(u64::MAX / MS / 2).min(route.timeout_ms) * MS;
+        // A refused request is read whole too: what is left of a body would be taken for the next request's head.
+        let timeout_ms = found.as_ref().map_or(BODY_WAIT / MS, |(route, _)| route.timeout_ms);
+        let until = began + meta.deadline_ms.unwrap_or(u64::MAX / MS / 2).min(timeout_ms) * MS;
         let left = until.saturating_sub(self.w.now());
         let body = self.w.within(left.min(BODY_WAIT), read_body(body, limit)).await;
+        let (route, upstream) = found?;
         let body = body.unwrap_or(Err(Unread::Broken)).map_err(|e| match e {
             Unread::TooLarge => Rejection(Code::TooLarge, "the body is too large", 0),
             Unread::Broken => Rejection(Code::TooSlow, "the body did not come whole", 0),
