--- a/yewcross-lab/examples/relay_load.rs
+++ b/yewcross-lab/examples/relay_load.rs
@@ -150,6 +150,7 @@
             fronts: AtomicUsize::new(1),
             pool: Default::default(),
             balance: Default::default(),
+                retries: Default::default(),
             counts: Default::default(),
         });
         let d = front.bind(at(7_599)).await.unwrap();
--- a/yewcross-lab/tests/relay/main.rs
+++ b/yewcross-lab/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod promises;
 mod requests;
+mod resumption;
 mod rig;
 mod server;
 mod stopping;
--- a/yewcross-lab/tests/relay/requests.rs
+++ b/yewcross-lab/tests/relay/requests.rs
@@ -100,6 +100,7 @@
                 fronts: AtomicUsize::new(1),
                 pool: Default::default(),
                 balance: Default::default(),
+                retries: Default::default(),
                 counts: Default::default(),
             };
             let (fresh, w2) = (Arc::new(fresh), w.clone());
--- a/yewcross-lab/tests/relay/rig.rs
+++ b/yewcross-lab/tests/relay/rig.rs
@@ -16,7 +16,9 @@
 use yewcross::register::Ballot;
 use yewcross::route::Limits;
 use yewcross::world::*;
-use yewcross_front::relay::Relay;
+use yewcross_front::balance::Balance;
+use yewcross_front::policy::Policies;
+use yewcross_front::relay::{Relay, RetryBudget};
 use yewcross_lab::routed::ports::Ports;
 use yewcross_lab::sim::Sim;
 
@@ -100,18 +102,32 @@
         "target_ms": 200, "max_tries": tries, "retained": name.starts_with("kept"), "retain_ms": 60_000})
 }
 
+/// A route whose streams may be taken up again; a pause of 200 ms is still in time.
+pub fn resumable(name: &str, tries: u32) -> Value {
+    let mut r = route(name, "stream", "model", tries);
+    r["resumable"] = true.into();
+    r["gap_ms"] = 200.into();
+    r
+}
+
 pub fn routes() -> Value {
     json!([
         route("pure", "pure", "a", 3),
         route("once", "effectful", "a", 3),
         route("stream", "stream", "model", 2),
         route("kept/stream", "stream", "model", 2),
-        route("other", "pure", "b", 1)
+        route("other", "pure", "b", 1),
+        resumable("again/stream", 2)
     ])
 }
 
 impl Rig {
     pub fn new(seed: u64, servers: usize) -> Rig {
+        Rig::with_policies(seed, servers, Policies::all())
+    }
+
+    /// A front in which some mechanisms may be switched off.
+    pub fn with_policies(seed: u64, servers: usize, policies: Policies) -> Rig {
         let sim = Sim::new(seed, 1_000);
         let fm = sim.machine("front", "z", "10.0.0.1".parse().unwrap());
         let w = sim.boot(fm);
@@ -127,8 +143,8 @@
             chains: Some(memory.clone()),
             fronts: AtomicUsize::new(1),
             pool: Default::default(),
-            balance: Default::default(),
-            retries: Default::default(),
+            balance: Balance::with(policies),
+            retries: RetryBudget::new(policies),
             counts: Default::default(),
         });
         let door: SocketAddr = "10.0.0.1:80".parse().unwrap();
--- a/yewcross-lab/tests/relay/server.rs
+++ b/yewcross-lab/tests/relay/server.rs
@@ -56,6 +56,10 @@
     Again,
     /// So many events, and then it breaks off.
     Break(usize),
+    /// So many events and half of the next one, and then it breaks off.
+    BreakInside(usize),
+    /// So many events, and then it falls silent.
+    Stall(usize),
     /// Events without end.
     Forever,
     Slow(u64),
@@ -113,6 +117,7 @@
         let body: Vec<u8> = buf.drain(..len).collect();
         f.seen.fetch_add(1, SeqCst);
         let a = heads.get("try").cloned().unwrap_or_default();
+        let from = heads.get("resume-after").map_or(0, |id| id.parse::<usize>().unwrap() + 1);
         let told = f.acts.lock().unwrap().get_mut(&id).and_then(|v| v.pop_front());
         let act = told.or(*f.other.lock().unwrap()).unwrap_or(Act::Good);
         let act = if heads.get("for").is_some_and(|x| *x != id) { Act::NotRun(421) } else { act };
@@ -134,7 +139,7 @@
         let (out, close) = match act {
             Act::Good if first.contains("/stream/") => {
                 let _ = c.write_all(top.as_bytes()).await;
-                for i in 0..4 {
+                for i in from..4 {
                     let _ = c.write_all(&event(i)).await;
                     w.sleep(20 * MS).await;
                 }
@@ -195,6 +200,26 @@
                 }
                 (vec![], true)
             }
+            Act::BreakInside(n) => {
+                let _ = c.write_all(top.as_bytes()).await;
+                for i in 0..n {
+                    let _ = c.write_all(&event(i)).await;
+                    w.sleep(20 * MS).await;
+                }
+                let half = format!("id: {n}\ndata: {a}-");
+                (format!("{:x}\r\n{half}\r\n", half.len()).into_bytes(), true)
+            }
+            Act::Stall(n) => {
+                let _ = c.write_all(top.as_bytes()).await;
+                for i in 0..n {
+                    let _ = c.write_all(&event(i)).await;
+                    w.sleep(20 * MS).await;
+                }
+                let mut b = [0; 64];
+                let _ = c.read(&mut b).await;
+                f.gone.lock().unwrap().push(w.now());
+                return;
+            }
             Act::Forever => {
                 let _ = c.write_all(top.as_bytes()).await;
                 let mut i = 0;
