Ask core seats again soon where contact is missing

Cause: after all machines lost power, cores began within 0.4 s and had contact with a majority 0.2 s after the fifth was up, since a core that was left short waited 208 ms.

Change: it asks again after 25 ms, doubled each time.

--- a/yewcross-control/src/quorum_contact.rs
+++ b/yewcross-control/src/quorum_contact.rs
@@ -99,6 +99,7 @@
 pub async fn keep_contact(c: Arc<Control>) {
     let every = contact_bound(c.st.bounds.apply) / 3;
     let mut turn = c.w.rand() as usize % 64;
+    let mut soon = CONTACT_AGAIN.min(every / 2);
     loop {
         let layout = c.book.layout.load_full();
         let others: Vec<String> = all_seats(&layout.1.core).into_iter().filter(|d| *d != c.vault.id).collect();
@@ -114,7 +115,10 @@
         if c.lease_term().is_none() {
             ask_seats(&c, asked, LeaseCall::Look);
         }
-        let rest = if c.has_quorum_contact() { every } else { every / 2 };
+        // Seats that start together, or meet again after a cut, are a moment away: they are asked again soon at first.
+        let has_contact = c.has_quorum_contact();
+        let rest = if has_contact { every } else { soon };
+        soon = if has_contact { CONTACT_AGAIN.min(every / 2) } else { (2 * soon).min(every / 2) };
         let moved = c.book.moved.listen();
         match layout.0 {
             0 => futures_lite::future::or(moved, c.w.sleep(every)).await,
--- a/yewcross-front/src/relay.rs
+++ b/yewcross-front/src/relay.rs
@@ -16,10 +16,10 @@
 
 use crate::balance::Balance;
 use crate::pool::Pool;
-pub use retry_budget::RetryBudget;
 use bytes::Bytes;
 use http::{Request, Response, request};
 use hyper::body::Incoming;
+pub use retry_budget::RetryBudget;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst};
 use yewcross::book::Book;
--- a/yewcross-front/src/relay/dispatch.rs
+++ b/yewcross-front/src/relay/dispatch.rs
@@ -31,12 +31,7 @@
     }
 
     /// Sends it to one server after another until one answers; at most `max_tries` of them ever see a byte of it.
-    pub(super) async fn dispatch(
-        self: &Arc<Self>,
-        s: &ClientRequest,
-        first: &Route,
-        prev: Option<&Turn>,
-    ) -> Result<Dispatched, Rejection> {
+    pub(super) async fn dispatch(self: &Arc<Self>, s: &ClientRequest, first: &Route, prev: Option<&Turn>) -> Result<Dispatched, Rejection> {
         let (mut tried, mut sent, mut lost): (Vec<String>, u32, bool) = (vec![], 0, false);
         let mut last: Option<Answer> = None;
         self.retries.deposit();
@@ -93,7 +88,13 @@
     }
 
     /// A place at a server, by the newest configuration and list at the moment it is taken.
-    pub(super) async fn seat(&self, s: &ClientRequest, first: &Route, prev: Option<&Turn>, tried: &[String]) -> Result<(Route, Claim), Rejection> {
+    pub(super) async fn seat(
+        &self,
+        s: &ClientRequest,
+        first: &Route,
+        prev: Option<&Turn>,
+        tried: &[String],
+    ) -> Result<(Route, Claim), Rejection> {
         let patience = self.w.now() + first.target_ms.max(40) * MS * PLACE_PATIENCE / 100;
         loop {
             let now = self.w.now();
--- a/yewcross-lab/examples/relay_load.rs
+++ b/yewcross-lab/examples/relay_load.rs
@@ -38,6 +38,7 @@
     fn dress(&self, h: &mut HeaderMap, _: &Listed, left: u64, _: Option<u8>) {
         h.insert("patience", left.into());
     }
+    fn resume_after(&self, _: &mut http::HeaderMap, _: &[u8]) {}
     fn answer(&self, _: u16, h: &HeaderMap) -> AnswerMeta {
         AnswerMeta { attempt: text(h, "try").into(), stamped: true, load: Some((1, 0, 96)), idle_ms: Some(5_000), ..Default::default() }
     }
@@ -150,7 +151,7 @@
             fronts: AtomicUsize::new(1),
             pool: Default::default(),
             balance: Default::default(),
-                retries: Default::default(),
+            retries: Default::default(),
             counts: Default::default(),
         });
         let d = front.bind(at(7_599)).await.unwrap();
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -136,6 +136,8 @@
 pub const LEASE_WAIT: u64 = 400 * MS;
 /// us. An operator at a core that no majority answers is told so within this, well before it goes on by itself.
 pub const QUORUM_WAIT: u64 = 300 * MS;
+/// us. A core without contact asks the seats again after this, doubled each time it is left short.
+pub const CONTACT_AGAIN: u64 = 25 * MS;
 /// us. A holder of the lease that has not taken the documents within this gives it up: it cannot decide anything, and another
 /// one may.
 pub const FENCE_WITHIN: u64 = 1_500 * MS;
