Leave a server alone that several other fronts leave alone

Change: reports also carry which servers a front leaves alone; two others are enough, as long as seven servers in ten remain.

--- a/yewcross-front/src/balance/ejection.rs
+++ b/yewcross-front/src/balance/ejection.rs
@@ -12,6 +12,9 @@
     /// Requests of ours without a head yet, and since when one of them is owed.
     unanswered: u32,
     owed_since: u64,
+    /// Other fronts that leave it alone, and when that was heard.
+    others: u32,
+    heard_at: u64,
 }
 
 impl Ejection {
@@ -43,6 +46,16 @@
         now < self.until
     }
 
+    /// So many other fronts leave it alone.
+    pub(super) fn shared(&mut self, others: u32, now: u64) {
+        (self.others, self.heard_at) = (others, now);
+    }
+
+    /// Whether several other fronts found it ill just now. One alone may be cut off from it.
+    pub(super) fn is_ejected_by_others(&self, now: u64) -> bool {
+        self.others >= EJECTION_QUORUM && now < self.heard_at + EJECTION_TIME
+    }
+
     /// Whether it owes an answer for much longer than usual (us from dispatch to the head).
     pub(super) fn is_silent(&self, now: u64, usual: f64) -> bool {
         self.unanswered > 0 && now > self.owed_since + (SILENCE_FACTOR * usual) as u64 + SILENCE_LEAST
--- a/yewcross-front/src/balance/mod.rs
+++ b/yewcross-front/src/balance/mod.rs
@@ -6,11 +6,13 @@
 mod claim;
 mod cost;
 mod ejection;
+mod load;
 mod observed;
 mod queue;
 mod server;
 
 pub use claim::Claim;
+pub use load::Load;
 pub use observed::{Observed, Slope};
 
 use crate::policy::{Mechanism, Policies};
@@ -88,7 +90,15 @@
             !ejected && !silent
         };
         let sound: Vec<&Listed> = servers.iter().filter(is_well).copied().collect();
-        if sound.is_empty() { servers } else { sound }
+        let sound = if sound.is_empty() { servers } else { sound };
+        if policies.has(Mechanism::SharedEjection) { self.well_by_others(sound, now) } else { sound }
+    }
+
+    /// Those that other fronts do not leave alone; all where that would be too few: what so many fail at is no server's own.
+    fn well_by_others<'a>(&self, servers: Vec<&'a Listed>, now: u64) -> Vec<&'a Listed> {
+        let is_well = |server: &&&Listed| !self.servers[&server.server].ejection.is_ejected_by_others(now);
+        let well: Vec<&Listed> = servers.iter().filter(is_well).copied().collect();
+        if well.len() * 100 < servers.len() * (100 - EJECTED_MOST_PERCENT) { servers } else { well }
     }
 }
 
@@ -179,23 +189,24 @@
         w.within(until.saturating_sub(w.now()), rx.recv()).await.is_some()
     }
 
-    /// What we have under way, by server.
-    pub fn in_flight(&self) -> Vec<(String, u32)> {
+    /// What we have under way and whom we leave alone, by server.
+    pub fn own_loads(&self, now: u64) -> Vec<(String, Load)> {
         let services = self.services.read().unwrap();
-        let mut counts = vec![];
+        let mut loads = vec![];
         for service in services.values() {
             let g = service.lock().unwrap();
-            counts.extend(g.servers.iter().filter(|(_, s)| s.in_flight > 0).map(|(server, s)| (server.clone(), s.in_flight)));
+            let all = g.servers.iter().map(|(server, state)| (server.clone(), state.own_load(now)));
+            loads.extend(all.filter(|(_, load)| *load != Load::default()));
         }
-        counts
+        loads
     }
 
     /// Takes what other fronts have under way at each server; none where they are not known.
-    pub fn learn_load(&self, now: u64, others: impl Fn(&str) -> Option<u32>) {
+    pub fn learn_load(&self, now: u64, others: impl Fn(&str) -> Option<Load>) {
         for service in self.services.read().unwrap().values() {
             let mut g = service.lock().unwrap();
             for (server, state) in &mut g.servers {
-                others(server).iter().for_each(|count| state.shared(*count, now));
+                others(server).iter().for_each(|load| state.shared(*load, now));
             }
         }
     }
--- a/yewcross-front/src/balance/server.rs
+++ b/yewcross-front/src/balance/server.rs
@@ -1,7 +1,7 @@
 //! What a front knows of one server: what is under way there, what it holds, how it stood.
 
-use super::Need;
 use super::ejection::Ejection;
+use super::{Load, Need};
 use crate::policy::{Mechanism, Policies};
 use lru::LruCache;
 use yewcross::consts::*;
@@ -53,9 +53,14 @@
         self.slots = slots;
     }
 
-    /// Other fronts have so many requests under way here.
-    pub(super) fn shared(&mut self, others: u32, now: u64) {
-        self.others.heard(others as f64, now);
+    /// What other fronts have under way here, and how many of them leave it alone.
+    pub(super) fn shared(&mut self, others: Load, now: u64) {
+        self.others.heard(others.in_flight as f64, now);
+        self.ejection.shared(others.ejected_by, now);
+    }
+
+    pub(super) fn own_load(&self, now: u64) -> Load {
+        Load { in_flight: self.in_flight, ejected_by: self.ejection.is_ejected(now) as u32 }
     }
 
     /// Requests under way here, ours and those of others.
--- a/yewcross-front/src/load_exchange.rs
+++ b/yewcross-front/src/load_exchange.rs
@@ -5,7 +5,7 @@
 //! quality of a choice: what is not heard in time fades, and a collector that cannot be reached is replaced as soon as
 //! membership says so.
 
-use crate::balance::Balance;
+use crate::balance::{Balance, Load};
 use crate::relay::Relay;
 use crate::server_table::home_of;
 use serde::{Deserialize, Serialize};
@@ -32,17 +32,17 @@
     }
 }
 
-/// Requests under way at one server.
+/// Requests under way at one server, and the fronts that leave it alone since it failed.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerLoad {
     pub server: ServerKey,
-    pub in_flight: u32,
+    pub load: Load,
 }
 
 /// What one front, or the collector of another site, last reported.
 struct Report {
     at: u64,
-    loads: HashMap<ServerKey, u32>,
+    loads: HashMap<ServerKey, Load>,
 }
 
 /// The collector's side: the newest report of each front of its site, and of each other site.
@@ -56,24 +56,21 @@
 
 impl Collected {
     pub fn report(&mut self, from: &str, by_site: bool, loads: &[ServerLoad], now: u64) {
-        let report = Report { at: now, loads: loads.iter().map(|l| (l.server, l.in_flight)).collect() };
+        let report = Report { at: now, loads: loads.iter().map(|l| (l.server, l.load)).collect() };
         let reports = if by_site { &mut self.sites } else { &mut self.fronts };
         reports.insert(from.into(), report);
     }
 
     /// Load at these servers by all reports that still count.
     pub fn total<'a>(&self, servers: impl Iterator<Item = &'a Listed>, now: u64) -> Vec<ServerLoad> {
-        let counting: Vec<&Report> = self.fronts.values().chain(self.sites.values()).filter(|r| r.counts(now)).collect();
-        let sum = |server: ServerKey| counting.iter().filter_map(|r| r.loads.get(&server)).sum();
-        servers.map(|s| ServerKey::of(&s.server)).map(|server| ServerLoad { server, in_flight: sum(server) }).collect()
+        sums(self.fronts.values().chain(self.sites.values()), servers, now)
     }
 
     /// What the fronts of this site alone have under way at these servers.
     fn ours<'a>(&self, servers: impl Iterator<Item = &'a Listed>, now: u64) -> Vec<ServerLoad> {
-        let counting: Vec<&Report> = self.fronts.values().filter(|r| r.counts(now)).collect();
-        let sum = |server: ServerKey| counting.iter().filter_map(|r| r.loads.get(&server)).sum();
-        let all = servers.map(|s| ServerKey::of(&s.server)).map(|server| ServerLoad { server, in_flight: sum(server) });
-        all.filter(|l| l.in_flight > 0).collect()
+        let mut ours = sums(self.fronts.values(), servers, now);
+        ours.retain(|l| l.load != Load::default());
+        ours
     }
 
     fn tidy(&mut self, now: u64) {
@@ -82,6 +79,13 @@
     }
 }
 
+/// What the reports that still count come to, for each of these servers.
+fn sums<'r, 's>(reports: impl Iterator<Item = &'r Report>, servers: impl Iterator<Item = &'s Listed>, now: u64) -> Vec<ServerLoad> {
+    let counting: Vec<&Report> = reports.filter(|r| r.counts(now)).collect();
+    let sum = |server: ServerKey| counting.iter().filter_map(|r| r.loads.get(&server)).copied().sum();
+    servers.map(|s| ServerKey::of(&s.server)).map(|server| ServerLoad { server, load: sum(server) }).collect()
+}
+
 impl Report {
     fn counts(&self, now: u64) -> bool {
         now < self.at + LOAD_KEPT
@@ -132,7 +136,7 @@
     fn least_loaded(&self, collected: &Collected, now: u64) -> Vec<ServerLoad> {
         let list = self.book.list.load();
         let mut all = collected.total(list.1.servers.iter().filter(|s| s.site == self.site), now);
-        all.sort_by_key(|l| l.in_flight);
+        all.sort_by_key(|l| l.load.in_flight);
         all.truncate(LOAD_SITE_SERVERS);
         all
     }
@@ -143,7 +147,7 @@
         loop {
             self.w.sleep(LOAD_EVERY * 9 / 10 + self.w.rand() % (LOAD_EVERY / 5)).await;
             let now = self.w.now();
-            let loads = own_loads(&relay.balance);
+            let loads = own_loads(&relay.balance, now);
             // A front without requests has nothing to tell and nothing to choose.
             if loads.is_empty() && now < idle_since + LOAD_IDLE_EVERY {
                 continue;
@@ -209,15 +213,15 @@
     }
 }
 
-fn own_loads(balance: &Balance) -> Vec<ServerLoad> {
-    balance.in_flight().into_iter().map(|(server, in_flight)| ServerLoad { server: ServerKey::of(&server), in_flight }).collect()
+fn own_loads(balance: &Balance, now: u64) -> Vec<ServerLoad> {
+    balance.own_loads(now).into_iter().map(|(server, load)| ServerLoad { server: ServerKey::of(&server), load }).collect()
 }
 
 /// Hands the balance what others have under way: all that is known, less what we reported ourselves.
 fn apply(balance: &Balance, known: &[ServerLoad], reported: &[ServerLoad], now: u64) {
-    let mut others: HashMap<ServerKey, u32> = known.iter().map(|l| (l.server, l.in_flight)).collect();
+    let mut others: HashMap<ServerKey, Load> = known.iter().map(|l| (l.server, l.load)).collect();
     for own in reported {
-        others.entry(own.server).and_modify(|n| *n = n.saturating_sub(own.in_flight));
+        others.entry(own.server).and_modify(|load| *load = load.less(own.load));
     }
     balance.learn_load(now, |server| others.get(&ServerKey::of(server)).copied());
 }
--- a/yewcross-front/src/policy.rs
+++ b/yewcross-front/src/policy.rs
@@ -37,6 +37,8 @@
     Patience,
     /// A server that failed is left alone for a while.
     Ejection,
+    /// So is one that several other fronts leave alone.
+    SharedEjection,
     /// A server that owes answers for long is left alone.
     Silence,
     /// A second server is asked where the first one is silent.
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -335,6 +335,10 @@
 pub const EJECTION_TIME: u64 = 250 * MS;
 /// count. Doublings of that time at most: a server that is well again is found in 4 s.
 pub const EJECTION_DOUBLINGS: u32 = 4;
+/// count. Other fronts that have to leave a server alone before this one does too.
+pub const EJECTION_QUORUM: u32 = 2;
+/// percent of the servers that are left alone on the word of others, at most.
+pub const EJECTED_MOST_PERCENT: usize = 30;
 /// A server is silent that owes an answer for so many times the usual time from dispatch to the head, and this (us) longer.
 pub const SILENCE_FACTOR: f64 = 4.0;
 pub const SILENCE_LEAST: u64 = 150 * MS;
