Keep an affinity key with one server; exchange load only where it is not told

Cause: `pinned` was used by nothing, though a server works faster on what it saw lately.

Change: a plain service's request goes to the server of its key by rendezvous hashing, unless that costs half as much again. Fronts whose servers tell their load report twice a second, for failing servers alone.

--- a/yewcross-front/src/balance/claim.rs
+++ b/yewcross-front/src/balance/claim.rs
@@ -72,7 +72,9 @@
     pub fn told(&self, (running, waiting, slots): (u32, u32, u32)) {
         let now = self.w.now();
         if self.policies.has(Mechanism::ToldLoad) {
-            self.server(|s| s.told(running, waiting, slots, now));
+            let mut g = self.service.lock().unwrap();
+            g.told_at = now;
+            g.servers.entry(self.to.server.clone()).or_default().told(running, waiting, slots, now);
         }
     }
 
--- a/yewcross-front/src/balance/mod.rs
+++ b/yewcross-front/src/balance/mod.rs
@@ -23,6 +23,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use yewcross::ask::Listed;
 use yewcross::consts::*;
+use yewcross::hash::weigh;
 use yewcross::route::Engine;
 use yewcross::world::World;
 
@@ -34,6 +35,8 @@
     /// us from dispatch to the head.
     usual: f64,
     observed: Observed,
+    /// us. When one of its servers last told its load in an answer; 0 before.
+    told_at: u64,
 }
 
 /// What a request needs of a server.
@@ -53,6 +56,8 @@
     pub target_us: u64,
     /// Place in the queue: rank, then us of the world's clock by which it should be over.
     pub rank: (u8, u64),
+    /// Names the thing that it concerns, where a server that saw it lately does the work faster; else empty.
+    pub affinity: String,
     /// Connections that we may have to one server.
     pub conns: u32,
 }
@@ -113,6 +118,12 @@
     vec![free[first], free[second]]
 }
 
+/// The one for the request's affinity key, of those that are free: the same at all fronts, by rendezvous hashing.
+fn affine<'a>(need: &Need, free: &[&'a Listed], policies: Policies) -> Option<&'a Listed> {
+    let is_asked = !need.affinity.is_empty() && need.engine.is_none() && policies.has(Mechanism::Affinity);
+    free.iter().copied().filter(|_| is_asked).max_by_key(|server| weigh(&need.affinity, &server.server))
+}
+
 impl Balance {
     pub fn with(policies: Policies) -> Balance {
         Balance { policies, ..Balance::default() }
@@ -154,20 +165,22 @@
         }
         let is_free = |server: &&&Listed| !g.servers[&server.server].full(n, &server.server, now, g.usual, policies);
         let free: Vec<&Listed> = sound.iter().filter(is_free).copied().collect();
+        let pricing = Pricing { need: n, observed: &g.observed, usual: g.usual, now, policies };
+        let work = |server: &Listed| pricing.work(&g.servers[&server.server], &server.server);
+        let by_affinity = affine(n, &free, policies);
         let candidates = match n.engine.is_none() && policies.has(Mechanism::ChoiceOfTwo) {
             true => two_at_random(w, n, free),
             false => free,
         };
-        let pricing = Pricing { need: n, observed: &g.observed, usual: g.usual, now, policies };
         // Those that cost about the same take turns: what is known of the load is a little old, and the same at all fronts.
         let jitter = if n.engine.is_some() { pricing.neighbour_us().max(1.0) as usize } else { 1 };
         let price = |server: &&&Listed| {
-            let work = pricing.work(&g.servers[&server.server], &server.server);
-            (work + pricing.distance(&server.site) + pricing.dial(kept(&server.server))) as u64 + w.pick(jitter) as u64
+            (work(server) + pricing.distance(&server.site) + pricing.dial(kept(&server.server))) as u64 + w.pick(jitter) as u64
         };
-        let Some(to) = candidates.iter().min_by_key(price).map(|s| (*s).clone()) else {
+        let Some(best) = candidates.iter().min_by_key(price).copied() else {
             return Err(NoSeat::Full(g.due(n, sound.len(), now)));
         };
+        let to = by_affinity.filter(|server| work(server) <= work(best) * AFFINITY_BOUND).unwrap_or(best).clone();
         let state = g.servers.get_mut(&to.server).expect("every server has a state");
         let missing = if n.engine.is_some() { state.missing(n, &to.server, policies) } else { 0 };
         let tokens = if n.engine.is_some() { missing + n.output } else { 0 };
@@ -201,6 +214,16 @@
         loads
     }
 
+    /// Whether all services at which we have requests under way have servers that tell their load themselves.
+    pub fn is_told_load(&self, now: u64) -> bool {
+        let services = self.services.read().unwrap();
+        services.values().all(|service| {
+            let g = service.lock().unwrap();
+            let is_told = g.told_at > 0 && now < g.told_at + LOAD_TOLD_KEPT;
+            is_told || g.servers.values().all(|state| state.in_flight == 0)
+        })
+    }
+
     /// Takes what other fronts have under way at each server; none where they are not known.
     pub fn learn_load(&self, now: u64, others: impl Fn(&str) -> Option<Load>) {
         for service in self.services.read().unwrap().values() {
--- a/yewcross-front/src/balance/server.rs
+++ b/yewcross-front/src/balance/server.rs
@@ -55,7 +55,10 @@
 
     /// What other fronts have under way here, and how many of them leave it alone.
     pub(super) fn shared(&mut self, others: Load, now: u64) {
-        self.others.heard(others.in_flight as f64, now);
+        // What it tells of itself is newer, and counts more than what fronts sum up.
+        if self.slots == 0 {
+            self.others.heard(others.in_flight as f64, now);
+        }
         self.ejection.shared(others.ejected_by, now);
     }
 
--- a/yewcross-front/src/load_exchange.rs
+++ b/yewcross-front/src/load_exchange.rs
@@ -148,8 +148,9 @@
             self.w.sleep(LOAD_EVERY * 9 / 10 + self.w.rand() % (LOAD_EVERY / 5)).await;
             let now = self.w.now();
             let loads = own_loads(&relay.balance, now);
-            // A front without requests has nothing to tell and nothing to choose.
-            if loads.is_empty() && now < idle_since + LOAD_IDLE_EVERY {
+            // A front without requests has nothing to tell and nothing to choose, and servers that tell their load say more.
+            let is_needless = loads.is_empty() || relay.balance.is_told_load(now);
+            if is_needless && now < idle_since + LOAD_IDLE_EVERY {
                 continue;
             }
             idle_since = now;
--- a/yewcross-front/src/policy.rs
+++ b/yewcross-front/src/policy.rs
@@ -21,6 +21,8 @@
     ToldLoad,
     /// Two candidates at random, and the better one, where a service is no model.
     ChoiceOfTwo,
+    /// Requests that concern the same thing go to the same server of a service that is no model.
+    Affinity,
     /// Servers of our own zone cost less.
     ZonePreference,
     /// Servers with a kept connection cost less.
--- a/yewcross-front/src/relay/dispatch.rs
+++ b/yewcross-front/src/relay/dispatch.rs
@@ -140,6 +140,7 @@
             site: self.site.clone(),
             target_us: r.target_ms.max(1) * MS,
             rank: (r.rank, s.began + s.meta.finish_ms.unwrap_or(r.timeout_ms) * MS),
+            affinity: if r.pinned { s.meta.affinity.clone() } else { String::new() },
             conns: (up.max_conns * 3 / 2 / fronts).max(2),
         }
     }
--- a/yewcross-lab/src/routed/ports.rs
+++ b/yewcross-lab/src/routed/ports.rs
@@ -34,6 +34,7 @@
             max_output_tokens: num("most").unwrap_or(0),
             parts: parts(text(h, "parts")).ok_or("parts")?,
             prev: text(h, "after").into(),
+            affinity: text(h, "affinity").into(),
             ..Default::default()
         })
     }
--- a/yewcross/src/consts.rs
+++ b/yewcross/src/consts.rs
@@ -346,8 +346,11 @@
 pub const LOAD_FADE: u64 = 300 * MS;
 /// us. A front tells what it has under way this often: several times in the life of a request.
 pub const LOAD_EVERY: u64 = 50 * MS;
-/// us. And one that has nothing under way, this often.
+/// us. And this often one that has nothing under way, or whose servers tell their load themselves: then for the word of
+/// failing servers alone.
 pub const LOAD_IDLE_EVERY: u64 = 500 * MS;
+/// us. A service's servers tell their load that did so within this time.
+pub const LOAD_TOLD_KEPT: u64 = 5 * SEC;
 /// us. Collectors of different sites tell each other this often.
 pub const LOAD_SITES_EVERY: u64 = 100 * MS;
 /// us. A front that has not reported for this long counts for nothing: its requests may be over.
@@ -393,6 +396,9 @@
 pub const ZONE_COST_MODEL: f64 = 20_000.0;
 /// us. The same of a lookup's bytes against its answer.
 pub const ZONE_COST_PLAIN: f64 = 8_000.0;
+/// A server that by its name is the one for an affinity key is taken as long as its work costs at most so many times the
+/// best other's: it does such work in about half of the time, and must not be flooded for it.
+pub const AFFINITY_BOUND: f64 = 1.5;
 /// us. What a new connection is worth against time.
 pub const DIAL_COST: f64 = 4_000.0;
 /// us. A front that has just begun lets requests wait this long for its first configuration and list.
--- a/yewcross/src/port.rs
+++ b/yewcross/src/port.rs
@@ -28,6 +28,8 @@
     pub parts: Vec<(u64, u64)>,
     /// The turn it goes on from; empty for none.
     pub prev: String,
+    /// Names the thing that it concerns: a server that saw it lately does the work faster. Empty for none.
+    pub affinity: String,
 }
 
 pub trait Caller: Send + Sync {
--- a/yewcross/src/route.rs
+++ b/yewcross/src/route.rs
@@ -38,7 +38,8 @@
     pub retained: bool,
     #[serde(default)]
     pub retain_ms: u64,
-    /// Prompts have parts that a server may still hold.
+    /// A server does the work faster that lately saw the thing that a request concerns: parts of its prompt, or its
+    /// affinity key.
     #[serde(default)]
     pub pinned: bool,
     #[serde(default)]
