--- a/yewcross-lab/tests/balance.rs
+++ b/yewcross-lab/tests/balance.rs
@@ -1,29 +1,14 @@
 //! Which server is chosen, and who waits.
 
-use std::net::SocketAddr;
+#[path = "support/placement.rs"]
+mod support;
+
+use support::{rest, servers, world};
 use yewcross::ask::Listed;
 use yewcross::consts::*;
 use yewcross::route::Engine;
 use yewcross::world::*;
 use yewcross_front::balance::{Balance, Claim, Need, NoSeat};
-use yewcross_lab::sim::Sim;
-
-fn world() -> (Sim, World) {
-    let sim = Sim::new(1, 1_000);
-    let m = sim.machine("front", "z", "10.0.0.1".parse().unwrap());
-    let w = sim.boot(m);
-    (sim, w)
-}
-
-fn rest(sim: &Sim, w: &World, us: u64) {
-    w.go(w.sleep(us + 1));
-    sim.run(sim.now() + us, || false);
-}
-
-fn servers(n: usize) -> Vec<Listed> {
-    let addr: SocketAddr = "10.0.1.1:1".parse().unwrap();
-    (0..n).map(|i| Listed { server: format!("s{i}"), service: "x".into(), addr, site: format!("z{}", i % 2), leaving: false }).collect()
-}
 
 fn plain() -> Need {
     Need { service: "x".into(), site: "z0".into(), target_us: 250 * MS, conns: 100, ..Need::default() }
@@ -47,7 +32,7 @@
 #[test]
 fn requests_spread_by_what_is_under_way() {
     let (_, w) = world();
-    let (b, v) = (Balance::default(), servers(4));
+    let (b, v) = (Balance::default(), servers(4, 2));
     tell(&b, &w, &v, 6);
     let mut held: Vec<Claim> = vec![];
     (0..20).for_each(|_| held.push(take(&b, &w, &plain(), &v).unwrap()));
@@ -58,7 +43,7 @@
 #[test]
 fn nobody_is_refused_while_a_place_is_free() {
     let (_, w) = world();
-    let (b, v) = (Balance::default(), servers(3));
+    let (b, v) = (Balance::default(), servers(3, 2));
     tell(&b, &w, &v, 6);
     let held: Vec<Claim> = (0..18).map(|_| take(&b, &w, &plain(), &v).unwrap()).collect();
     assert_eq!(held.len(), 18);
@@ -70,7 +55,7 @@
 #[test]
 fn a_server_that_failed_is_left_alone_for_a_while_but_not_for_ever() {
     let (sim, w) = world();
-    let (b, v) = (Balance::default(), servers(2));
+    let (b, v) = (Balance::default(), servers(2, 2));
     let c = take(&b, &w, &plain(), &v[..1]).unwrap();
     c.failed();
     drop(c);
@@ -84,7 +69,7 @@
 #[test]
 fn a_prompt_goes_where_its_parts_are_held_unless_that_costs_more() {
     let (_, w) = world();
-    let (b, v) = (Balance::default(), servers(4));
+    let (b, v) = (Balance::default(), servers(4, 2));
     let parts = [(7, 2_500), (8, 1_000)];
     let c = take(&b, &w, &model(&parts), &v[3..]).unwrap();
     c.read(&parts, 20_000);
@@ -107,7 +92,7 @@
 #[test]
 fn those_who_wait_are_let_in_by_rank_and_by_the_time_they_have() {
     let (sim, w) = world();
-    let (b, v) = (std::sync::Arc::new(Balance::default()), servers(1));
+    let (b, v) = (std::sync::Arc::new(Balance::default()), servers(1, 2));
     let held: Vec<Claim> = (0..8).map(|_| take(&b, &w, &model(&[]), &v).unwrap()).collect();
     assert!(matches!(take(&b, &w, &model(&[]), &v), Err(NoSeat::Full(_))));
     let order: std::sync::Arc<std::sync::Mutex<Vec<u64>>> = Default::default();
--- a/yewcross-lab/tests/placement.rs
+++ b/yewcross-lab/tests/placement.rs
@@ -1,6 +1,9 @@
 //! What the choice of a server learns from answers and from other fronts; each test fails with its mechanism off.
 
-use std::net::SocketAddr;
+#[path = "support/placement.rs"]
+mod support;
+
+use support::{rest, servers, world};
 use yewcross::ask::Listed;
 use yewcross::consts::*;
 use yewcross::route::Engine;
@@ -10,23 +13,6 @@
 use yewcross_front::policy::{Mechanism, Policies};
 use yewcross_lab::sim::Sim;
 
-fn world() -> (Sim, World) {
-    let sim = Sim::new(1, 1_000);
-    let m = sim.machine("front", "z", "10.0.0.1".parse().unwrap());
-    let w = sim.boot(m);
-    (sim, w)
-}
-
-fn rest(sim: &Sim, w: &World, us: u64) {
-    w.go(w.sleep(us + 1));
-    sim.run(sim.now() + us, || false);
-}
-
-fn servers(n: usize) -> Vec<Listed> {
-    let addr: SocketAddr = "10.0.1.1:1".parse().unwrap();
-    (0..n).map(|i| Listed { server: format!("s{i}"), service: "x".into(), addr, site: "z0".into(), leaving: false }).collect()
-}
-
 fn model(parts: &[(u64, u64)]) -> Need {
     let engine = Some(Engine { slots: 12, cache_tokens: 1_000_000, token_bytes: 1, tokens_per_event: 2 });
     let prompt = parts.iter().map(|p| p.1).sum();
@@ -68,7 +54,7 @@
 #[test]
 fn the_price_of_a_token_is_learned_from_first_events() {
     for (policies, cold_is_taken) in [(Policies::all(), true), (Policies::all().without(Mechanism::LearnedReading), false)] {
-        let ((sim, w), b, v) = (world(), Balance::with(policies), servers(2));
+        let ((sim, w), b, v) = (world(), Balance::with(policies), servers(2, 1));
         (0..40).for_each(|i| run(&sim, &w, &b, &v, 1_000 + i * 300, 7.0, 30 * MS));
         let prompt = [(7, 4_000)];
         pick(&b, &w, &model(&prompt), &v[..1]).read(&prompt, 1_000_000);
@@ -83,7 +69,7 @@
 #[test]
 fn the_price_of_a_neighbour_is_learned_from_the_pace_of_streams() {
     for (policies, idle_is_taken) in [(Policies::all(), true), (Policies::all().without(Mechanism::LearnedCrowding), false)] {
-        let ((sim, w), b, v) = (world(), Balance::with(policies), servers(2));
+        let ((sim, w), b, v) = (world(), Balance::with(policies), servers(2, 1));
         (0..40).for_each(|i| run(&sim, &w, &b, &v, 1_000 + i * 300, 7.0, 30 * MS));
         for i in 0..300u32 {
             others(&b, &w, "s0", i % 10, 0);
@@ -103,7 +89,7 @@
 
 #[test]
 fn what_other_fronts_have_under_way_keeps_requests_off_a_hot_server() {
-    let ((sim, w), b, v) = (world(), Balance::default(), servers(3));
+    let ((sim, w), b, v) = (world(), Balance::default(), servers(3, 1));
     v.iter().for_each(|s| drop(pick(&b, &w, &model(&[]), std::slice::from_ref(s))));
     let hits = |b: &Balance| (0..60).filter(|_| pick(b, &w, &model(&[]), &v).to.server == "s1").count();
     assert!(hits(&b) > 5, "nothing is heard: each front chooses for itself");
@@ -119,7 +105,7 @@
 #[test]
 fn a_server_that_several_fronts_leave_alone_is_left_alone_unless_they_are_many() {
     for (policies, left_alone) in [(Policies::all(), true), (Policies::all().without(Mechanism::SharedEjection), false)] {
-        let ((sim, w), b, v) = (world(), Balance::with(policies), servers(4));
+        let ((sim, w), b, v) = (world(), Balance::with(policies), servers(4, 1));
         v.iter().for_each(|s| drop(pick(&b, &w, &model(&[]), std::slice::from_ref(s))));
         let hits = || (0..80).filter(|_| pick(&b, &w, &model(&[]), &v).to.server == "s2").count();
         others(&b, &w, "s2", 0, EJECTION_QUORUM - 1);
@@ -135,7 +121,7 @@
 
 #[test]
 fn what_concerns_the_same_thing_goes_to_one_server_until_that_costs_too_much() {
-    let ((_sim, w), v) = (world(), servers(6));
+    let ((_sim, w), v) = (world(), servers(6, 1));
     let plain = |key: &str| Need { engine: None, affinity: key.into(), ..model(&[]) };
     let slots = |b: &Balance| v.iter().for_each(|s| pick(b, &w, &plain(""), std::slice::from_ref(s)).told((1, 0, 4)));
     let places = |b: &Balance, key: &str| {
@@ -155,7 +141,7 @@
 
 #[test]
 fn a_collector_sums_what_still_counts() {
-    let v = servers(2);
+    let v = servers(2, 1);
     let load =
         |server: &str, in_flight: u32, ejected_by: u32| ServerLoad { server: ServerKey::of(server), load: Load { in_flight, ejected_by } };
     let mut c = Collected::default();
