--- a/yewcross-lab/tests/placement.rs
+++ b/yewcross-lab/tests/placement.rs
@@ -21,7 +21,7 @@
 }
 
 fn pick(b: &Balance, w: &World, n: &Need, v: &[Listed]) -> Claim {
-    b.pick(w, n, v, &[], |_| true).ok().expect("a place is free")
+    b.pick(w, n, v, &[], |_| true).expect("a place is free")
 }
 
 /// Runs a request alone at the first server: it reads its prompt at this pace, and streams its events at that one.
