--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and scenarios of the review. `lab SCENARIO FOLDER` writes FOLDER/record.txt and exits
 //! with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod big;
 mod drain;
 mod fleet;
 mod net;
@@ -19,6 +20,7 @@
         "drain" => drain::run(&record, trouble),
         "order" => order::run(&record, trouble),
         "stall" => stall::run(&record, trouble),
+        "big" => big::run(&record, trouble),
         "soak" => soak::run(&record, trouble),
         _ => fleet::give_up("no such scenario"),
     };
