--- a/review/lab/stall.rs
+++ b/review/lab/stall.rs
@@ -180,7 +180,10 @@
         })
         .collect();
     sleep(200);
-    fleet.signal(stopped, "TERM");
+    // STOP=0 shows that the planned work is not the cause.
+    if std::env::var("STOP").map_or(true, |v| v != "0") {
+        fleet.signal(stopped, "TERM");
+    }
     record.say("all places of the servers are taken from here on");
     pool.full.store(true, SeqCst);
     let answers: Vec<_> = clients.into_iter().filter_map(|c| c.join().ok()).collect();
@@ -188,7 +191,7 @@
     let cut: Vec<_> = answers.iter().filter(|(_, (status, _, whole, _))| *status == 200 && !whole).collect();
     let refused = answers.iter().filter(|(_, (status, ..))| *status != 200).count();
     record.say(&format!(
-        "verdict: of {} streams that a server ran through the front under SIGTERM (grace-s 8, deadline 3 s), {} ended without their end, after {:?} s; {refused} were not served",
+        "verdict: of {} streams that a server ran through that front (grace-s 8, deadline 3 s), {} ended without their end, after {:?} s; {refused} were not served",
         answers.len() - refused,
         cut.len(),
         cut.iter().map(|(_, (.., took))| (took * 1e3).round() / 1e3).collect::<Vec<_>>()
