--- a/yewcross-control/src/config.rs
+++ b/yewcross-control/src/config.rs
@@ -1,6 +1,7 @@
 //! The documents of the control plane: deciding configurations, distributing them, reading them.
 //!
-//! - [`orders`] decides operators' numbered orders by a majority of the core disks.
+//! - [`orders`] has operators' numbered orders decided by a majority of the core disks,
+//!   [`order_decision`] is the decision, and [`taken_orders`] knows those that are sent again.
 //! - [`mod@put`] decides versions that the tier numbers itself; `rollout` puts them in force under the
 //!   serving leases of the fronts, and [`rollout_progress`] is its state.
 //! - `distribution` sends decided documents to every node, `document_requests` answers what other
@@ -13,12 +14,14 @@
 mod document_requests;
 mod front_groups;
 mod late_documents;
+pub mod order_decision;
 pub mod orders;
 pub mod put;
 mod read;
 mod rollout;
 pub mod rollout_progress;
 mod serving_leases;
+pub mod taken_orders;
 
 pub use decoding::{UnreadableDocument, decode_configuration, decode_server_list};
 pub use distribution::{PendingPublications, publish, publish_current, publish_departures};
--- a/yewcross-control/src/config/orders.rs
+++ b/yewcross-control/src/config/orders.rs
@@ -1,218 +1,24 @@
 //! Operators' numbered orders: checked, decided by a majority of the core disks, then published to
-//! every node.
-//!
-//! An order is a complete configuration with a number of the operator's choice, on top of the
-//! version that it names. Of the orders on one version, one is taken. An order whose answer was lost
-//! is sent again unchanged, to any node and at any later time: a taken order is known by its digest
-//! for a time, and is acknowledged again. Once the digest is gone, the outcome of such an order is
-//! left open; it is never rejected.
+//! every node. [`decide`] is what the majority decides.
 
+use super::order_decision::{Decision, Order, decide};
 use super::publish;
 use super::put::{PutError, put};
+use super::taken_orders::kept_ms;
 use crate::Control;
 use crate::api::{PutAnswer, Rollout};
 use crate::proposer::{self, NotAnswered};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross_common::configuration::InvalidSetting;
-use yewcross_common::constants::{
-    MS, ORDER_QUEUE_LIMIT, RETAINED_ORDERS_ACK_TIMES, RETAINED_ORDERS_MAX, RETAINED_ORDERS_MIN,
-    RETAINED_ORDERS_MS,
-};
+use yewcross_common::constants::{MS, ORDER_QUEUE_LIMIT};
 use yewcross_common::error_code::Code;
-use yewcross_common::process_settings::Bounds;
-use yewcross_common::protocol::{ConfigDoc, PeerRequest, PeerResponse, TakenOrder};
+use yewcross_common::protocol::{PeerRequest, PeerResponse};
 use yewcross_common::register::{ChangeError, Step};
 
 /// us. Bound of `answer_timeout`, however long `Bounds::ack` is.
 const ANSWER_TIMEOUT_MOST: u64 = 1_500 * MS;
 
-/// An operator's order, as it is decided.
-pub struct Order<'a> {
-    /// The version that it builds on, by the operator's numbers where there are any.
-    pub base: u64,
-    /// The operator's number; `None` where the tier numbers the versions.
-    pub number: Option<u64>,
-    pub text: &'a str,
-    /// Names this attempt, not the order: a repeat has another.
-    pub attempt: &'a str,
-    /// ms since 1970 by the median of the known clocks. Where few are known it may be wrong:
-    /// digests may then be dropped early, down to `RETAINED_ORDERS_MIN`, or stay, up to
-    /// `RETAINED_ORDERS_MAX`.
-    pub now_ms: u64,
-    /// ms that digests of taken orders are kept at least, as far as `RETAINED_ORDERS_MAX` allows.
-    pub kept_ms: u64,
-}
-
-/// What an order came to.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Decision {
-    /// It is taken, now or earlier.
-    Taken(TakenDocument),
-    /// It builds on another version than the current one.
-    Conflict { current: u64 },
-    /// It builds on the current version, and its number is not above that.
-    Invalid(Vec<InvalidSetting>),
-    /// It may have been taken so long ago that its digest is gone.
-    Forgotten,
-    /// The document in the register cannot be read; it is not replaced.
-    Unreadable,
-}
-
-/// The decided document that holds an order, or followed on one that did.
-#[derive(Clone, Debug, PartialEq)]
-pub struct TakenDocument {
-    /// The number of the order that was asked about.
-    pub number: u64,
-    /// The document's sequence number in its register.
-    pub seq: u64,
-    pub document: Vec<u8>,
-}
-
-/// What an order makes of the register's value. Run again on a value that has its change, it comes
-/// to the same. An empty value is the document before the first order.
-pub fn decide(seq: u64, value: &[u8], order: &Order) -> Step<Decision> {
-    let Ok(document) = ConfigDoc::decode(value) else {
-        return Step::Keep(Decision::Unreadable);
-    };
-    let current = if order.number.is_some() {
-        document.number
-    } else {
-        seq
-    };
-    let earlier = remembered_orders(&document);
-    match find_taken(&document, current, &earlier, order) {
-        Earlier::Taken { number } => {
-            return Step::Keep(Decision::Taken(TakenDocument {
-                number,
-                seq,
-                document: value.to_vec(),
-            }));
-        }
-        Earlier::Forgotten => return Step::Keep(Decision::Forgotten),
-        Earlier::NotTaken => {}
-    }
-    if order.base != current {
-        return Step::Keep(Decision::Conflict { current });
-    }
-    let number = order.number.unwrap_or(seq + 1);
-    if number <= current {
-        return Step::Keep(Decision::Invalid(vec![InvalidSetting {
-            path: "number".into(),
-            why: format!("must be above {current}"),
-        }]));
-    }
-    let Ok(raw) = successor(&document, earlier, order).encode() else {
-        return Step::Keep(Decision::Unreadable);
-    };
-    let taken = TakenDocument {
-        number,
-        seq: seq + 1,
-        document: raw.clone(),
-    };
-    Step::Write(raw, Decision::Taken(taken))
-}
-
-/// What a document knows of an order from before.
-enum Earlier {
-    Taken {
-        number: u64,
-    },
-    /// It may have been taken; its digest is gone.
-    Forgotten,
-    NotTaken,
-}
-
-fn find_taken(
-    document: &ConfigDoc,
-    current: u64,
-    earlier: &[TakenOrder],
-    order: &Order,
-) -> Earlier {
-    if document.text == order.text && !order.text.is_empty() {
-        return Earlier::Taken { number: current };
-    }
-    let Some(number) = order.number else {
-        return Earlier::NotTaken;
-    };
-    let digest = text_digest(order.text);
-    if earlier.iter().any(|taken| taken.digest == digest) {
-        return Earlier::Taken { number };
-    }
-    // A taken order had a number above its base, and no forgotten one is above `forgotten`.
-    if order.base < number && number <= document.forgotten {
-        return Earlier::Forgotten;
-    }
-    Earlier::NotTaken
-}
-
-/// The document after an order on top of another.
-fn successor(document: &ConfigDoc, mut earlier: Vec<TakenOrder>, order: &Order) -> ConfigDoc {
-    let mut forgotten = document.forgotten;
-    let newest_ms = earlier.first().map_or(0, |taken| taken.taken_ms);
-    // Ages never fall, whatever the clocks do.
-    let now_ms = order.now_ms.max(newest_ms);
-    if !document.text.is_empty() && order.number.is_some() {
-        let superseded = TakenOrder {
-            number: document.number,
-            digest: text_digest(&document.text),
-            taken_ms: now_ms,
-        };
-        earlier.insert(0, superseded);
-        let kept = count_kept(&earlier, now_ms, order.kept_ms);
-        forgotten = earlier
-            .get(kept)
-            .map_or(forgotten, |dropped| dropped.number.max(forgotten));
-        earlier.truncate(kept);
-    }
-    ConfigDoc {
-        text: order.text.into(),
-        put_id: order.attempt.into(),
-        number: order.number.unwrap_or(0),
-        forgotten,
-        orders: earlier,
-        ..Default::default()
-    }
-}
-
-/// How many of the digests, newest first, are kept.
-fn count_kept(orders: &[TakenOrder], now_ms: u64, kept_ms: u64) -> usize {
-    let young = orders
-        .iter()
-        .take_while(|taken| taken.taken_ms + kept_ms >= now_ms)
-        .count();
-    young
-        .clamp(RETAINED_ORDERS_MIN, RETAINED_ORDERS_MAX)
-        .min(orders.len())
-}
-
-/// The digests of taken orders, newest first. Documents written before `orders` was added hold them
-/// in `past`.
-fn remembered_orders(document: &ConfigDoc) -> Vec<TakenOrder> {
-    if !document.orders.is_empty() || document.number == 0 {
-        return document.orders.clone();
-    }
-    document
-        .past
-        .iter()
-        .map(|(number, digest, _)| TakenOrder {
-            number: *number,
-            digest: digest.clone(),
-            taken_ms: 0,
-        })
-        .collect()
-}
-
-fn text_digest(text: &str) -> String {
-    yewcross_common::hash::content_digest(text.as_bytes())
-}
-
-/// ms that digests of taken orders are kept: an operator asks again for a few times the time for an
-/// answer.
-pub fn kept_ms(bounds: &Bounds) -> u64 {
-    RETAINED_ORDERS_MS.max(bounds.ack.saturating_mul(RETAINED_ORDERS_ACK_TIMES))
-}
-
 /// us. An order that finds no majority is answered within this, so that the operator tries another
 /// node.
 fn answer_timeout(control: &Control) -> u64 {
--- /dev/null
+++ b/yewcross-control/src/config/taken_orders.rs
@@ -0,0 +1,120 @@
+//! The memory of taken orders: how one that is sent again is known, and how long.
+
+use super::order_decision::Order;
+use yewcross_common::constants::{
+    RETAINED_ORDERS_ACK_TIMES, RETAINED_ORDERS_MAX, RETAINED_ORDERS_MIN, RETAINED_ORDERS_MS,
+};
+use yewcross_common::process_settings::Bounds;
+use yewcross_common::protocol::{ConfigDoc, TakenOrder};
+
+/// What a document knows of an order from before.
+pub(super) enum Earlier {
+    Taken {
+        number: u64,
+    },
+    /// It may have been taken; its digest is gone.
+    Forgotten,
+    NotTaken,
+}
+
+pub(super) fn find_taken(
+    document: &ConfigDoc,
+    current: u64,
+    earlier: &[TakenOrder],
+    order: &Order,
+) -> Earlier {
+    if document.text == order.text && !order.text.is_empty() {
+        return Earlier::Taken { number: current };
+    }
+    let Some(number) = order.number else {
+        return Earlier::NotTaken;
+    };
+    let digest = text_digest(order.text);
+    if earlier.iter().any(|taken| taken.digest == digest) {
+        return Earlier::Taken { number };
+    }
+    // A taken order had a number above its base, and no forgotten one is above `forgotten`.
+    if order.base < number && number <= document.forgotten {
+        return Earlier::Forgotten;
+    }
+    Earlier::NotTaken
+}
+
+/// What a document remembers of the orders before its own.
+pub(super) struct OrderMemory {
+    /// Newest first.
+    pub(super) orders: Vec<TakenOrder>,
+    /// The highest number that is no longer among them.
+    pub(super) forgotten: u64,
+}
+
+/// The memory after an order that takes the place of the document's own.
+pub(super) fn supersede(
+    document: &ConfigDoc,
+    mut earlier: Vec<TakenOrder>,
+    order: &Order,
+) -> OrderMemory {
+    let mut forgotten = document.forgotten;
+    if document.text.is_empty() || order.number.is_none() {
+        return OrderMemory {
+            orders: earlier,
+            forgotten,
+        };
+    }
+    let newest_ms = earlier.first().map_or(0, |taken| taken.taken_ms);
+    // Ages never fall, whatever the clocks do.
+    let now_ms = order.now_ms.max(newest_ms);
+    let superseded = TakenOrder {
+        number: document.number,
+        digest: text_digest(&document.text),
+        taken_ms: now_ms,
+    };
+    earlier.insert(0, superseded);
+    let kept = count_kept(&earlier, now_ms, order.kept_ms);
+    forgotten = earlier
+        .get(kept)
+        .map_or(forgotten, |dropped| dropped.number.max(forgotten));
+    earlier.truncate(kept);
+    OrderMemory {
+        orders: earlier,
+        forgotten,
+    }
+}
+
+/// How many of the digests, newest first, are kept.
+fn count_kept(orders: &[TakenOrder], now_ms: u64, kept_ms: u64) -> usize {
+    let young = orders
+        .iter()
+        .take_while(|taken| taken.taken_ms + kept_ms >= now_ms)
+        .count();
+    young
+        .clamp(RETAINED_ORDERS_MIN, RETAINED_ORDERS_MAX)
+        .min(orders.len())
+}
+
+/// The digests of taken orders, newest first. Documents written before `orders` was added hold them
+/// in `past`.
+pub(super) fn remembered_orders(document: &ConfigDoc) -> Vec<TakenOrder> {
+    if !document.orders.is_empty() || document.number == 0 {
+        return document.orders.clone();
+    }
+    document
+        .past
+        .iter()
+        .map(|(number, digest, _)| TakenOrder {
+            number: *number,
+            digest: digest.clone(),
+            taken_ms: 0,
+        })
+        .collect()
+}
+
+fn text_digest(text: &str) -> String {
+    yewcross_common::hash::content_digest(text.as_bytes())
+}
+
+/// ms that digests of taken orders are kept: an operator asks again for a few times the time for an
+/// answer.
+pub fn kept_ms(bounds: &Bounds) -> u64 {
+    RETAINED_ORDERS_MS.max(bounds.ack.saturating_mul(RETAINED_ORDERS_ACK_TIMES))
+}
--- a/yewcross-control/tests/orders.rs
+++ b/yewcross-control/tests/orders.rs
@@ -4,7 +4,8 @@
 use yewcross_common::process_settings::Bounds;
 use yewcross_common::protocol::ConfigDoc;
 use yewcross_common::register::Step;
-use yewcross_control::config::orders::{Decision, Order, decide, kept_ms};
+use yewcross_control::config::order_decision::{Decision, Order, decide};
+use yewcross_control::config::taken_orders::kept_ms;
 
 /// A register that only one process changes, and a clock.
 #[derive(Default)]
