Orders: a taken text on another base is another order, not a repeat

What callers saw: versions 1 and 5 are taken; an operator sends the text of version 1 with base 5.

Cause: decide() knew an order again by its text alone, the text in force or the digest of a superseded one. The base was not part of what is compared.

Change: an order is its text and its base. No field is added: each order was taken on top of the one before, so the base of a taken order is the number of the order before it, that of the oldest digest the highest forgotten number. Documents of earlier versions tell it too; only the oldest digest of those written before digests had an age is known under any base below its number. Same cause looked for at cores that answer from their copy, forward, restart, lose power or a disk, and where the digest is gone: all run decide(); versions numbered by the tier had it too.

A test asked for the fault: a_taken_text_is_acknowledged_whatever_base_it_names. It is replaced by a_taken_text_on_another_base_is_another_order, which asks every text on every base for its one right answer. The model in tests/histories.rs knew orders by text as well; it goes by text and base now, operators send taken texts on other bases, and check_fronts counts a text as refused where it was on every base that it was sent on.

--- a/yewcross-common/src/protocol/operator_orders.rs
+++ b/yewcross-common/src/protocol/operator_orders.rs
@@ -8,7 +8,8 @@
 /// tier's own otherwise.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PutAnswer {
-    /// Acknowledged: this exact text is, or once was, in force under this version.
+    /// Acknowledged: this text was taken on top of the base that it names, now or earlier, as this
+    /// version.
     InForce(u64),
     /// Not the base, but this version is current. Nothing was done and never will be.
     Conflict(u64),
--- a/yewcross-control/src/config/order_decision.rs
+++ b/yewcross-control/src/config/order_decision.rs
@@ -2,9 +2,10 @@
 //!
 //! An order is a complete configuration with a number of the operator's choice, on top of the
 //! version that it names. Of the orders on one version, one is taken. An order whose answer was lost
-//! is sent again unchanged, to any node and at any later time: a taken order is known by its digest
-//! for a time, and is acknowledged again. Once the digest is gone, the outcome of such an order is
-//! left open; it is never rejected.
+//! is sent again unchanged, to any node and at any later time: a taken order is known by the digest of
+//! its text and by its base for a time, and is acknowledged again. Once the digest is gone, the
+//! outcome of such an order is left open; it is never rejected. The text of a taken order on top of
+//! another version is another order.
 
 use super::taken_orders::{Earlier, find_taken, remembered_orders, supersede};
 use yewcross_common::configuration::InvalidSetting;
@@ -65,7 +66,7 @@
         seq
     };
     let earlier = remembered_orders(&document);
-    match find_taken(&document, current, &earlier, order) {
+    match find_taken(seq, &document, &earlier, order) {
         Earlier::Taken { number } => {
             return Step::Keep(Decision::Taken(TakenDocument {
                 number,
--- a/yewcross-control/src/config/taken_orders.rs
+++ b/yewcross-control/src/config/taken_orders.rs
@@ -7,6 +7,9 @@
 use yewcross_common::process_settings::Bounds;
 use yewcross_common::protocol::{ConfigDoc, TakenOrder};
 
+/// ms. The time of orders from documents written before `orders` was added.
+const AGE_UNRECORDED: u64 = 0;
+
 /// What a document knows of an order from before.
 pub(super) enum Earlier {
     Taken {
@@ -17,20 +20,43 @@
     NotTaken,
 }
 
+/// The version that a taken order built on. No document records it: each order is taken on top of
+/// the one taken before it.
+#[derive(Clone, Copy)]
+enum TakenOn {
+    Version(u64),
+    /// Some version below its number. Documents written before `orders` was added do not tell what
+    /// came before the oldest order that they hold.
+    Unrecorded,
+}
+
+impl TakenOn {
+    fn is(self, base: u64, number: u64) -> bool {
+        match self {
+            TakenOn::Version(version) => base == version,
+            TakenOn::Unrecorded => base < number,
+        }
+    }
+}
+
+/// Looks for an order among the taken ones: the same text on the same version. A taken text on
+/// another version is another order.
 pub(super) fn find_taken(
+    seq: u64,
     document: &ConfigDoc,
-    current: u64,
     earlier: &[TakenOrder],
     order: &Order,
 ) -> Earlier {
-    if document.text == order.text && !order.text.is_empty() {
-        return Earlier::Taken { number: current };
-    }
     let Some(number) = order.number else {
-        return Earlier::NotTaken;
+        return find_unnumbered(seq, document, order);
     };
+    let is_newest = document.text == order.text && !order.text.is_empty();
+    if is_newest && newest_taken_on(document, earlier).is(order.base, number) {
+        return Earlier::Taken { number };
+    }
     let digest = text_digest(order.text);
-    if earlier.iter().any(|taken| taken.digest == digest) {
+    let same_text = earlier.iter().position(|taken| taken.digest == digest);
+    if same_text.is_some_and(|i| earlier_taken_on(document, earlier, i).is(order.base, number)) {
         return Earlier::Taken { number };
     }
     // A taken order had a number above its base, and no forgotten one is above `forgotten`.
@@ -40,6 +66,35 @@
     Earlier::NotTaken
 }
 
+/// Where the tier numbers the versions, only the newest order is known again.
+fn find_unnumbered(seq: u64, document: &ConfigDoc, order: &Order) -> Earlier {
+    let is_newest = document.text == order.text && !order.text.is_empty();
+    if is_newest && order.base + 1 == seq {
+        Earlier::Taken { number: seq }
+    } else {
+        Earlier::NotTaken
+    }
+}
+
+/// What the document's own order was taken on.
+fn newest_taken_on(document: &ConfigDoc, earlier: &[TakenOrder]) -> TakenOn {
+    let before = earlier
+        .first()
+        .map_or(document.forgotten, |taken| taken.number);
+    TakenOn::Version(before)
+}
+
+/// What the order at an index of those before the document's own was taken on.
+fn earlier_taken_on(document: &ConfigDoc, earlier: &[TakenOrder], index: usize) -> TakenOn {
+    match earlier.get(index + 1) {
+        Some(before) => TakenOn::Version(before.number),
+        None if document.forgotten == 0 && earlier[index].taken_ms == AGE_UNRECORDED => {
+            TakenOn::Unrecorded
+        }
+        None => TakenOn::Version(document.forgotten),
+    }
+}
+
 /// What a document remembers of the orders before its own.
 pub(super) struct OrderMemory {
     /// Newest first.
@@ -104,7 +159,7 @@
         .map(|(number, digest, _)| TakenOrder {
             number: *number,
             digest: digest.clone(),
-            taken_ms: 0,
+            taken_ms: AGE_UNRECORDED,
         })
         .collect()
 }
--- a/yewcross-control/tests/orders.rs
+++ b/yewcross-control/tests/orders.rs
@@ -16,6 +16,13 @@
 }
 
 impl Register {
+    fn at(now_ms: u64) -> Register {
+        Register {
+            now_ms,
+            ..Register::default()
+        }
+    }
+
     fn order(&mut self, base: u64, text: &str) -> Decision {
         let number = text.split(' ').next().and_then(|n| n.parse().ok());
         let order = Order {
@@ -92,23 +99,89 @@
     assert_eq!(once, twice);
 }
 
+/// Guards against acknowledging an order that was never taken: an old text on top of another version
+/// is another order, and it is judged as one.
 #[test]
-fn a_taken_text_is_acknowledged_whatever_base_it_names() {
-    let mut register = Register::default();
+fn a_taken_text_on_another_base_is_another_order() {
+    let mut register = Register::at(1_700_000_000_000);
     register.take(0, "5 first");
     register.take(5, "6 b");
-    for base in [0, 5, 6, 9] {
-        assert_eq!(
-            taken(register.order(base, "6 b")),
-            Some(6),
-            "current, on {base}"
-        );
-        assert_eq!(
-            taken(register.order(base, "5 first")),
-            Some(5),
-            "superseded, on {base}"
+    register.take(6, "9 c");
+    let before = register.value.clone();
+    let taken_orders = [(0, "5 first"), (5, "6 b"), (6, "9 c")];
+    for (own_base, text) in taken_orders {
+        let number = text[..1].parse().unwrap();
+        for base in 0..=10 {
+            let decision = register.order(base, text);
+            match base {
+                _ if base == own_base => assert_eq!(taken(decision), Some(number), "{text}"),
+                9 => assert!(
+                    matches!(decision, Decision::Invalid(_)),
+                    "{text}: {decision:?}"
+                ),
+                _ => assert_eq!(
+                    decision,
+                    Decision::Conflict { current: 9 },
+                    "{text} on {base}"
+                ),
+            }
+        }
+    }
+    assert_eq!(register.value, before, "nothing of it is remembered");
+}
+
+/// Guards the same where digests are gone: an order that names the newest version, or any other that
+/// a taken one cannot have named, is not left open.
+#[test]
+fn a_forgotten_text_on_another_base_is_refused() {
+    let mut register = Register::at(1_700_000_000_000);
+    register.take_all(1..=600, 1_000);
+    let forgotten = register.document().forgotten;
+    assert!((400..600).contains(&forgotten), "{forgotten}");
+    for number in 1..=600 {
+        let text = format!("{number} text");
+        assert!(
+            matches!(register.order(600, &text), Decision::Invalid(_)),
+            "{text} on the newest"
         );
+        for base in [number, 599, 601] {
+            let decision = register.order(base, &text);
+            let is_own_base = base + 1 == number;
+            let may_be_own_base = base < number && number <= forgotten;
+            if !is_own_base && !may_be_own_base && base != 600 {
+                assert_eq!(
+                    decision,
+                    Decision::Conflict { current: 600 },
+                    "{text} on {base}"
+                );
+            }
+        }
     }
+    // The oldest digest that is left knows its base too.
+    let oldest = format!("{} text", forgotten + 1);
+    assert_eq!(
+        taken(register.order(forgotten, &oldest)),
+        Some(forgotten + 1)
+    );
+    assert_eq!(
+        register.order(forgotten - 1, &oldest),
+        Decision::Conflict { current: 600 }
+    );
+}
+
+/// Where the tier numbers the versions, a text that is put again on top of itself is a version more.
+#[test]
+fn without_numbers_an_order_is_known_by_its_base_too() {
+    let mut register = Register::default();
+    let put = |register: &mut Register, base| register.order(base, "no number");
+    assert_eq!(taken(put(&mut register, 0)), Some(1));
+    assert_eq!(taken(put(&mut register, 0)), Some(1));
+    assert_eq!(taken(put(&mut register, 1)), Some(2));
+    assert_eq!(
+        put(&mut register, 0),
+        Decision::Conflict { current: 2 },
+        "replaced by the same text"
+    );
 }
 
 #[test]
@@ -272,11 +345,49 @@
         now_ms: 0,
     };
     assert_eq!(taken(register.order(4, "5 a")), Some(5));
+    assert!(matches!(register.order(7, "5 a"), Decision::Invalid(_)));
     register.take(7, "8 d");
     assert_eq!(
         [(4, "5 a"), (5, "6 b"), (6, "7 c")].map(|(b, t)| taken(register.order(b, t))),
         [5, 6, 7].map(Some)
     );
+    // What came before the oldest is not recorded there: it was some version below it.
+    for base in [5, 6, 7] {
+        assert_eq!(
+            register.order(base, "5 a"),
+            Decision::Conflict { current: 8 }
+        );
+    }
+    for text in ["5 a", "6 b", "7 c", "8 d"] {
+        assert!(matches!(register.order(8, text), Decision::Invalid(_)));
+    }
+    assert_eq!(register.order(4, "6 b"), Decision::Conflict { current: 8 });
+}
+
+/// Guards against documents of the version before this one: they name no base, and it is known all
+/// the same, as the number of the order before.
+#[test]
+fn a_document_without_bases_tells_them() {
+    let value = br#"{"text":"9 c","put":"p","note":"","past":[],"number":9,"forgotten":0,"orders":[
+"#;
+    let line = |number: u64, text: &str| {
+        let digest = yewcross_common::hash::content_digest(text.as_bytes());
+        format!(r#"{{"number":{number},"digest":"{digest}","taken_ms":1700000000000}}"#)
+    };
+    let orders = [line(6, "6 b"), line(5, "5 first")].join(",\n");
+    let mut register = Register {
+        seq: 3,
+        value: [value, orders.as_bytes(), b"\n]}"].concat(),
+        now_ms: 1_700_000_001_000,
+    };
+    assert_eq!(
+        [(0, "5 first"), (5, "6 b"), (6, "9 c")].map(|(b, t)| taken(register.order(b, t))),
+        [5, 6, 9].map(Some)
+    );
+    for text in ["5 first", "6 b", "9 c"] {
+        assert!(matches!(register.order(9, text), Decision::Invalid(_)));
+        assert_eq!(register.order(3, text), Decision::Conflict { current: 9 });
+    }
 }
 
 /// A value that is no document is not taken for an empty one.
--- a/yewcross-testkit/src/history.rs
+++ b/yewcross-testkit/src/history.rs
@@ -172,12 +172,19 @@
     }
 }
 
-/// The configuration's register: a compare-and-set by version that knows the texts it has taken.
+/// The text of an order and the version that it is on top of.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct OrderIdentity {
+    base: u64,
+    text: String,
+}
+
+/// The configuration's register: a compare-and-set by version that knows the orders it has taken.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct ConfigRegister {
     pub number: u64,
     pub text: String,
-    taken: Arc<BTreeSet<String>>,
+    taken: Arc<BTreeSet<OrderIdentity>>,
 }
 
 #[derive(Clone, Debug)]
@@ -209,15 +216,24 @@
 }
 
 impl ConfigRegister {
+    fn has_taken(&self, base: u64, text: &str) -> bool {
+        let text = text.into();
+        self.taken.contains(&OrderIdentity { base, text })
+    }
+
     fn put(&self, base: u64, number: u64, text: &str) -> Option<ConfigRegister> {
-        if base != self.number || number <= self.number || self.taken.contains(text) {
+        if base != self.number || number <= self.number || self.has_taken(base, text) {
             return None;
         }
+        let text = String::from(text);
         let mut taken = BTreeSet::clone(&self.taken);
-        taken.insert(text.into());
+        taken.insert(OrderIdentity {
+            base,
+            text: text.clone(),
+        });
         Some(ConfigRegister {
             number,
-            text: text.into(),
+            text,
             taken: Arc::new(taken),
         })
     }
@@ -231,20 +247,19 @@
         let same = |fits: bool| fits.then(|| self.clone());
         match (call, answer) {
             (ConfigCall::Put { base, number, text }, None) => self.put(*base, *number, text),
-            (ConfigCall::Put { number, text, .. }, Some(ConfigAnswer::Taken { number: told }))
-                if self.taken.contains(text) =>
-            {
-                same(number == told)
-            }
+            (
+                ConfigCall::Put { base, number, text },
+                Some(ConfigAnswer::Taken { number: told }),
+            ) if self.has_taken(*base, text) => same(number == told),
             (
                 ConfigCall::Put { base, number, text },
                 Some(ConfigAnswer::Taken { number: told }),
             ) => self.put(*base, *number, text).filter(|_| number == told),
-            (ConfigCall::Put { base, text, .. }, Some(ConfigAnswer::Conflict { current })) => {
-                same(*base != self.number && *current == self.number && !self.taken.contains(text))
-            }
+            (ConfigCall::Put { base, text, .. }, Some(ConfigAnswer::Conflict { current })) => same(
+                *base != self.number && *current == self.number && !self.has_taken(*base, text),
+            ),
             (ConfigCall::Put { base, number, text }, Some(ConfigAnswer::Invalid)) => {
-                same(*base == self.number && *number <= self.number && !self.taken.contains(text))
+                same(*base == self.number && *number <= self.number && !self.has_taken(*base, text))
             }
             (ConfigCall::Put { .. }, Some(ConfigAnswer::NotDone)) => same(true),
             (ConfigCall::Read, Some(ConfigAnswer::Text { number, text })) => {
--- a/yewcross-testkit/tests/histories.rs
+++ b/yewcross-testkit/tests/histories.rs
@@ -34,6 +34,8 @@
     AnyBase,
     /// Superseded orders are not remembered.
     NoMemory,
+    /// The order in force is known by its text, whatever base a call names.
+    TextAlone,
     /// A read answers from what the node was last told.
     ReadOnHand,
 }
@@ -118,7 +120,9 @@
         let begin = self.tier.op.now();
         let core = self.random_core();
         let got = match self.broken {
-            Some(Broken::AnyBase | Broken::NoMemory) => self.put_broken(&core, order).await,
+            Some(Broken::AnyBase | Broken::NoMemory | Broken::TextAlone) => {
+                self.put_broken(&core, order).await
+            }
             _ => self.tier.put(&core, order.base, &order.text).await,
         };
         let answer = got.and_then(|a| match a {
@@ -153,11 +157,15 @@
                             let document = ConfigDoc::decode(value).unwrap();
                             let base_fits =
                                 document.number == order.base || broken == Some(Broken::AnyBase);
-                            if document.text == order.text {
+                            // The base is kept in the note; the product derives it from the order before.
+                            let is_same_base = document.note == order.base.to_string()
+                                || broken == Some(Broken::TextAlone);
+                            if document.text == order.text && is_same_base {
                                 Step::Keep(PutAnswer::InForce(order.number))
                             } else if base_fits && order.number > document.number {
                                 let next = ConfigDoc {
                                     text: order.text.clone(),
+                                    note: order.base.to_string(),
                                     number: order.number,
                                     ..Default::default()
                                 };
@@ -203,10 +211,30 @@
                 let again = &taken[op.random() as usize % taken.len()];
                 self.send(again, false).await;
             }
+            if let Some(last) = taken.last().filter(|_| op.random().is_multiple_of(4)) {
+                self.send_on_another_base(last).await;
+            }
             op.sleep(op.random() % (120 * MS)).await;
         }
     }
 
+    /// Sends the text of a taken order on top of itself, or of what is newest: another order, which
+    /// is never taken.
+    async fn send_on_another_base(&self, taken: &Sent) {
+        let base = if self.tier.op.random().is_multiple_of(2) {
+            Some(taken.number)
+        } else {
+            self.read().await
+        };
+        if let Some(base) = base {
+            let order = Sent {
+                base,
+                ..taken.clone()
+            };
+            self.send(&order, false).await;
+        }
+    }
+
     /// Sends an order as it is to one core after another until there is a clear answer; whether it
     /// was taken.
     async fn send_until_clear(&self, order: &Sent) -> Option<bool> {
@@ -305,11 +333,18 @@
             )
         })
     };
-    let text = |c: &Operation<ConfigRegister>| match &c.call {
-        ConfigCall::Put { text, .. } => Some(text.clone()),
+    let order = |c: &Operation<ConfigRegister>| match &c.call {
+        ConfigCall::Put { base, text, .. } => Some((*base, text.clone())),
         ConfigCall::Read => None,
     };
-    let refused: BTreeSet<String> = calls.iter().filter(refused).filter_map(text).collect();
+    let refused_orders: BTreeSet<(u64, String)> =
+        calls.iter().filter(refused).filter_map(order).collect();
+    // A text is refused if it was on every base that it was sent on.
+    let mut refused: BTreeSet<String> = refused_orders.iter().map(|o| o.1.clone()).collect();
+    let other_orders = calls.iter().filter_map(order);
+    for (_, text) in other_orders.filter(|order| !refused_orders.contains(order)) {
+        refused.remove(&text);
+    }
     for (name, front) in tier.fronts.lock().unwrap().iter() {
         let seen = front.seen.lock().unwrap();
         assert!(seen.windows(2).all(|w| w[0].1 < w[1].1), "{name} went back");
@@ -664,6 +699,22 @@
         ConfigAnswer::Conflict { current: 3 }
     ))));
     assert!(verdict(&with((6, 7, put(1, 2, "b"), taken(2)))));
+    // The text of a taken order on another base is another order: it is not acknowledged.
+    assert!(!verdict(&with((6, 7, put(3, 2, "b"), taken(2)))));
+    assert!(!verdict(&with((6, 7, put(2, 2, "b"), taken(2)))));
+    assert!(!verdict(&with((6, 7, put(3, 3, "c"), taken(3)))));
+    assert!(verdict(&with((
+        6,
+        7,
+        put(3, 2, "b"),
+        ConfigAnswer::Invalid
+    ))));
+    assert!(verdict(&with((
+        6,
+        7,
+        put(2, 2, "b"),
+        ConfigAnswer::Conflict { current: 3 }
+    ))));
     // A read of what was, after the change was acknowledged; beside it, either may be read.
     assert!(!verdict(&with((6, 7, ConfigCall::Read, text(2, "b")))));
     assert!(verdict(&with((4, 7, ConfigCall::Read, text(2, "b")))));
@@ -750,6 +801,11 @@
     assert!(is_found(Broken::NoMemory));
 }
 
+#[test]
+fn the_check_finds_orders_that_are_known_by_their_text_alone() {
+    assert!(is_found(Broken::TextAlone));
+}
+
 #[test]
 fn the_check_finds_reads_of_what_is_on_hand() {
     assert!(is_found(Broken::ReadOnHand));
--- a/yewcross-testkit/tests/orders.rs
+++ b/yewcross-testkit/tests/orders.rs
@@ -48,6 +48,107 @@
     });
 }
 
+/// What every core answers to an order, each from the copy that it has applied or by the proposer.
+async fn put_everywhere(tier: &Arc<Tier>, base: u64, text: &str) -> Vec<Option<PutAnswer>> {
+    let mut answers = vec![];
+    for core in tier.names(Role::Core) {
+        answers.push(tier.put(&core, base, text).await);
+    }
+    answers
+}
+
+/// The orders `5 a` on 0, `9 b` on 5 and `12 c` on 9 have been taken, and nothing else.
+async fn check_taken_orders(tier: &Arc<Tier>, when: &str) {
+    let is_invalid = |answer: &Option<PutAnswer>| matches!(answer, Some(PutAnswer::Bad(_)));
+    for (base, text, number) in [(0, "5 a", 5), (5, "9 b", 9), (9, "12 c", 12)] {
+        let again = put_everywhere(tier, base, text).await;
+        let expected = Some(PutAnswer::InForce(number));
+        assert!(
+            again.iter().all(|answer| *answer == expected),
+            "{when}: {text} on its own base: {again:?}"
+        );
+        let on_newest = put_everywhere(tier, 12, text).await;
+        assert!(
+            on_newest.iter().all(is_invalid),
+            "{when}: {text} on the newest version: {on_newest:?}"
+        );
+        let on_another = put_everywhere(tier, 7, text).await;
+        let expected = Some(PutAnswer::Conflict(12));
+        assert!(
+            on_another.iter().all(|answer| *answer == expected),
+            "{when}: {text} on a version that never was: {on_another:?}"
+        );
+    }
+    for core in tier.names(Role::Core) {
+        let newest = tier.read(&core).await;
+        assert_eq!(newest, Some(ReadAnswer::Text(12, "12 c".into())), "{when}");
+    }
+}
+
+/// Guards against acknowledging an old text on top of a newer version, which is never applied: at
+/// the proposer, at cores that forward or answer from their copy, after restarts, losses of power and
+/// of a disk.
+#[test]
+fn an_old_text_on_a_newer_version_is_refused_at_every_core() {
+    let tier = Tier::new(7131, [4, 4, 2], 1);
+    play(&tier, |tier| {
+        Box::pin(async move {
+            up(&tier).await;
+            for (base, text) in [(0, "5 a"), (5, "9 b"), (9, "12 c")] {
+                tier.put_surely(base, text).await;
+            }
+            tier.op.sleep(SEC).await;
+            check_taken_orders(&tier, "at once").await;
+            for (power, when) in [(false, "after a restart"), (true, "after a loss of power")] {
+                let cores = tier.names(Role::Core);
+                cores.iter().for_each(|core| tier.kill(core, power));
+                tier.op.sleep(300 * MS).await;
+                cores.iter().for_each(|core| tier.boot(core, false));
+                tier.op.sleep(6 * SEC).await;
+                check_taken_orders(&tier, when).await;
+            }
+            tier.kill("core2", true);
+            tier.sim.wipe(tier.sim.find("core2"));
+            tier.op.sleep(300 * MS).await;
+            tier.boot("core2", false);
+            tier.op.sleep(6 * SEC).await;
+            check_taken_orders(&tier, "with a core that lost its disk").await;
+        })
+    });
+}
+
+/// The same once the digests of the first orders are gone: what a taken order cannot have named is
+/// refused, and what it may have named is left open.
+#[test]
+fn an_old_text_is_refused_on_the_newest_version_once_its_digest_is_gone() {
+    let tier = Tier::new(7141, [4, 4, 2], 1);
+    play(&tier, |tier| {
+        Box::pin(async move {
+            up(&tier).await;
+            let newest = put_many(&tier, 0, RETAINED_ORDERS_MAX as u64 + 20).await;
+            // Every core holds the newest version.
+            tier.op.sleep(SEC).await;
+            for number in [1, 10] {
+                let text = format!("{number} one of many");
+                let on_newest = put_everywhere(&tier, newest, &text).await;
+                assert!(
+                    on_newest
+                        .iter()
+                        .all(|answer| matches!(answer, Some(PutAnswer::Bad(_)))),
+                    "{text}: {on_newest:?}"
+                );
+                let again = put_everywhere(&tier, number - 1, &text).await;
+                assert!(
+                    again
+                        .iter()
+                        .all(|answer| *answer == Some(PutAnswer::Forgotten)),
+                    "{text}: {again:?}"
+                );
+            }
+        })
+    });
+}
+
 /// Readers at every core do not take the key from the owner that writes it, so that orders stay as
 /// quick.
 #[test]
