Streams: a stalled server goes on being read until another one has the stream

Cause: take_up() closed the connection to the stalled server before it asked another one, and counted the attempt before a place was found. A stall is a guess by the route's gap; where nobody else took the stream there was nothing left to forward.

Change: a stalled server goes on being read while another one is asked. Whichever sends the next whole event, or the end, has the stream; the other connection is closed. A failed attempt drops out, and silence counts anew. Counters stalled and recovered tell a stall from a break and show whose server went on.

Why it works: until a successor has sent an event the stream's own server can still send it, so a stall alone can never end an answer; ids and data go on from the last whole event, so nothing is missing or doubled whichever wins; max_tries and the budget bound what is asked as before.

--- a/yewcross-proxy/src/relay.rs
+++ b/yewcross-proxy/src/relay.rs
@@ -2,8 +2,9 @@
 //!
 //! `admission` reads it whole, finds its route and opens its turn; `dispatch` chooses servers and
 //! counts attempts, `hedge` asks a second one where the first is silent, `retry_budget` bounds
-//! both; `attempt` sends it to one server and judges what comes back; `streaming` forwards the
-//! answer, `resume` takes up a broken one elsewhere; `turn` settles it.
+//! both; `attempt` sends it to one server and judges what comes back; `upstream_body` reads what a
+//! server sends, `streaming` forwards it, `stall` notices that it is silent, `resume` takes a broken
+//! or stalled one up elsewhere; `turn` settles it.
 
 mod admission;
 mod attempt;
@@ -12,8 +13,10 @@
 mod hedge;
 mod resume;
 mod retry_budget;
+mod stall;
 mod streaming;
 mod turn;
+mod upstream_body;
 
 use crate::balance::Balance;
 use crate::pool::Pool;
@@ -46,7 +49,7 @@
 
 counts!(
     taken, sent, passed, not_run, unsent, withdrawn, lost, strangers, refused, expired, second,
-    resumed, broken, unkept
+    stalled, resumed, recovered, broken, unkept
 );
 
 /// The data plane of a front: takes clients' requests and sends them on to servers.
--- a/yewcross-proxy/src/relay/streaming.rs
+++ b/yewcross-proxy/src/relay/streaming.rs
@@ -1,23 +1,23 @@
-//! Forwarding of an answer, as it comes, to its end or its breaking off.
+//! Forwarding of an answer to its client, as it comes, to its end or its breaking off.
 
 use super::Relay;
 use super::attempt::{Answer, AnswerBody};
 use super::headers::strip_hop_by_hop;
-use super::resume::{Rest, Resumption};
+use super::resume::{Resumption, Successor, TakeUpError, TakenUp};
+use super::stall::StallTimer;
 use super::turn::OpenedTurn;
-use crate::balance::Claim;
-use crate::pool::Link;
+use super::upstream_body::{UpstreamBody, UpstreamFailure, UpstreamPart};
 use crate::scan::Scan;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Response, Version, header};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use hyper::body::{Frame, SizeHint};
+use snafu::Snafu;
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::Ordering::SeqCst;
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
-use yewcross_common::adapter::AnswerMeta;
+use std::task::{Context, Poll, ready};
 use yewcross_common::runtime::*;
 use yewcross_common::streaming_http::{Body, full};
 use yewcross_common::turn_log::{OpenTurnError, Turn};
@@ -26,16 +26,18 @@
     /// Passes an answer on. Its end is sent only once the turn is kept.
     pub(super) fn forward(
         self: &Arc<Self>,
-        a: Answer,
+        mut answer: Answer,
         turn: Option<OpenedTurn>,
         keep: Option<Turn>,
         until: u64,
-        streamed: bool,
+        is_streamed: bool,
         resumption: Option<Resumption>,
     ) -> Response<Body> {
         self.counts.passed.fetch_add(1, SeqCst);
-        let stalled_after = resumption.as_ref().and_then(|r| r.stalled_after(self, &a));
-        let mut head = a.head;
+        let stalled_after = resumption
+            .as_ref()
+            .and_then(|resumption| resumption.stalled_after(self, &answer));
+        let head = &mut answer.head;
         strip_hop_by_hop(&mut head.headers);
         // The version is a connection's own: under an older one a body that breaks off would look
         // complete.
@@ -45,286 +47,275 @@
             // turn is kept.
             head.headers.remove(header::CONTENT_LENGTH);
         }
-        let (body, link) = match a.body {
-            AnswerBody::Whole(b) => return Response::from_parts(head, full(b)),
-            AnswerBody::Coming(b, l) => (b, l),
+        let head = head.clone();
+        if let AnswerBody::Whole(body) = answer.body {
+            return Response::from_parts(head, full(body));
+        }
+        let scan = is_streamed.then(|| Scan::new(keep.is_some()));
+        let Some(upstream) = UpstreamBody::new(self, answer, scan, resumption.is_some()) else {
+            return Response::from_parts(head, full(Bytes::new()));
         };
-        let hint = body.size_hint();
-        let p = ForwardedBody {
+        let body = ForwardedBody {
             relay: self.clone(),
-            body,
-            hint,
-            link: Some(link),
-            meta: a.meta,
-            claim: Some(a.claim),
-            scan: streamed.then(|| Scan::new(keep.is_some())),
+            size_hint: upstream.size_hint(),
+            upstream: Box::new(upstream),
             turn,
             keep,
             until,
             resumption,
-            held: BytesMut::new(),
-            rest: Mutex::new(None),
-            stall: stalled_after.map(|us| Mutex::new(Stall::new(&self.runtime, us))),
-            end: Mutex::new(None),
-            nap: Mutex::new(self.runtime.sleep(until.saturating_sub(self.runtime.now()))),
+            successors: vec![],
+            stall: stalled_after.map(|limit| StallTimer::new(&self.runtime, limit)),
+            phase: Phase::Forwarding,
+            deadline: Mutex::new(self.runtime.sleep(until.saturating_sub(self.runtime.now()))),
         };
-        Response::from_parts(head, p.boxed())
+        Response::from_parts(head, body.boxed())
     }
 }
 
-type Ending = BoxFuture<'static, Result<(), OpenTurnError>>;
-
-/// Watches for a pause that is too long. One timer runs at a time, whatever comes.
-struct Stall {
-    after: u64,
-    heard_at: u64,
-    timer: BoxFuture<'static, ()>,
+/// Why an answer breaks off before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+enum BrokenOff {
+    #[snafu(display("its deadline is over"))]
+    Deadline,
+    #[snafu(display("the turn could not be kept"))]
+    TurnNotKept,
+    #[snafu(display("the server broke off"))]
+    Server,
+    #[snafu(display("the server broke off, and no other took the stream up"))]
+    NotTakenUp,
+    #[snafu(display("it goes back in its events"))]
+    WentBack,
+    #[snafu(display("it ends inside an event"))]
+    InsideEvent,
 }
 
-impl Stall {
-    fn new(w: &Runtime, after: u64) -> Stall {
-        Stall {
-            after,
-            heard_at: w.now(),
-            timer: w.sleep(after),
-        }
-    }
+type Ending = BoxFuture<'static, Result<(), OpenTurnError>>;
 
-    /// Whether nothing was heard for too long; asks to be polled again otherwise.
-    fn is_over(&mut self, w: &Runtime, cx: &mut Context<'_>) -> bool {
-        while self.timer.as_mut().poll(cx).is_ready() {
-            let due = self.heard_at + self.after;
-            if w.now() >= due {
-                self.heard_at = w.now();
-                self.timer = w.sleep(self.after);
-                return true;
-            }
-            self.timer = w.sleep(due - w.now());
-        }
-        false
-    }
+/// How far the answer is.
+enum Phase {
+    Forwarding,
+    /// All of it was passed on, and its turn is being kept.
+    Keeping(Mutex<Ending>),
+    Over,
 }
 
 /// The body of an answer on its way. It ends whole only if the server's did, and the turn is kept;
 /// else it breaks off.
-pub(super) struct ForwardedBody {
+struct ForwardedBody {
     relay: Arc<Relay>,
-    body: Incoming,
-    hint: SizeHint,
-    link: Option<Link>,
-    meta: AnswerMeta,
-    claim: Option<Claim>,
-    scan: Option<Scan>,
+    size_hint: SizeHint,
+    upstream: Box<UpstreamBody>,
     turn: Option<OpenedTurn>,
     keep: Option<Turn>,
+    /// us of the world's clock.
     until: u64,
     resumption: Option<Resumption>,
-    /// Of a stream that may be resumed: bytes of an event that is not whole yet. They are passed on
-    /// with its end.
-    held: BytesMut,
-    /// The rest of a stream that is being taken up elsewhere.
-    rest: Mutex<Option<Rest>>,
-    stall: Option<Mutex<Stall>>,
-    end: Mutex<Option<Ending>>,
-    nap: Mutex<BoxFuture<'static, ()>>,
+    /// Servers that may go on with the stream, in place of one that is silent or has failed.
+    successors: Vec<Successor>,
+    stall: Option<StallTimer>,
+    phase: Phase,
+    deadline: Mutex<BoxFuture<'static, ()>>,
 }
 
 impl ForwardedBody {
-    fn broken<T>(&mut self, why: &'static str) -> Poll<Option<Result<T, io::Error>>> {
+    fn broken(&mut self, why: BrokenOff) -> io::Error {
         self.relay.counts.broken.fetch_add(1, SeqCst);
-        self.link = None;
-        self.claim = None;
-        Poll::Ready(Some(Err(io::Error::new(io::ErrorKind::UnexpectedEof, why))))
+        self.successors.clear();
+        self.upstream.close();
+        self.phase = Phase::Over;
+        io::Error::new(io::ErrorKind::UnexpectedEof, why)
     }
 
-    /// Begins to take the stream up elsewhere, where that may be done. What was held back of a
-    /// broken event goes.
-    fn take_up(&mut self) -> bool {
-        let last_id = self
-            .scan
-            .as_ref()
-            .and_then(|s| s.last_id())
-            .map(|id| id.to_vec());
-        let rest = match (&mut self.resumption, last_id) {
-            (Some(resumption), Some(id)) => resumption.begin(&self.relay, &id),
+    /// Begins to take the stream up at another server, where that may be done. The one that has it
+    /// goes on being read.
+    fn begin_take_up(&mut self) -> bool {
+        let successor = match (&self.resumption, self.upstream.scan()) {
+            (Some(resumption), Some(read)) => resumption.begin(&self.relay, read),
             _ => None,
         };
-        let is_begun = rest.is_some();
-        if is_begun {
-            self.claim.iter().for_each(|c| c.failed());
-            (self.link, self.claim) = (None, None);
-            self.held.clear();
-            self.scan.iter_mut().for_each(|s| s.forget_event());
-            *self.rest.get_mut().unwrap() = rest;
-        }
+        let is_begun = successor.is_some();
+        self.successors.extend(successor);
         is_begun
     }
 
-    /// Goes on with what another server sends.
-    fn go_on(&mut self, answer: Answer) {
-        let AnswerBody::Coming(body, link) = answer.body else {
-            return;
-        };
-        (self.body, self.link, self.meta, self.claim) =
-            (body, Some(link), answer.meta, Some(answer.claim));
-        let now = self.relay.runtime.now();
-        self.stall
-            .iter_mut()
-            .for_each(|s| s.get_mut().unwrap().heard_at = now);
+    /// The next bytes of the server that has the stream, or None at its end. Pending while that is
+    /// silent, or has failed and others may go on.
+    fn poll_upstream(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, BrokenOff>> {
+        match ready!(self.upstream.poll_part(cx)) {
+            UpstreamPart::Data(bytes) => {
+                if !self.successors.is_empty() {
+                    self.relay.counts.recovered.fetch_add(1, SeqCst);
+                    self.successors.clear();
+                }
+                Poll::Ready(Ok(Some(bytes)))
+            }
+            UpstreamPart::End => Poll::Ready(Ok(None)),
+            UpstreamPart::Failed(UpstreamFailure::WentBack) => {
+                Poll::Ready(Err(BrokenOff::WentBack))
+            }
+            UpstreamPart::Failed(UpstreamFailure::BrokeOff) => {
+                self.upstream.fail();
+                if !self.successors.is_empty() || self.begin_take_up() {
+                    Poll::Pending
+                } else {
+                    Poll::Ready(Err(BrokenOff::Server))
+                }
+            }
+        }
     }
 
-    /// What may be passed on of a piece: of a stream that may be resumed, whole events alone.
-    fn ready_part(&mut self, piece: Bytes) -> Bytes {
-        let Some(scan) = &mut self.scan else {
-            return piece;
-        };
-        scan.push(&piece);
-        let (events, whole) = (scan.events(), scan.whole_bytes());
-        self.turn.iter_mut().for_each(|t| t.events = events);
-        if self.resumption.is_none() {
-            return piece;
+    /// Asks another server once the one that has the stream is silent for too long.
+    fn watch_for_stall(&mut self, cx: &mut Context<'_>) {
+        while self.poll_stalled(cx).is_ready() {
+            self.relay.counts.stalled.fetch_add(1, SeqCst);
+            self.begin_take_up();
+        }
+    }
+
+    fn poll_stalled(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        match &mut self.stall {
+            Some(stall) if self.upstream.is_connected() => {
+                stall.poll_stalled(&self.relay.runtime, self.upstream.heard_at(), cx)
+            }
+            _ => Poll::Pending,
         }
-        let now = self.relay.runtime.now();
+    }
+
+    /// The first bytes of a server that goes on with the stream.
+    fn poll_successors(&mut self, cx: &mut Context<'_>) -> Poll<Result<Bytes, BrokenOff>> {
+        let mut index = 0;
+        while index < self.successors.len() {
+            match self.successors[index].poll_taken_up(cx) {
+                Poll::Pending => index += 1,
+                Poll::Ready(Ok(taken_up)) => return Poll::Ready(Ok(self.go_on_with(taken_up))),
+                Poll::Ready(Err(error)) => {
+                    drop(self.successors.remove(index));
+                    self.drop_out(error)?;
+                }
+            }
+        }
+        Poll::Pending
+    }
+
+    /// One server less may go on with the stream.
+    fn drop_out(&mut self, error: TakeUpError) -> Result<(), BrokenOff> {
+        let runtime = &self.relay.runtime;
         self.stall
             .iter_mut()
-            .for_each(|s| s.get_mut().unwrap().heard_at = now);
-        if whole == 0 {
-            self.held.extend_from_slice(&piece);
-            return Bytes::new();
+            .for_each(|stall| stall.restart(runtime));
+        if self.upstream.is_connected() || !self.successors.is_empty() {
+            return Ok(());
         }
-        let mut ready = std::mem::take(&mut self.held);
-        self.held.extend_from_slice(&piece[whole..]);
-        if ready.is_empty() {
-            return piece.slice(..whole);
+        // Another one is asked only where this one was: else there is none to ask.
+        match error {
+            TakeUpError::Failed if self.begin_take_up() => Ok(()),
+            _ => Err(BrokenOff::NotTakenUp),
         }
-        ready.extend_from_slice(&piece[..whole]);
-        ready.freeze()
+    }
+
+    /// From now on this server has the stream.
+    fn go_on_with(&mut self, taken_up: TakenUp) -> Bytes {
+        self.upstream.fail();
+        self.upstream = taken_up.upstream;
+        self.successors.clear();
+        let runtime = &self.relay.runtime;
+        self.stall
+            .iter_mut()
+            .for_each(|stall| stall.restart(runtime));
+        taken_up.ready
     }
 
     /// The server's part is over: its place and connection are free, and the turn is kept.
-    fn over(&mut self) -> Result<(), &'static str> {
-        let events = self.scan.as_ref().map_or(0, |s| s.events());
-        self.claim.iter().for_each(|c| c.streamed(events));
-        let server = self
-            .claim
-            .take()
-            .map(|c| c.to.server.clone())
-            .unwrap_or_default();
-        if let Some(l) = self.link.take() {
-            self.relay.give_back(&server, l, &self.meta);
+    fn finish(&mut self) -> Result<(), BrokenOff> {
+        self.successors.clear();
+        self.upstream.finish();
+        self.phase = Phase::Over;
+        if !self.upstream.ends_whole() {
+            return Err(BrokenOff::InsideEvent);
         }
-        if self.scan.as_ref().is_some_and(|s| !s.whole()) {
-            return Err("it ends inside an event");
-        }
-        if let (Some(o), Some(mut t), Some(s)) = (&self.turn, self.keep.take(), &mut self.scan) {
-            let used = s.events() * o.tokens_per_event;
-            t.output = s.data().into();
-            t.tokens += used;
-            let (chains, open, until) = (o.chains.clone(), o.open.clone(), self.until);
-            *self.end.get_mut().unwrap() = Some(Box::pin(async move {
-                chains.finish(open, t, used, until).await
-            }));
+        let events = self.upstream.events();
+        if let (Some(opened), Some(mut turn), Some(scan)) =
+            (&self.turn, self.keep.take(), self.upstream.scan_mut())
+        {
+            let used_tokens = events * opened.tokens_per_event;
+            turn.output = scan.data().into();
+            turn.tokens += used_tokens;
+            let (chains, open, until) = (opened.chains.clone(), opened.open.clone(), self.until);
+            self.phase = Phase::Keeping(Mutex::new(Box::pin(async move {
+                chains.finish(open, turn, used_tokens, until).await
+            })));
         }
         Ok(())
     }
-}
 
-impl hyper::body::Body for ForwardedBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let me = &mut *self;
+    /// The next bytes to pass on; None once all of it was.
+    fn poll_bytes(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, BrokenOff>> {
         loop {
-            if me.nap.get_mut().unwrap().as_mut().poll(cx).is_ready() {
-                return me.broken("its deadline is over");
+            if let Poll::Ready(next) = self.poll_upstream(cx) {
+                return Poll::Ready(next);
             }
-            if let Some(f) = me.end.get_mut().unwrap() {
-                return match std::task::ready!(f.as_mut().poll(cx)) {
-                    Ok(()) => {
-                        *me.end.get_mut().unwrap() = None;
-                        me.turn.iter_mut().for_each(|t| t.done = true);
-                        Poll::Ready(None)
-                    }
-                    Err(_) => {
-                        me.relay.counts.unkept.fetch_add(1, SeqCst);
-                        me.broken("the turn could not be kept")
-                    }
-                };
+            self.watch_for_stall(cx);
+            let bytes = ready!(self.poll_successors(cx))?;
+            if !bytes.is_empty() {
+                return Poll::Ready(Ok(Some(bytes)));
             }
-            if let Some(rest) = me.rest.get_mut().unwrap() {
-                let answer = std::task::ready!(rest.as_mut().poll(cx));
-                *me.rest.get_mut().unwrap() = None;
-                match answer {
-                    Some(answer) => me.go_on(answer),
-                    None if me.take_up() => {}
-                    None => {
-                        return me.broken("the server broke off, and no other took the stream up");
-                    }
-                }
-                continue;
-            }
-            let polled = Pin::new(&mut me.body).poll_frame(cx);
-            if polled.is_pending() {
-                let (stall, w) = (&mut me.stall, &me.relay.runtime);
-                let is_stalled = stall
-                    .as_mut()
-                    .is_some_and(|s| s.get_mut().unwrap().is_over(w, cx));
-                if is_stalled && me.take_up() {
-                    continue;
-                }
-            }
-            match std::task::ready!(polled) {
-                Some(Ok(f)) => {
-                    let Ok(piece) = f.into_data() else { continue };
-                    let ready = me.ready_part(piece);
-                    if me
-                        .scan
-                        .as_ref()
-                        .is_some_and(|s| me.resumption.is_some() && !s.ids_rise())
-                    {
-                        return me.broken("it goes back in its events");
-                    }
-                    if ready.is_empty() {
-                        continue;
+        }
+    }
+
+    /// Passes it on, to the end that its client sees.
+    fn poll_forward(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, BrokenOff>> {
+        loop {
+            match &mut self.phase {
+                Phase::Over => return Poll::Ready(Ok(None)),
+                Phase::Keeping(ending) => {
+                    let kept = ready!(ending.get_mut().unwrap().as_mut().poll(cx));
+                    self.phase = Phase::Over;
+                    if kept.is_err() {
+                        self.relay.counts.unkept.fetch_add(1, SeqCst);
+                        return Poll::Ready(Err(BrokenOff::TurnNotKept));
                     }
-                    return Poll::Ready(Some(Ok(Frame::data(ready))));
-                }
-                Some(Err(_)) if me.take_up() => {}
-                Some(Err(_)) => {
-                    me.claim.iter().for_each(|c| c.failed());
-                    return me.broken("the server broke off");
-                }
-                None if me.claim.is_none() => return Poll::Ready(None),
-                None if !me.held.is_empty() && me.scan.as_ref().is_some_and(|s| s.whole()) => {
-                    return Poll::Ready(Some(Ok(Frame::data(
-                        std::mem::take(&mut me.held).freeze(),
-                    ))));
+                    self.turn.iter_mut().for_each(|turn| turn.done = true);
                 }
-                None => {
-                    if let Err(why) = me.over() {
-                        return me.broken(why);
-                    }
-                    if me.end.get_mut().unwrap().is_none() {
-                        return Poll::Ready(None);
+                Phase::Forwarding => {
+                    let bytes = ready!(self.poll_bytes(cx))?;
+                    let events = self.upstream.events();
+                    self.turn.iter_mut().for_each(|turn| turn.events = events);
+                    match bytes {
+                        Some(bytes) => return Poll::Ready(Ok(Some(bytes))),
+                        None => self.finish()?,
                     }
                 }
             }
         }
     }
+}
+
+impl hyper::body::Body for ForwardedBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let deadline = self.deadline.get_mut().unwrap();
+        let is_late = deadline.as_mut().poll(cx).is_ready();
+        let bytes = if is_late && !matches!(self.phase, Phase::Over) {
+            Err(BrokenOff::Deadline)
+        } else {
+            ready!(self.poll_forward(cx))
+        };
+        Poll::Ready(match bytes {
+            Ok(bytes) => bytes.map(|bytes| Ok(Frame::data(bytes))),
+            Err(why) => Some(Err(self.broken(why))),
+        })
+    }
 
     fn is_end_stream(&self) -> bool {
-        self.scan.is_none() && self.body.is_end_stream()
+        self.upstream.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        if self.scan.is_some() {
-            SizeHint::default()
-        } else {
-            self.hint
-        }
+        self.size_hint
     }
 }
--- a/yewcross-proxy/src/scan.rs
+++ b/yewcross-proxy/src/scan.rs
@@ -2,7 +2,7 @@
 //! Source: WHATWG HTML, 9.2.6 "Interpreting an event stream".
 
 /// Counts events and gathers their data, each line of it with a line feed behind.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Scan {
     line: Vec<u8>,
     /// The last byte was a carriage return; a line feed behind it ends no other line.
@@ -108,12 +108,20 @@
         !self.open && self.line.is_empty()
     }
 
-    /// What was read of an event that is not whole never came: the stream goes on behind the last
-    /// whole one.
-    pub fn forget_event(&mut self) {
-        (self.open, self.cr, self.id) = (false, false, None);
-        self.line.clear();
-        self.data.truncate(self.whole_data);
+    /// Events that are whole.
+    pub fn whole_events(&self) -> u64 {
+        self.events
+    }
+
+    /// What was read up to the last whole event, for a server that goes on behind it: what was read
+    /// of the next event never came.
+    pub fn behind_last_event(&self) -> Scan {
+        let mut scan = self.clone();
+        (scan.open, scan.cr, scan.id) = (false, false, None);
+        scan.line.clear();
+        scan.data.truncate(scan.whole_data);
+        scan.whole_bytes = 0;
+        scan
     }
 
     /// Bytes of the last piece that belong to whole events, or end one.
--- a/yewcross-testkit/tests/relay/resumption.rs
+++ b/yewcross-testkit/tests/relay/resumption.rs
@@ -189,6 +189,207 @@
     );
 }
 
+/// us. Longer than the 200 ms in which a pause is in time, far shorter than the 3 s of the deadline.
+const PAUSE: u64 = 700 * MS;
+
+fn check_paused(r: &Rig, attempt: &str, path: &str, heads: &[(&str, &str)], what: &str) {
+    let h = r.ask(attempt, path, heads, "b");
+    let expected = WHOLE.replace("t-", &format!("{attempt}-"));
+    assert_eq!(
+        (h.status, h.whole, h.body.as_str()),
+        (200, true, expected.as_str()),
+        "{what}"
+    );
+    assert!(h.took > PAUSE, "{what}: {} us", h.took);
+}
+
+/// Guards against cutting an answer whose server pauses and goes on: it was given up before another
+/// one had the stream, and no other had room.
+#[test]
+fn a_paused_stream_goes_on_at_its_server_where_no_other_has_room() {
+    for (seed, status) in [(230, 503), (231, 429), (232, 421)] {
+        let r = first_is(Act::Pause(2, PAUSE), seed, Policies::all());
+        *r.floor.other.lock().unwrap() = Some(Act::NotRun(status));
+        check_paused(&r, "t", "/again/stream/x", &[], &format!("{status}"));
+        assert_eq!(r.runs("t").len(), 1, "{status}");
+        assert!(r.floor.gone.lock().unwrap().is_empty(), "{status}");
+    }
+}
+
+/// The same where there is no other server at all, where the route allows none, and where the retry
+/// budget is spent: nothing can stand in.
+#[test]
+fn a_paused_stream_goes_on_where_nothing_may_stand_in() {
+    let r = rig(233, &[Act::Pause(2, PAUSE)], Policies::all());
+    check_paused(&r, "t", "/again/stream/x", &[], "one server");
+
+    let r = first_is(Act::Pause(2, PAUSE), 234, Policies::all());
+    r.configure(2, json!([resumable("again/stream", 1)]));
+    check_paused(&r, "t", "/again/stream/x", &[], "one attempt");
+    assert_eq!(r.floor.seen.load(SeqCst), 1);
+
+    let r = first_is(Act::Pause(2, PAUSE), 235, Policies::all());
+    while r.relay.retries.withdraw() {}
+    check_paused(&r, "t", "/again/stream/x", &[], "no retry budget");
+    assert_eq!(r.floor.seen.load(SeqCst), 1);
+
+    let r = rig(236, &[Act::Lose, Act::Lose], Policies::all());
+    *r.floor.other.lock().unwrap() = Some(Act::Pause(2, PAUSE));
+    let (floor, w) = (r.floor.clone(), r.relay.runtime.clone());
+    w.clone().spawn(async move {
+        while floor.runs.lock().unwrap().is_empty() {
+            w.sleep(MS).await;
+        }
+        floor.acts.lock().unwrap().clear();
+    });
+    check_paused(&r, "t", "/again/stream/x", &[], "attempts spent");
+    assert_eq!(r.floor.seen.load(SeqCst), 2);
+}
+
+/// The same where another server takes the stream and then does not go on with it.
+#[test]
+fn a_paused_stream_goes_on_where_the_other_server_does_not() {
+    for (seed, other) in [
+        (240, Act::Lose),
+        (241, Act::Fails(500)),
+        (242, Act::Garble),
+        (243, Act::Silent),
+        (244, Act::Break(0)),
+        (245, Act::BreakInside(2)),
+        (246, Act::Stall(0)),
+        (247, Act::SlowStream(3 * SEC)),
+        (248, Act::SlowNotRun(3 * SEC)),
+        // It begins anew.
+        (249, Act::Break(3)),
+    ] {
+        let r = first_is(Act::Pause(2, PAUSE), seed, Policies::all());
+        *r.floor.other.lock().unwrap() = Some(other);
+        check_paused(&r, "t", "/again/stream/x", &[], &format!("{other:?}"));
+        r.rest(100 * MS);
+        let is_waiting = matches!(
+            other,
+            Act::Silent | Act::Stall(_) | Act::SlowStream(_) | Act::SlowNotRun(_)
+        );
+        if is_waiting && !matches!(other, Act::SlowNotRun(_)) {
+            let gone = r.floor.gone.lock().unwrap().len();
+            assert_eq!(gone, 1, "{other:?} hears that it is not wanted any more");
+        }
+    }
+}
+
+/// Whoever sends the next event goes on, without a gap or a repeat, and the other one is let go.
+#[test]
+fn of_two_servers_the_first_with_an_event_goes_on() {
+    // A stream is stalled after 120 ms; the first one goes on after PAUSE.
+    for (seed, slow) in [
+        (250, 10),
+        (251, 300),
+        (252, 500),
+        (253, 560),
+        (254, 600),
+        (255, 900),
+    ] {
+        let r = first_is(Act::Pause(2, PAUSE), seed, Policies::all());
+        *r.floor.other.lock().unwrap() = Some(Act::SlowStream(slow * MS));
+        let h = r.ask("t", "/again/stream/x", &[], "b");
+        assert_eq!(
+            (h.status, h.whole, h.body.as_str(), r.runs("t").len()),
+            (200, true, WHOLE, 2),
+            "{slow} ms"
+        );
+        r.rest(1_500 * MS);
+        let counts = r.relay.counts.all();
+        let is_first = slow > PAUSE / MS - 120;
+        assert_eq!(
+            (
+                counts["stalled"] >= 1,
+                counts["resumed"],
+                counts["recovered"]
+            ),
+            (true, 1, is_first as u64),
+            "{slow} ms"
+        );
+        assert_eq!(r.floor.gone.lock().unwrap().len(), 1, "{slow} ms");
+    }
+}
+
+/// The stream has sent all its events and pauses before its end: the other server only ends it.
+#[test]
+fn a_stream_that_pauses_before_its_end_is_ended_by_the_other_server() {
+    let r = first_is(Act::Pause(4, PAUSE), 256, Policies::all());
+    *r.floor.other.lock().unwrap() = Some(Act::EndsAtOnce);
+    let h = r.ask("t", "/again/stream/x", &[], "b");
+    assert_eq!((h.status, h.whole, h.body.as_str()), (200, true, WHOLE));
+    assert!(h.took < PAUSE, "{}", h.took);
+}
+
+/// A pause in which nobody could be asked spends neither the route's attempts nor the retry budget:
+/// a later break is still taken up.
+#[test]
+fn a_break_after_a_pause_is_taken_up() {
+    let r = rig(
+        257,
+        &[Act::PauseThenBreak(2, PAUSE), Act::Good],
+        Policies::all(),
+    );
+    r.list(2, &[r.listed(0, "model")]);
+    let (rig, w) = (r.clone(), r.relay.runtime.clone());
+    w.clone().spawn(async move {
+        while rig.floor.runs.lock().unwrap().is_empty() {
+            w.sleep(MS).await;
+        }
+        // Two events, the pause, and half of the time until it breaks off.
+        w.sleep(40 * MS + PAUSE + 10 * MS).await;
+        rig.list(3, &[rig.listed(0, "model"), rig.listed(1, "model")]);
+    });
+    let h = r.ask("t", "/again/stream/x", &[], "b");
+    assert_eq!((h.status, h.whole, h.body.as_str()), (200, true, WHOLE));
+    let counts = r.relay.counts.all();
+    assert!(counts["stalled"] > 1, "{counts:?}");
+    assert_eq!(counts["resumed"], 1, "{counts:?}");
+    let left = (0..20).filter(|_| r.relay.retries.withdraw()).count();
+    assert_eq!(left as f64, RETRY_BURST - 1.0, "one attempt was made");
+}
+
+/// A front that is stopped while its stream's server pauses waits for it like any other.
+#[test]
+fn a_paused_stream_outlasts_the_stop_of_its_front() {
+    let r = first_is(Act::Pause(2, PAUSE), 260, Policies::all());
+    *r.floor.other.lock().unwrap() = Some(Act::NotRun(503));
+    let (gate, w) = (r.gate.clone(), r.relay.runtime.clone());
+    w.clone().spawn(async move {
+        w.sleep(60 * MS).await;
+        gate.last();
+        w.sleep(100 * MS).await;
+        gate.close();
+    });
+    check_paused(&r, "t", "/again/stream/x", &[], "stopped");
+}
+
+/// What is kept of a turn is what its client got, whichever server went on.
+#[test]
+fn a_turn_that_paused_is_kept_as_its_client_got_it() {
+    for (seed, other) in [
+        (261, Act::NotRun(503)),
+        (262, Act::Good),
+        (263, Act::Break(3)),
+    ] {
+        let r = first_is(Act::Pause(2, PAUSE), seed, Policies::all());
+        r.configure(2, json!([resumable("kept/again/stream", 2)]));
+        *r.floor.other.lock().unwrap() = Some(other);
+        let h = r.ask("t", "/kept/again/stream/x", &[], "b");
+        assert_eq!(
+            (h.status, h.whole, h.body.as_str()),
+            (200, true, WHOLE),
+            "{other:?}"
+        );
+        let turns = r.memory.turns.lock().unwrap();
+        assert_eq!(&turns["t"].output[..], b"t-0\nt-1\nt-2\nt-3\n", "{other:?}");
+        let settled = r.memory.settled.lock().unwrap();
+        assert_eq!(*settled, [("kept t".into(), 8)], "{other:?}");
+    }
+}
+
 /// A request that is refused before its body has come leaves its connection in order for the next
 /// one.
 #[test]
--- a/yewcross-testkit/tests/relay/server.rs
+++ b/yewcross-testkit/tests/relay/server.rs
@@ -60,6 +60,14 @@
     BreakInside(usize),
     /// So many events, and then it falls silent.
     Stall(usize),
+    /// So many events, a pause (us), and then the rest.
+    Pause(usize, u64),
+    /// So many events, a pause (us), one event more, and then it breaks off.
+    PauseThenBreak(usize, u64),
+    /// The head of a stream only after a while (us), then all of it.
+    SlowStream(u64),
+    /// The end of a stream and no event.
+    EndsAtOnce,
     /// Events without end.
     Forever,
     Slow(u64),
@@ -110,6 +118,41 @@
     }
 }
 
+/// Whether the caller closes the connection within a time (us).
+async fn is_left_within(runtime: &Runtime, c: &mut Connection, us: u64) -> bool {
+    let mut b = [0; 64];
+    let heard = runtime.timeout(us, c.read(&mut b)).await;
+    matches!(heard, Some(Ok(0) | Err(_)))
+}
+
+/// Sends the head, the events up to a pause (us), and those behind it; false where the caller left
+/// meanwhile.
+async fn send_with_pause(
+    runtime: &Runtime,
+    c: &mut Connection,
+    top: &str,
+    event: impl Fn(usize) -> Vec<u8>,
+    behind: std::ops::Range<usize>,
+    us: u64,
+    from: usize,
+) -> bool {
+    let _ = c.write_all(top.as_bytes()).await;
+    for i in from..behind.start {
+        let _ = c.write_all(&event(i)).await;
+        runtime.sleep(20 * MS).await;
+    }
+    if is_left_within(runtime, c, us).await {
+        return false;
+    }
+    for i in behind {
+        if c.write_all(&event(i)).await.is_err() {
+            return false;
+        }
+        runtime.sleep(20 * MS).await;
+    }
+    true
+}
+
 pub async fn serve_one(runtime: Runtime, mut c: Connection, id: String, f: Arc<Floor>) {
     f.conns.fetch_add(1, SeqCst);
     let mut buf = vec![];
@@ -252,6 +295,33 @@
                 f.gone.lock().unwrap().push(runtime.now());
                 return;
             }
+            Act::Pause(n, us) => {
+                if !send_with_pause(&runtime, &mut c, &top, event, n..4, us, from).await {
+                    f.gone.lock().unwrap().push(runtime.now());
+                    return;
+                }
+                (b"0\r\n\r\n".to_vec(), false)
+            }
+            Act::PauseThenBreak(n, us) => {
+                send_with_pause(&runtime, &mut c, &top, event, n..n + 1, us, from).await;
+                (vec![], true)
+            }
+            Act::SlowStream(us) => {
+                if is_left_within(&runtime, &mut c, us).await {
+                    f.gone.lock().unwrap().push(runtime.now());
+                    return;
+                }
+                let _ = c.write_all(top.as_bytes()).await;
+                for i in from..4 {
+                    let _ = c.write_all(&event(i)).await;
+                    runtime.sleep(20 * MS).await;
+                }
+                (b"0\r\n\r\n".to_vec(), false)
+            }
+            Act::EndsAtOnce => {
+                let _ = c.write_all(top.as_bytes()).await;
+                (b"0\r\n\r\n".to_vec(), false)
+            }
             Act::Forever => {
                 let _ = c.write_all(top.as_bytes()).await;
                 let mut i = 0;
