Hedging: an error of one server leaves the other one at work

What callers saw: a request whose first server is silent is sent to a second one; where the first then answers with a 5xx, that was passed on, and the second, at work on a good answer, was let go.

Cause: the first answer counted whatever its status, though a bad one is to leave the other to be waited for. On the way: the first attempt was not read while a place at a second server was waited for, the place was taken before the retry budget was asked, and an attempt for which nothing was sent stayed counted.

Change: only an answer without a server error ends the race; of two answers the good one is passed on. The budget is asked first, the first attempt is read throughout, and what was not sent is given back.

Evidence: an_error_of_the_first_server_leaves_the_second_one_at_work failed before (500 after 200 ms) and passes now; of_two_errors_one_is_passed_on holds with and without. The other three points are by reading, without a test of their own.

--- a/yewcross-proxy/src/relay/attempt.rs
+++ b/yewcross-proxy/src/relay/attempt.rs
@@ -32,9 +32,17 @@
         matches!(self, Outcome::Unsent | Outcome::Withdrawn)
     }
 
-    /// What two servers asked the same come to: the answer of either, else what says least about a
-    /// run.
+    /// An answer, and none that tells of an error of the server.
+    pub(super) fn is_good(&self) -> bool {
+        matches!(self, Outcome::Answer(answer) if !answer.head.status.is_server_error())
+    }
+
+    /// What two servers asked the same come to: a good answer of either, else any answer, else what
+    /// says least about a run.
     pub(super) fn or(self, other: Outcome) -> Outcome {
+        if other.is_good() && !self.is_good() {
+            return other;
+        }
         match (self, other) {
             (Outcome::Answer(a), _) | (_, Outcome::Answer(a)) => Outcome::Answer(a),
             (Outcome::Lost, _) | (_, Outcome::Lost) => Outcome::Lost,
--- a/yewcross-proxy/src/relay/hedge.rs
+++ b/yewcross-proxy/src/relay/hedge.rs
@@ -24,38 +24,60 @@
     /// first good answer counts; a bad one leaves the other to be waited for.
     pub(super) async fn attempt_hedged(
         self: &Arc<Self>,
-        s: &ClientRequest,
+        request: &ClientRequest,
         route: &Route,
         claim: Claim,
         tried: &mut Vec<String>,
         sent: &mut u32,
     ) -> Outcome {
         if !self.balance.policies.has(Mechanism::Hedging) {
-            return self.attempt(s, claim, route).await;
+            return self.attempt(request, claim, route).await;
         }
         let pause = self.hedge_after(route, &claim);
-        let mut first = std::pin::pin!(self.attempt(s, claim, route));
+        let mut first = std::pin::pin!(self.attempt(request, claim, route));
         if let Some(outcome) = self.runtime.timeout(pause, first.as_mut()).await {
             return outcome;
         }
-        let Ok((second_route, claim)) = self.seat(s, route, None, tried).await else {
+        let Some(mut permit) = self.retries.reserve() else {
             return first.await;
         };
-        if !self.retries.withdraw() {
-            drop(claim);
-            return first.await;
-        }
+        let place = async { Raced::Second(self.seat(request, route, None, tried).await) };
+        let (second_route, claim) = match finished(first.as_mut()).or(place).await {
+            Raced::First(outcome) => return outcome,
+            Raced::Second(Err(_)) => return first.await,
+            Raced::Second(Ok(place)) => place,
+        };
         self.counts.second.fetch_add(1, SeqCst);
-        tried.push(claim.to.server.clone());
+        let server = claim.to.server.clone();
+        tried.push(server.clone());
         *sent += 1;
-        let mut second = std::pin::pin!(self.attempt(s, claim, &second_route));
-        let (outcome, is_first) = async { (first.as_mut().await, true) }
-            .or(async { (second.as_mut().await, false) })
-            .await;
-        match outcome {
-            Outcome::Answer(_) => outcome,
-            _ if is_first => outcome.or(second.await),
-            _ => outcome.or(first.await),
+        permit.spend();
+        let mut second = std::pin::pin!(self.attempt(request, claim, &second_route));
+        let answered = async { Raced::Second(second.as_mut().await) };
+        match finished(first.as_mut()).or(answered).await {
+            Raced::First(outcome) if outcome.is_good() => outcome,
+            Raced::First(outcome) => outcome.or(second.await),
+            Raced::Second(outcome) if outcome.is_good() => outcome,
+            Raced::Second(outcome) => {
+                if outcome.nothing_sent() {
+                    tried.retain(|tried| *tried != server);
+                    *sent -= 1;
+                    permit.give_back();
+                }
+                outcome.or(first.await)
+            }
         }
     }
 }
+
+/// Which of two that are under way is over.
+enum Raced<T> {
+    /// The attempt at the first server.
+    First(Outcome),
+    /// What is done for the second one.
+    Second(T),
+}
+
+async fn finished<T>(first: impl Future<Output = Outcome>) -> Raced<T> {
+    Raced::First(first.await)
+}
--- a/yewcross-testkit/tests/relay/attempts.rs
+++ b/yewcross-testkit/tests/relay/attempts.rs
@@ -224,3 +224,42 @@
     });
     assert_eq!((h.status, rig.runs("t").len()), (502, 1), "{h:?}");
 }
+
+/// Guards against giving up a second server that is at work because the first one, silent until then,
+/// answers with an error.
+#[test]
+fn an_error_of_the_first_server_leaves_the_second_one_at_work() {
+    for (seed, tries) in [(99, 2), (100, 3)] {
+        // A second server is asked after 120 ms.
+        let rig = Rig::new(seed, 2);
+        rig.configure(2, json!([route("pure", "pure", "a", tries)]));
+        rig.list(2, &[rig.listed(0, "a")]);
+        rig.act("a0", &[Act::SlowFails(200 * MS, 500)]);
+        rig.act("a1", &[Act::Slow(300 * MS)]);
+        let h = rig.with(|r, w| {
+            Box::pin(async move {
+                let (r2, w2) = (r.clone(), w.clone());
+                let one = w.spawn_all(vec![Box::pin(async move {
+                    call(&w2, r2.door, "t", "/pure/x", &[], "").await
+                }) as BoxFuture<'static, Heard>]);
+                w.sleep(50 * MS).await;
+                r.list(3, &[r.listed(0, "a"), r.listed(1, "a")]);
+                one.recv().await.unwrap()
+            })
+        });
+        assert_eq!((h.status, h.body.as_str()), (200, "good"), "{tries}: {h:?}");
+        assert_eq!(rig.runs("t").len(), 2, "{tries}");
+    }
+}
+
+/// The error is passed on where the second server has nothing better.
+#[test]
+fn of_two_errors_one_is_passed_on() {
+    let rig = Rig::new(101, 2);
+    rig.configure(2, json!([route("pure", "pure", "a", 2)]));
+    rig.act("a0", &[Act::SlowFails(200 * MS, 500)]);
+    rig.act("a1", &[Act::SlowFails(200 * MS, 500)]);
+    let h = rig.ask("t", "/pure/x", &[], "");
+    assert_eq!((h.status, h.body.as_str()), (500, "mine"), "{h:?}");
+    assert_eq!(rig.runs("t").len(), 2);
+}
--- a/yewcross-testkit/tests/relay/server.rs
+++ b/yewcross-testkit/tests/relay/server.rs
@@ -64,6 +64,8 @@
     Pause(usize, u64),
     /// So many events, a pause (us), one event more, and then it breaks off.
     PauseThenBreak(usize, u64),
+    /// It runs, and answers with this status after a while (us).
+    SlowFails(u64, u16),
     /// The head of a stream only after a while (us), then all of it.
     SlowStream(u64),
     /// The end of a stream and no event.
@@ -332,6 +334,10 @@
                 f.gone.lock().unwrap().push(runtime.now());
                 return;
             }
+            Act::SlowFails(us, status) => {
+                runtime.sleep(us).await;
+                (say(status, &a, "", "mine"), false)
+            }
             Act::Slow(us) => {
                 runtime.sleep(us).await;
                 (good, false)
