Streams: a test that each server is asked for the rest of a stream once

A server that was asked for the rest and failed was not among those tried, so that with more than two attempts it could be asked again.

--- a/yewcross-testkit/tests/relay/resumption.rs
+++ b/yewcross-testkit/tests/relay/resumption.rs
@@ -351,6 +351,29 @@
     assert_eq!(left as f64, RETRY_BURST - 1.0, "one attempt was made");
 }
 
+/// A server that was asked for the rest and failed is not asked for it again.
+#[test]
+fn each_server_is_asked_for_the_rest_once() {
+    for (seed, act) in [(264, Act::Break(2)), (265, Act::Stall(2))] {
+        let r = rig(seed, &[act; 3], Policies::all());
+        r.configure(2, json!([resumable("again/stream", 3)]));
+        *r.floor.other.lock().unwrap() = Some(Act::Lose);
+        let (floor, w) = (r.floor.clone(), r.relay.runtime.clone());
+        w.clone().spawn(async move {
+            while floor.runs.lock().unwrap().is_empty() {
+                w.sleep(MS).await;
+            }
+            floor.acts.lock().unwrap().clear();
+        });
+        let h = r.ask("t", "/again/stream/x", &[("patience", "900")], "b");
+        assert_eq!((h.status, h.whole), (200, false), "{act:?}");
+        let runs = r.runs("t");
+        let servers: std::collections::BTreeSet<&String> =
+            runs.iter().map(|run| &run.server).collect();
+        assert_eq!((runs.len(), servers.len()), (3, 3), "{act:?}");
+    }
+}
+
 /// A front that is stopped while its stream's server pauses waits for it like any other.
 #[test]
 fn a_paused_stream_outlasts_the_stop_of_its_front() {
