Relay: the choice of servers and the attempt read in whole words and short steps

dispatch.rs and attempt.rs used one letter for a request, a claim and a response, and dispatch held its state in three loose variables. Progress holds it now; is_answer_to, count_failure and is_small are functions of their own; two bare figures (3 stale connections, 4 idle ones) have names.

--- a/yewcross-proxy/src/relay/attempt.rs
+++ b/yewcross-proxy/src/relay/attempt.rs
@@ -15,6 +15,11 @@
 use yewcross_common::constants::*;
 use yewcross_common::protocol::ListedServer;
 
+/// count. Kept connections to a server that may turn out to be closed before another one is dialled.
+const STALE_CONNECTIONS_MAX: u32 = 3;
+/// count. Idle connections to a server that each front keeps at least.
+const IDLE_CONNECTIONS_MIN: usize = 4;
+
 /// What sending it to one server came to.
 pub(super) enum Outcome {
     Answer(Box<Answer>),
@@ -68,230 +73,225 @@
 }
 
 impl Relay {
-    /// Sends a request to the server of `c` and takes what comes back for an answer only if it
+    /// Sends a request to the server of a claim and takes what comes back for an answer only if it
     /// plainly is one.
     pub(super) async fn attempt(
         self: &Arc<Self>,
-        s: &ClientRequest,
-        mut c: Claim,
+        request: &ClientRequest,
+        mut claim: Claim,
         route: &Route,
     ) -> Outcome {
-        let left = s.until.saturating_sub(self.runtime.now());
-        let got = self
+        let left = request.until.saturating_sub(self.runtime.now());
+        let exchanged = self
             .runtime
-            .timeout(left, self.exchange(s, &c, route))
+            .timeout(left, self.exchange(request, &claim, route))
             .await
             .unwrap_or(Err(Failed::Lost));
-        let (r, link) = match got {
-            Ok(x) => x,
-            Err(Failed::Withdrawn) => {
-                self.counts.withdrawn.fetch_add(1, SeqCst);
-                return Outcome::Withdrawn;
-            }
-            Err(Failed::Unsent) => {
-                self.counts.unsent.fetch_add(1, SeqCst);
-                c.failed();
-                return Outcome::Unsent;
-            }
-            Err(Failed::Lost) => {
-                self.counts.lost.fetch_add(1, SeqCst);
-                c.failed();
-                return Outcome::Lost;
-            }
+        let (response, link) = match exchanged {
+            Ok(exchanged) => exchanged,
+            Err(failed) => return self.count_failure(failed, &claim),
         };
-        let meta = self.back.answer(r.status().as_u16(), r.headers());
-        let (ok, code) = (r.status().is_success(), r.status());
-        // On a connection of its own nothing late can arrive: there a "not run" needs no id.
-        let ours = meta.attempt == s.meta.attempt
-            || (meta.attempt.is_empty() && meta.not_run && link.fresh);
-        let foreign = ok && (!meta.stamped || !coding_asked_for(&s.head.headers, r.headers()));
-        if !ours || foreign || code.is_informational() {
+        let status = response.status();
+        let meta = self.back.answer(status.as_u16(), response.headers());
+        if !is_answer_to(request, &response, &meta, link.fresh) {
             self.counts.strangers.fetch_add(1, SeqCst);
-            c.failed();
+            claim.failed();
             return Outcome::Lost;
         }
-        c.headed();
-        meta.load.into_iter().for_each(|l| c.told(l));
-        if meta.not_run || code == StatusCode::MISDIRECTED_REQUEST {
+        claim.headed();
+        meta.load.into_iter().for_each(|load| claim.told(load));
+        if meta.not_run || status == StatusCode::MISDIRECTED_REQUEST {
             self.counts.not_run.fetch_add(1, SeqCst);
-            let full = matches!(
-                code,
-                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
-            );
-            if full {
-                c.full()
-            } else {
-                c.failed()
+            match status {
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => claim.full(),
+                _ => claim.failed(),
             }
-            self.drain(&c.to.server, r.into_body(), link, meta);
+            self.drain(&claim.to.server, response.into_body(), link, meta);
             return Outcome::NotRun;
         }
         // The promise of these is not the server's to make: only `not_run` says that.
-        if matches!(code.as_u16(), 408 | 429 | 503) {
-            c.failed();
-            self.drain(&c.to.server, r.into_body(), link, meta);
+        if matches!(status.as_u16(), 408 | 429 | 503) {
+            claim.failed();
+            self.drain(&claim.to.server, response.into_body(), link, meta);
             return Outcome::Lost;
         }
-        if code.is_server_error() {
-            c.failed();
+        if status.is_server_error() {
+            claim.failed();
         }
-        match self
-            .whole(s, r, link, &meta, &c, route.mode == Mode::Stream)
-            .await
-        {
+        let is_streamed = route.mode == Mode::Stream;
+        let read = self.read_small(request, response, link, &meta, &claim, is_streamed);
+        match read.await {
             Some((head, body)) => Outcome::Answer(Box::new(Answer {
                 head,
                 body,
                 meta,
-                claim: c,
+                claim,
             })),
             None => {
                 self.counts.broken.fetch_add(1, SeqCst);
-                c.failed();
+                claim.failed();
                 Outcome::Lost
             }
         }
     }
 
+    /// What an attempt without any answer came to.
+    fn count_failure(&self, failed: Failed, claim: &Claim) -> Outcome {
+        let (count, outcome) = match failed {
+            Failed::Withdrawn => (&self.counts.withdrawn, Outcome::Withdrawn),
+            Failed::Unsent => (&self.counts.unsent, Outcome::Unsent),
+            Failed::Lost => (&self.counts.lost, Outcome::Lost),
+        };
+        count.fetch_add(1, SeqCst);
+        if !matches!(outcome, Outcome::Withdrawn) {
+            claim.failed();
+        }
+        outcome
+    }
+
     /// Reads a small answer to its end; one whose end could not be told from a break is none.
-    async fn whole(
+    async fn read_small(
         &self,
-        s: &ClientRequest,
-        r: Response<Incoming>,
+        request: &ClientRequest,
+        response: Response<Incoming>,
         link: Link,
-        m: &AnswerMeta,
-        c: &Claim,
-        streamed: bool,
+        meta: &AnswerMeta,
+        claim: &Claim,
+        is_streamed: bool,
     ) -> Option<(response::Parts, AnswerBody)> {
-        let (head, body) = r.into_parts();
-        let bare = s.head.method == Method::HEAD || matches!(head.status.as_u16(), 204 | 304);
-        if !bare && !tells_its_end(&head.headers) {
+        let (head, body) = response.into_parts();
+        let is_bare =
+            request.head.method == Method::HEAD || matches!(head.status.as_u16(), 204 | 304);
+        if !is_bare && !tells_its_end(&head.headers) {
             return None;
         }
-        let small = body
-            .size_hint()
-            .upper()
-            .is_some_and(|n| n <= BUFFERED_RESPONSE_BYTES);
-        if !bare && !small || streamed && head.status.is_success() {
+        if !is_bare && !is_small(&body) || is_streamed && head.status.is_success() {
             return Some((head, AnswerBody::Coming(body, link)));
         }
-        let left = s.until.saturating_sub(self.runtime.now());
-        let b = self
+        let left = request.until.saturating_sub(self.runtime.now());
+        let bytes = self
             .runtime
             .timeout(left, body.collect())
             .await?
             .ok()?
             .to_bytes();
-        self.give_back(&c.to.server, link, m);
-        Some((head, AnswerBody::Whole(b)))
+        self.give_back(&claim.to.server, link, meta);
+        Some((head, AnswerBody::Whole(bytes)))
     }
 
     /// Reads the rest of an answer that is not passed on, so that its connection can be used again.
-    fn drain(self: &Arc<Self>, server: &str, b: Incoming, l: Link, m: AnswerMeta) {
-        if m.closes
-            || b.size_hint()
-                .upper()
-                .is_none_or(|n| n > BUFFERED_RESPONSE_BYTES)
-        {
+    fn drain(self: &Arc<Self>, server: &str, body: Incoming, link: Link, meta: AnswerMeta) {
+        if meta.closes || !is_small(&body) {
             return;
         }
-        let (me, server) = (self.clone(), server.to_string());
+        let (relay, server) = (self.clone(), server.to_string());
         self.runtime.spawn(async move {
-            if let Some(Ok(_)) = me.runtime.timeout(SEC, b.collect()).await {
-                me.give_back(&server, l, &m);
+            if let Some(Ok(_)) = relay.runtime.timeout(SEC, body.collect()).await {
+                relay.give_back(&server, link, &meta);
             }
         });
     }
 
-    pub(super) fn give_back(&self, server: &str, l: Link, m: &AnswerMeta) {
-        if !m.closes {
-            self.pool.keep(
-                server,
-                l,
-                self.runtime.now(),
-                m.idle_ms,
-                (IDLE_UPSTREAM_CONNECTIONS / self.fronts.load(SeqCst).max(1)).max(4),
-            );
+    pub(super) fn give_back(&self, server: &str, link: Link, meta: &AnswerMeta) {
+        if meta.closes {
+            return;
         }
+        let fronts = self.fronts.load(SeqCst).max(1);
+        let most = (IDLE_UPSTREAM_CONNECTIONS / fronts).max(IDLE_CONNECTIONS_MIN);
+        self.pool
+            .keep(server, link, self.runtime.now(), meta.idle_ms, most);
     }
 
     /// Sends it over a kept connection, or else over a new one; only what has not left is sent
     /// again.
     async fn exchange(
         &self,
-        s: &ClientRequest,
-        c: &Claim,
+        request: &ClientRequest,
+        claim: &Claim,
         route: &Route,
     ) -> Result<(Response<Incoming>, Link), Failed> {
+        let to = &claim.to;
         let mut stale = 0;
         loop {
-            let mut link = match self.pool.take(&c.to.server, self.runtime.now(), stale > 0) {
-                Some(l) => l,
+            let kept = self.pool.take(&to.server, self.runtime.now(), stale > 0);
+            let mut link = match kept {
+                Some(link) => link,
                 None => self
                     .pool
-                    .dial(&self.runtime, &c.to, CONNECT_TIMEOUT)
+                    .dial(&self.runtime, to, CONNECT_TIMEOUT)
                     .await
                     .map_err(|_| Failed::Unsent)?,
             };
             let now = self.runtime.now();
-            if now >= s.until || !self.still_holds(s, &c.to, route) {
+            if now >= request.until || !self.still_holds(request, to, route) {
                 return Err(Failed::Withdrawn);
             }
-            let fresh = link.fresh;
+            let is_fresh = link.fresh;
             self.counts.sent.fetch_add(1, SeqCst);
-            match link
-                .ask(
-                    &self.runtime,
-                    self.request(s, &c.to),
-                    s.until.min(now + SELECTION_LIFETIME),
-                )
-                .await
-            {
-                Ok(r) => return Ok((r, link)),
-                Err(Failed::Unsent) if !fresh && stale < 3 => stale += 1,
-                Err(e) => return Err(e),
+            let latest = request.until.min(now + SELECTION_LIFETIME);
+            let upstream_request = self.upstream_request(request, to);
+            match link.ask(&self.runtime, upstream_request, latest).await {
+                Ok(response) => return Ok((response, link)),
+                Err(Failed::Unsent) if !is_fresh && stale < STALE_CONNECTIONS_MAX => stale += 1,
+                Err(failed) => return Err(failed),
             }
         }
     }
 
     /// Whether the newest configuration and list would still let the request go to this server: a
     /// process may stand still, or wait for a connection, after it has chosen.
-    fn still_holds(&self, s: &ClientRequest, to: &ListedServer, route: &Route) -> bool {
-        let config = self.documents.config.load();
-        let routed = config
-            .1
-            .routing
-            .find(&s.host, s.head.uri.path())
-            .is_some_and(|now| {
-                let same_kind = now.mode == route.mode && now.retained == route.retained;
-                same_kind
-                    && now
-                        .variants
-                        .iter()
-                        .any(|(service, weight)| *service == to.service && *weight > 0)
-            });
-        routed && self.documents.list.load().1.servers.iter().any(|l| l == to)
+    fn still_holds(&self, request: &ClientRequest, to: &ListedServer, route: &Route) -> bool {
+        let configuration = self.documents.config.load();
+        let path = request.head.uri.path();
+        let newest = configuration.1.routing.find(&request.host, path);
+        let is_routed = newest.is_some_and(|newest| {
+            let leads_there =
+                |(service, weight): &(String, u64)| *service == to.service && *weight > 0;
+            newest.mode == route.mode
+                && newest.retained == route.retained
+                && newest.variants.iter().any(leads_there)
+        });
+        is_routed && self.documents.list.load().1.servers.iter().any(|l| l == to)
     }
 
-    fn request(&self, s: &ClientRequest, to: &ListedServer) -> Request<Full<Bytes>> {
-        let mut q = Request::new(Full::new(s.body.clone()));
-        *q.method_mut() = s.head.method.clone();
-        *q.uri_mut() = s.head.uri.clone();
-        *q.headers_mut() = s.head.headers.clone();
-        let c = self.documents.config.load();
-        let r = c.1.routing.find(&s.host, s.head.uri.path());
-        let engine =
-            c.1.routing
-                .upstreams
-                .get(&to.service)
-                .is_some_and(|u| u.engine.is_some());
-        let urgency = r.and_then(|r| self.urgency(s, r, engine));
-        self.back.dress(
-            q.headers_mut(),
-            to,
-            s.until.saturating_sub(self.runtime.now()) / MS,
-            urgency,
-        );
-        q
+    /// The request as a server gets it.
+    fn upstream_request(&self, request: &ClientRequest, to: &ListedServer) -> Request<Full<Bytes>> {
+        let mut upstream_request = Request::new(Full::new(request.body.clone()));
+        *upstream_request.method_mut() = request.head.method.clone();
+        *upstream_request.uri_mut() = request.head.uri.clone();
+        *upstream_request.headers_mut() = request.head.headers.clone();
+        let configuration = self.documents.config.load();
+        let routes = &configuration.1.routing;
+        let service = routes.upstreams.get(&to.service);
+        let has_engine = service.is_some_and(|service| service.engine.is_some());
+        let urgency = routes
+            .find(&request.host, request.head.uri.path())
+            .and_then(|route| self.urgency(request, route, has_engine));
+        let left_ms = request.until.saturating_sub(self.runtime.now()) / MS;
+        self.back
+            .dress(upstream_request.headers_mut(), to, left_ms, urgency);
+        upstream_request
     }
 }
+
+/// Whether a response is the answer to this very request, as far as its head tells.
+fn is_answer_to(
+    request: &ClientRequest,
+    response: &Response<Incoming>,
+    meta: &AnswerMeta,
+    is_fresh_connection: bool,
+) -> bool {
+    let status = response.status();
+    // On a connection of its own nothing late can arrive: there a "not run" needs no id.
+    let is_ours = meta.attempt == request.meta.attempt
+        || (meta.attempt.is_empty() && meta.not_run && is_fresh_connection);
+    let is_coded_as_asked = coding_asked_for(&request.head.headers, response.headers());
+    let is_foreign = status.is_success() && (!meta.stamped || !is_coded_as_asked);
+    is_ours && !is_foreign && !status.is_informational()
+}
+
+/// Whether a body is read whole before it is passed on.
+fn is_small(body: &Incoming) -> bool {
+    let length = body.size_hint().upper();
+    length.is_some_and(|length| length <= BUFFERED_RESPONSE_BYTES)
+}
--- a/yewcross-proxy/src/relay/dispatch.rs
+++ b/yewcross-proxy/src/relay/dispatch.rs
@@ -20,6 +20,36 @@
     pub(super) sent: u32,
 }
 
+/// How far a request has come that is sent to one server after another.
+#[derive(Default)]
+struct Progress {
+    tried: Vec<String>,
+    sent: u32,
+    /// A server may have run it, and its answer was lost.
+    is_lost: bool,
+    /// The last answer that told of an error of its server: passed on where no better one comes.
+    error: Option<Answer>,
+}
+
+impl Progress {
+    fn done(self, route: Route, answer: Answer) -> Dispatched {
+        Dispatched {
+            route,
+            answer,
+            tried: self.tried,
+            sent: self.sent,
+        }
+    }
+
+    /// No further attempt is made.
+    fn end(mut self, route: &Route, rejection: Rejection) -> Result<Dispatched, Rejection> {
+        match self.error.take() {
+            Some(error) => Ok(self.done(route.clone(), error)),
+            None => Err(rejection),
+        }
+    }
+}
+
 impl Relay {
     /// Whether a request may run more than once.
     fn repeatable(&self, route: &Route) -> bool {
@@ -34,70 +64,73 @@
     /// a byte of it.
     pub(super) async fn dispatch(
         self: &Arc<Self>,
-        s: &ClientRequest,
+        request: &ClientRequest,
         first: &Route,
-        prev: Option<&Turn>,
+        previous: Option<&Turn>,
     ) -> Result<Dispatched, Rejection> {
-        let (mut tried, mut sent, mut lost): (Vec<String>, u32, bool) = (vec![], 0, false);
-        let mut last: Option<Answer> = None;
+        let mut progress = Progress::default();
         self.retries.deposit();
-        let done = |route: Route, answer: Answer, tried: Vec<String>, sent: u32| Dispatched {
-            route,
-            answer,
-            tried,
-            sent,
-        };
         loop {
-            let (route, claim) = match self.seat(s, first, prev, &tried).await {
-                Ok(x) => x,
-                Err(e) => {
-                    let rejection = if lost { self.gave_up(s) } else { e };
-                    return last
-                        .map(|a| done(first.clone(), a, tried, sent))
-                        .ok_or(rejection);
-                }
+            let place = self.seat(request, first, previous, &progress.tried).await;
+            let (route, claim) = match place {
+                Ok(place) => place,
+                Err(_) if progress.is_lost => return progress.end(first, self.gave_up(request)),
+                Err(rejection) => return progress.end(first, rejection),
             };
-            let repeatable = self.repeatable(&route);
             let server = claim.to.server.clone();
-            tried.push(server.clone());
-            let got = if repeatable && sent + 1 < route.max_tries {
-                self.attempt_hedged(s, &route, claim, &mut tried, &mut sent)
-                    .await
-            } else {
-                self.attempt(s, claim, &route).await
-            };
-            sent += !got.nothing_sent() as u32;
-            let more = sent < route.max_tries && self.runtime.now() < s.until;
-            match got {
-                Outcome::Answer(a) => {
-                    let ill = a.head.status.is_server_error();
-                    if !(ill && repeatable && more && self.retries.withdraw()) {
-                        return Ok(done(route, *a, tried, sent));
+            progress.tried.push(server.clone());
+            let outcome = self
+                .attempt_once(request, &route, claim, &mut progress)
+                .await;
+            progress.sent += !outcome.nothing_sent() as u32;
+            let may_go_on = progress.sent < route.max_tries && self.runtime.now() < request.until;
+            let may_run_again = || self.repeatable(&route) && may_go_on && self.retries.withdraw();
+            match outcome {
+                Outcome::Answer(answer) => {
+                    let is_error = answer.head.status.is_server_error();
+                    if !is_error || !may_run_again() {
+                        return Ok(progress.done(route, *answer));
                     }
-                    last = Some(*a);
+                    progress.error = Some(*answer);
                 }
                 // It may be chosen again by what holds now; where no time is left, that is told
                 // there.
-                Outcome::Withdrawn => tried.retain(|x| *x != server),
-                Outcome::NotRun | Outcome::Unsent if more => {}
-                Outcome::NotRun | Outcome::Unsent if lost => return Err(self.gave_up(s)),
+                Outcome::Withdrawn => progress.tried.retain(|tried| *tried != server),
+                Outcome::NotRun | Outcome::Unsent if may_go_on => {}
+                Outcome::NotRun | Outcome::Unsent if progress.is_lost => {
+                    return Err(self.gave_up(request));
+                }
                 Outcome::NotRun | Outcome::Unsent => {
-                    return last
-                        .map(|a| done(route.clone(), a, tried, sent))
-                        .ok_or(Rejection(
-                            Code::LineFull,
-                            "every server turned it away",
-                            self.soon(&route),
-                        ));
+                    let back = self.soon(&route);
+                    let full = Rejection(Code::LineFull, "every server turned it away", back);
+                    return progress.end(&route, full);
                 }
-                Outcome::Lost if repeatable && more && self.retries.withdraw() => lost = true,
-                Outcome::Lost => return Err(self.gave_up(s)),
+                Outcome::Lost if may_run_again() => progress.is_lost = true,
+                Outcome::Lost => return Err(self.gave_up(request)),
             }
         }
     }
 
-    fn gave_up(&self, s: &ClientRequest) -> Rejection {
-        if self.runtime.now() + MS >= s.until {
+    /// Sends it to the server of a claim, and to a second one where that may be done and the first
+    /// is silent.
+    async fn attempt_once(
+        self: &Arc<Self>,
+        request: &ClientRequest,
+        route: &Route,
+        claim: Claim,
+        progress: &mut Progress,
+    ) -> Outcome {
+        if self.repeatable(route) && progress.sent + 1 < route.max_tries {
+            let Progress { tried, sent, .. } = progress;
+            self.attempt_hedged(request, route, claim, tried, sent)
+                .await
+        } else {
+            self.attempt(request, claim, route).await
+        }
+    }
+
+    fn gave_up(&self, request: &ClientRequest) -> Rejection {
+        if self.runtime.now() + MS >= request.until {
             self.counts.expired.fetch_add(1, SeqCst);
             return Rejection(Code::Expired, "no answer by its deadline", 0);
         }
@@ -107,83 +140,101 @@
     /// A place at a server, by the newest configuration and list at the moment it is taken.
     pub(super) async fn seat(
         &self,
-        s: &ClientRequest,
+        request: &ClientRequest,
         first: &Route,
-        prev: Option<&Turn>,
+        previous: Option<&Turn>,
         tried: &[String],
     ) -> Result<(Route, Claim), Rejection> {
         let patience =
             self.runtime.now() + first.target_ms.max(40) * MS * QUEUEING_TARGET_PERCENT / 100;
         loop {
             let now = self.runtime.now();
-            let (route, up) = {
-                let c = self.documents.config.load();
-                self.route(&c.1.routing, c.0, &s.host, &s.head, &s.meta)?
+            let (route, upstream) = {
+                let configuration = self.documents.config.load();
+                let (version, routes) = (configuration.0, &configuration.1.routing);
+                self.route(routes, version, &request.host, &request.head, &request.meta)?
             };
             // What was sent as repeatable, or opened as a turn, is not sent again as anything else.
             if route.retained != first.retained || route.mode != first.mode {
                 return Err(Rejection(Code::NotServing, "the route has changed", 20));
             }
-            if now >= s.until {
-                return Err(Rejection(
-                    Code::TooLate,
-                    "no time is left",
-                    self.soon(&route),
-                ));
+            if now >= request.until {
+                let back = self.soon(&route);
+                return Err(Rejection(Code::TooLate, "no time is left", back));
             }
-            let n = self.need(s, &route, &up, prev);
-            let got = {
-                let l = self.documents.list.load();
-                self.balance
-                    .pick(&self.runtime, &n, &l.1.servers, tried, |x| self.pool.has(x))
-            };
-            let due = match got {
-                Ok(c) => return Ok((route, c)),
+            let need = self.need(request, &route, &upstream, previous);
+            let due = match self.pick(&need, tried) {
+                Ok(claim) => return Ok((route, claim)),
                 Err(NoSeat::None) => {
-                    return Err(Rejection(
-                        Code::NoServer,
-                        "no server of the service may take it now",
-                        self.soon(&route),
-                    ));
+                    let back = self.soon(&route);
+                    let none = "no server of the service may take it now";
+                    return Err(Rejection(Code::NoServer, none, back));
                 }
                 Err(NoSeat::Full(due)) => due,
             };
-            let end = patience.min(s.until);
-            if now + due >= end || !self.balance.wait(&self.runtime, &n, end).await {
+            let end = patience.min(request.until);
+            if now + due >= end || !self.balance.wait(&self.runtime, &need, end).await {
                 let back = (due / MS).clamp(self.soon(&route) / 2, (route.target_ms / 2).max(20));
                 return Err(Rejection(Code::LineFull, "all places are taken", back));
             }
         }
     }
 
-    fn need(&self, s: &ClientRequest, r: &Route, up: &Upstream, prev: Option<&Turn>) -> Need {
+    fn pick(&self, need: &Need, tried: &[String]) -> Result<Claim, NoSeat> {
+        let list = self.documents.list.load();
+        let has_kept_connection = |server: &str| self.pool.has(server);
+        self.balance.pick(
+            &self.runtime,
+            need,
+            &list.1.servers,
+            tried,
+            has_kept_connection,
+        )
+    }
+
+    fn need(
+        &self,
+        request: &ClientRequest,
+        route: &Route,
+        upstream: &Upstream,
+        previous: Option<&Turn>,
+    ) -> Need {
         let fronts = self.fronts.load(SeqCst).max(1) as u32;
+        let meta = &request.meta;
+        let finish = request.began + meta.finish_ms.unwrap_or(route.timeout_ms) * MS;
         Need {
-            service: up.name.clone(),
-            engine: up.engine.clone(),
-            parts: s.meta.parts.clone(),
-            prompt: s.meta.prompt_tokens,
-            output: s.meta.max_output_tokens,
-            prev: prev.map(|t| t.server.clone()).unwrap_or_default(),
-            prev_tokens: prev.map_or(0, |t| t.tokens),
+            service: upstream.name.clone(),
+            engine: upstream.engine.clone(),
+            parts: meta.parts.clone(),
+            prompt: meta.prompt_tokens,
+            output: meta.max_output_tokens,
+            prev: previous.map(|turn| turn.server.clone()).unwrap_or_default(),
+            prev_tokens: previous.map_or(0, |turn| turn.tokens),
             site: self.site.clone(),
-            target_us: r.target_ms.max(1) * MS,
-            rank: (
-                r.rank,
-                s.began + s.meta.finish_ms.unwrap_or(r.timeout_ms) * MS,
-            ),
-            affinity: if r.pinned {
-                s.meta.affinity.clone()
+            target_us: route.target_ms.max(1) * MS,
+            rank: (route.rank, finish),
+            affinity: if route.pinned {
+                meta.affinity.clone()
             } else {
                 String::new()
             },
-            conns: (up.max_conns * 3 / 2 / fronts).max(2),
+            conns: (upstream.max_conns * 3 / 2 / fronts).max(2),
         }
     }
 
     /// 0 for the most urgent: by the route's rank, and by the time that its program has left.
-    pub(super) fn urgency(&self, s: &ClientRequest, r: &Route, up: bool) -> Option<u8> {
-        let hurry = s.meta.finish_ms.is_some_and(|f| f < 4 * r.target_ms.max(1));
-        up.then(|| (2 + 3 * r.rank.min(2)).saturating_sub(hurry as u8).min(9))
+    pub(super) fn urgency(
+        &self,
+        request: &ClientRequest,
+        route: &Route,
+        has_engine: bool,
+    ) -> Option<u8> {
+        let is_in_hurry = |finish_ms: u64| finish_ms < 4 * route.target_ms.max(1);
+        let hurry = request.meta.finish_ms.is_some_and(is_in_hurry);
+        has_engine.then(|| {
+            (2 + 3 * route.rank.min(2))
+                .saturating_sub(hurry as u8)
+                .min(9)
+        })
     }
 }
