Streams: a silent successor does not hold a broken stream up

What callers saw: a stream that broke off was asked of a second server; where that was silent, or sent a head and nothing more, no third one was asked, though the route allows it, and the answer ended with its deadline.

Change: silence is watched for as long as the answer is under way; it counts anew from a break, a failed attempt and a takeover.

--- a/yewcross-proxy/src/relay/streaming.rs
+++ b/yewcross-proxy/src/relay/streaming.rs
@@ -155,6 +155,7 @@
             }
             UpstreamPart::Failed(UpstreamFailure::BrokeOff) => {
                 self.upstream.fail();
+                self.restart_stall_timer();
                 if !self.successors.is_empty() || self.begin_take_up() {
                     Poll::Pending
                 } else {
@@ -164,7 +165,8 @@
         }
     }
 
-    /// Asks another server once the one that has the stream is silent for too long.
+    /// Asks another server once all that have the stream, or were asked for it, are silent for too
+    /// long.
     fn watch_for_stall(&mut self, cx: &mut Context<'_>) {
         while self.poll_stalled(cx).is_ready() {
             self.relay.counts.stalled.fetch_add(1, SeqCst);
@@ -174,10 +176,14 @@
 
     fn poll_stalled(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         match &mut self.stall {
-            Some(stall) if self.upstream.is_connected() => {
-                stall.poll_stalled(&self.relay.runtime, self.upstream.heard_at(), cx)
-            }
-            _ => Poll::Pending,
+            Some(stall) => stall.poll_stalled(&self.relay.runtime, self.upstream.heard_at(), cx),
+            None => Poll::Pending,
+        }
+    }
+
+    fn restart_stall_timer(&mut self) {
+        if let Some(stall) = &mut self.stall {
+            stall.restart(&self.relay.runtime);
         }
     }
 
@@ -199,10 +205,7 @@
 
     /// One server less may go on with the stream.
     fn drop_out(&mut self, error: TakeUpError) -> Result<(), BrokenOff> {
-        let runtime = &self.relay.runtime;
-        self.stall
-            .iter_mut()
-            .for_each(|stall| stall.restart(runtime));
+        self.restart_stall_timer();
         if self.upstream.is_connected() || !self.successors.is_empty() {
             return Ok(());
         }
@@ -218,10 +221,7 @@
         self.upstream.fail();
         self.upstream = taken_up.upstream;
         self.successors.clear();
-        let runtime = &self.relay.runtime;
-        self.stall
-            .iter_mut()
-            .for_each(|stall| stall.restart(runtime));
+        self.restart_stall_timer();
         taken_up.ready
     }
 
--- a/yewcross-testkit/tests/relay/resumption.rs
+++ b/yewcross-testkit/tests/relay/resumption.rs
@@ -374,6 +374,34 @@
     }
 }
 
+/// A broken stream whose next server is silent is taken up at a third one, as far as its route allows.
+#[test]
+fn a_silent_server_does_not_hold_a_broken_stream_up() {
+    for (seed, act) in [(266, Act::Silent), (267, Act::Stall(0))] {
+        let r = rig(seed, &[Act::Break(2); 3], Policies::all());
+        r.configure(2, json!([resumable("again/stream", 3)]));
+        let (floor, w) = (r.floor.clone(), r.relay.runtime.clone());
+        *floor.other.lock().unwrap() = Some(act);
+        w.clone().spawn(async move {
+            while floor.runs.lock().unwrap().is_empty() {
+                w.sleep(MS).await;
+            }
+            floor.acts.lock().unwrap().clear();
+            while floor.runs.lock().unwrap().len() < 2 {
+                w.sleep(MS).await;
+            }
+            *floor.other.lock().unwrap() = Some(Act::Good);
+        });
+        let h = r.ask("t", "/again/stream/x", &[], "b");
+        assert_eq!(
+            (h.status, h.whole, h.body.as_str(), r.runs("t").len()),
+            (200, true, WHOLE, 3),
+            "{act:?}"
+        );
+        assert!(h.took < SEC, "{act:?}: {}", h.took);
+    }
+}
+
 /// A front that is stopped while its stream's server pauses waits for it like any other.
 #[test]
 fn a_paused_stream_outlasts_the_stop_of_its_front() {
