Tests: the misbehaving server of the relay tests in parts, an act a line or a method

serve_one had grown to 230 lines. Received is a request as it is read, Served a connection; answers of one piece stand in at_once, streams in stream.

--- a/yewcross-testkit/tests/relay/server.rs
+++ b/yewcross-testkit/tests/relay/server.rs
@@ -97,254 +97,339 @@
     pub other: Mutex<Option<Act>>,
 }
 
-pub async fn head(
-    c: &mut Connection,
-    buf: &mut Vec<u8>,
-) -> Option<(String, BTreeMap<String, String>)> {
-    loop {
-        if let Some(i) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
-            let t = String::from_utf8(buf[..i].to_vec()).unwrap();
-            buf.drain(..i + 4);
-            let mut ls = t.split("\r\n");
-            let first = ls.next().unwrap().to_string();
-            return Some((
-                first,
-                ls.map(|l| l.split_once(": ").unwrap())
-                    .map(|(a, b)| (a.to_string(), b.to_string()))
-                    .collect(),
-            ));
+/// A request as a server reads it.
+struct Received {
+    first_line: String,
+    heads: BTreeMap<String, String>,
+    body: Vec<u8>,
+}
+
+impl Received {
+    fn head(&self, name: &str) -> &str {
+        self.heads.get(name).map_or("", |value| value)
+    }
+
+    fn attempt(&self) -> &str {
+        self.head("try")
+    }
+
+    /// The number of the first event that is asked for.
+    fn first_event(&self) -> usize {
+        match self.head("resume-after") {
+            "" => 0,
+            id => id.parse::<usize>().unwrap() + 1,
         }
-        let mut b = [0; 4096];
-        let n = c.read(&mut b).await.ok().filter(|n| *n > 0)?;
-        buf.extend_from_slice(&b[..n]);
     }
-}
 
-/// Whether the caller closes the connection within a time (us).
-async fn is_left_within(runtime: &Runtime, c: &mut Connection, us: u64) -> bool {
-    let mut b = [0; 64];
-    let heard = runtime.timeout(us, c.read(&mut b)).await;
-    matches!(heard, Some(Ok(0) | Err(_)))
-}
+    fn is_stream(&self) -> bool {
+        self.first_line.contains("/stream/")
+    }
 
-/// Sends the head, the events up to a pause (us), and those behind it; false where the caller left
-/// meanwhile.
-async fn send_with_pause(
-    runtime: &Runtime,
-    c: &mut Connection,
-    top: &str,
-    event: impl Fn(usize) -> Vec<u8>,
-    behind: std::ops::Range<usize>,
-    us: u64,
-    from: usize,
-) -> bool {
-    let _ = c.write_all(top.as_bytes()).await;
-    for i in from..behind.start {
-        let _ = c.write_all(&event(i)).await;
-        runtime.sleep(20 * MS).await;
+    fn stream_head(&self) -> String {
+        format!(
+            "HTTP/1.1 200 X\r\ntry: {}\r\nstamp: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            self.attempt()
+        )
     }
-    if is_left_within(runtime, c, us).await {
-        return false;
+
+    /// An event of the stream, as a chunk.
+    fn event(&self, number: usize) -> Vec<u8> {
+        chunk(&format!(
+            "id: {number}\ndata: {}-{number}\n\n",
+            self.attempt()
+        ))
     }
-    for i in behind {
-        if c.write_all(&event(i)).await.is_err() {
-            return false;
+}
+
+fn chunk(text: &str) -> Vec<u8> {
+    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
+}
+
+/// A whole answer of the given status for an attempt, with further lines of the head.
+fn say(status: u16, attempt: &str, more: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!("HTTP/1.1 {status} X\r\ntry: {attempt}\r\n{more}content-length: {length}\r\n\r\n{body}")
+        .into_bytes()
+}
+
+const STAMP: &str = "stamp: 1\r\n";
+/// The chunk that ends a stream.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+/// count. Events of a whole stream.
+const EVENTS: usize = 4;
+/// us between two events.
+const EVENT_INTERVAL: u64 = 20 * MS;
+/// us after an answer until what comes behind it.
+const LATE: u64 = 30 * MS;
+
+/// What becomes of a connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Then {
+    Keep,
+    Close,
+}
+
+/// A server's side of one connection.
+struct Served {
+    runtime: Runtime,
+    connection: Connection,
+    buffer: Vec<u8>,
+    id: String,
+    floor: Arc<Floor>,
+}
+
+pub async fn serve_one(runtime: Runtime, connection: Connection, id: String, floor: Arc<Floor>) {
+    floor.conns.fetch_add(1, SeqCst);
+    let mut served = Served {
+        runtime,
+        connection,
+        buffer: vec![],
+        id,
+        floor,
+    };
+    while let Some(request) = served.read().await {
+        let act = served.next_act(&request);
+        if served.act(act, &request).await != Some(Then::Keep) {
+            return;
         }
-        runtime.sleep(20 * MS).await;
     }
-    true
 }
 
-pub async fn serve_one(runtime: Runtime, mut c: Connection, id: String, f: Arc<Floor>) {
-    f.conns.fetch_add(1, SeqCst);
-    let mut buf = vec![];
-    while let Some((first, heads)) = head(&mut c, &mut buf).await {
-        let len: usize = heads
-            .get("content-length")
-            .map_or(0, |v| v.parse().unwrap());
-        while buf.len() < len {
-            let mut b = [0; 4096];
-            match c.read(&mut b).await {
-                Ok(n) if n > 0 => buf.extend_from_slice(&b[..n]),
-                _ => return,
+impl Served {
+    async fn read_more(&mut self) -> Option<()> {
+        let mut bytes = [0; 4096];
+        let length = self.connection.read(&mut bytes).await.ok()?;
+        self.buffer.extend_from_slice(&bytes[..length]);
+        (length > 0).then_some(())
+    }
+
+    async fn read(&mut self) -> Option<Received> {
+        let end = loop {
+            let end = self.buffer.windows(4).position(|w| w == b"\r\n\r\n");
+            match end {
+                Some(end) => break end,
+                None => self.read_more().await?,
             }
-        }
-        let body: Vec<u8> = buf.drain(..len).collect();
-        f.seen.fetch_add(1, SeqCst);
-        let a = heads.get("try").cloned().unwrap_or_default();
-        let from = heads
-            .get("resume-after")
-            .map_or(0, |id| id.parse::<usize>().unwrap() + 1);
-        let told = f
-            .acts
-            .lock()
-            .unwrap()
-            .get_mut(&id)
-            .and_then(|v| v.pop_front());
-        let act = told.or(*f.other.lock().unwrap()).unwrap_or(Act::Good);
-        let act = if heads.get("for").is_some_and(|x| *x != id) {
-            Act::NotRun(421)
-        } else {
-            act
         };
+        let text = String::from_utf8(self.buffer[..end].to_vec()).unwrap();
+        self.buffer.drain(..end + 4);
+        let mut lines = text.split("\r\n");
+        let first_line = lines.next().unwrap().to_string();
+        let heads: BTreeMap<String, String> = lines
+            .map(|line| line.split_once(": ").unwrap())
+            .map(|(name, value)| (name.to_string(), value.to_string()))
+            .collect();
+        let length = heads.get("content-length");
+        let length: usize = length.map_or(0, |length| length.parse().unwrap());
+        while self.buffer.len() < length {
+            self.read_more().await?;
+        }
+        Some(Received {
+            first_line,
+            heads,
+            body: self.buffer.drain(..length).collect(),
+        })
+    }
+
+    /// What is done with a request, which is written down if it runs.
+    fn next_act(&self, request: &Received) -> Act {
+        self.floor.seen.fetch_add(1, SeqCst);
+        let mut acts = self.floor.acts.lock().unwrap();
+        let told = acts.get_mut(&self.id).and_then(|acts| acts.pop_front());
+        let act = told
+            .or(*self.floor.other.lock().unwrap())
+            .unwrap_or(Act::Good);
+        let is_meant = ["", self.id.as_str()].contains(&request.head("for"));
+        let act = if is_meant { act } else { Act::NotRun(421) };
         if !matches!(act, Act::NotRun(_) | Act::SlowNotRun(_)) {
-            let mut w2 = first.split(' ');
-            let target = w2.nth(1).unwrap().to_string();
-            f.runs.lock().unwrap().push(Run {
-                server: id.clone(),
-                attempt: a.clone(),
-                target,
-                body: body.clone(),
-                heads,
+            self.floor.runs.lock().unwrap().push(Run {
+                server: self.id.clone(),
+                attempt: request.attempt().into(),
+                target: request.first_line.split(' ').nth(1).unwrap().into(),
+                body: request.body.clone(),
+                heads: request.heads.clone(),
             });
         }
-        let say = |status: u16, a: &str, more: &str, body: &str| {
-            format!(
-                "HTTP/1.1 {status} X\r\ntry: {a}\r\n{more}content-length: {}\r\n\r\n{body}",
-                body.len()
-            )
-            .into_bytes()
-        };
-        let event = |i: usize| {
-            let e = format!("id: {i}\ndata: {a}-{i}\n\n");
-            format!("{:x}\r\n{e}\r\n", e.len()).into_bytes()
-        };
-        let top = format!(
-            "HTTP/1.1 200 X\r\ntry: {a}\r\nstamp: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-        );
-        let good = say(200, &a, "stamp: 1\r\n", "good");
-        let (out, close) = match act {
-            Act::Good if first.contains("/stream/") => {
-                let _ = c.write_all(top.as_bytes()).await;
-                for i in from..4 {
-                    let _ = c.write_all(&event(i)).await;
-                    runtime.sleep(20 * MS).await;
-                }
-                (b"0\r\n\r\n".to_vec(), false)
-            }
-            Act::Good => (good, false),
-            Act::Lose => (vec![], true),
-            Act::Silent => {
-                let mut b = [0; 64];
-                let _ = c.read(&mut b).await;
-                f.gone.lock().unwrap().push(runtime.now());
-                return;
+        act
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> Option<()> {
+        self.connection.write_all(bytes).await.ok()
+    }
+
+    async fn write_then(&mut self, bytes: &[u8], then: Then) -> Option<Then> {
+        self.write(bytes).await?;
+        Some(then)
+    }
+
+    /// None where the caller has left.
+    async fn act(&mut self, act: Act, request: &Received) -> Option<Then> {
+        if let Some((bytes, then)) = at_once(act, request) {
+            return self.write_then(&bytes, then).await;
+        }
+        let attempt = request.attempt();
+        let good = say(200, attempt, STAMP, "good");
+        match act {
+            Act::Silent => self.wait_for_leave().await,
+            Act::Interim(status) => {
+                let interim = format!("HTTP/1.1 {status} X\r\ntry: nobody\r\n\r\n");
+                self.write(interim.as_bytes()).await;
+                self.write_then(&good, Then::Keep).await
             }
-            Act::Half => (good[..good.len() - 2].to_vec(), true),
-            Act::NotRun(s) => (say(s, &a, "unrun: 1\r\n", ""), false),
-            Act::Fails(s) => (say(s, &a, "", "mine"), false),
-            Act::NoStamp => (say(200, &a, "", "good"), false),
-            Act::OtherTry => (say(200, "another", "stamp: 1\r\n", "other"), false),
-            Act::Garble => (b"\x00\x01garbage, no answer\r\n\r\n".to_vec(), true),
-            Act::Surplus => ([good, b"surplus".to_vec()].concat(), false),
             Act::Late => {
-                let _ = c.write_all(&good).await;
-                runtime.sleep(30 * MS).await;
-                (say(200, "stale", "stamp: 1\r\n", "stale"), false)
+                self.write(&good).await;
+                self.runtime.sleep(LATE).await;
+                let stale = say(200, "stale", STAMP, "stale");
+                self.write_then(&stale, Then::Keep).await
             }
             Act::ThenClose => {
-                let _ = c.write_all(&good).await;
-                runtime.sleep(30 * MS).await;
-                (vec![], true)
-            }
-            Act::Endless => (format!("HTTP/1.1 200 X\r\ntry: {a}\r\nstamp: 1\r\n\r\ngood").into_bytes(), true),
-            Act::OtherCoding => {
-                (format!("HTTP/1.1 200 X\r\ntry: {a}\r\nstamp: 1\r\ntransfer-encoding: identity\r\n\r\ngo").into_bytes(), true)
-            }
-            Act::Interim(status) => {
-                let _ = c.write_all(format!("HTTP/1.1 {status} X\r\ntry: nobody\r\n\r\n").as_bytes()).await;
-                (good, false)
-            }
-            Act::Switches => {
-                (format!("HTTP/1.1 101 X\r\ntry: {a}\r\nstamp: 1\r\nconnection: upgrade\r\nupgrade: x\r\n\r\ngood").into_bytes(), false)
-            }
-            Act::Encoded => (say(200, &a, "stamp: 1\r\ncontent-encoding: br\r\n", "good"), false),
-            Act::OldVersion => (String::from_utf8(good).unwrap().replace("HTTP/1.1", "HTTP/1.0").into_bytes(), true),
-            Act::Counted => {
-                let b: String = (0..4).map(|i| format!("id: {i}\ndata: {a}-{i}\n\n")).collect();
-                (say(200, &a, "stamp: 1\r\ncontent-type: text/event-stream\r\n", &b), false)
+                self.write(&good).await;
+                self.runtime.sleep(LATE).await;
+                Some(Then::Close)
             }
             Act::SlowNotRun(us) => {
-                runtime.sleep(us).await;
-                (say(503, &a, "unrun: 1\r\n", ""), false)
+                self.runtime.sleep(us).await;
+                let answer = say(503, attempt, "unrun: 1\r\n", "");
+                self.write_then(&answer, Then::Keep).await
             }
-            Act::Again => ([good.clone(), good].concat(), false),
-            Act::Break(n) => {
-                let _ = c.write_all(top.as_bytes()).await;
-                for i in 0..n {
-                    let _ = c.write_all(&event(i)).await;
-                    runtime.sleep(20 * MS).await;
-                }
-                (vec![], true)
+            Act::SlowFails(us, status) => {
+                self.runtime.sleep(us).await;
+                let answer = say(status, attempt, "", "mine");
+                self.write_then(&answer, Then::Keep).await
             }
-            Act::BreakInside(n) => {
-                let _ = c.write_all(top.as_bytes()).await;
-                for i in 0..n {
-                    let _ = c.write_all(&event(i)).await;
-                    runtime.sleep(20 * MS).await;
-                }
-                let half = format!("id: {n}\ndata: {a}-");
-                (format!("{:x}\r\n{half}\r\n", half.len()).into_bytes(), true)
+            Act::Slow(us) => {
+                self.runtime.sleep(us).await;
+                self.write_then(&good, Then::Keep).await
             }
-            Act::Stall(n) => {
-                let _ = c.write_all(top.as_bytes()).await;
-                for i in 0..n {
-                    let _ = c.write_all(&event(i)).await;
-                    runtime.sleep(20 * MS).await;
-                }
-                let mut b = [0; 64];
-                let _ = c.read(&mut b).await;
-                f.gone.lock().unwrap().push(runtime.now());
-                return;
+            _ => self.stream(act, request).await,
+        }
+    }
+
+    async fn stream(&mut self, act: Act, request: &Received) -> Option<Then> {
+        let first = request.first_event();
+        if let Act::SlowStream(us) = act {
+            self.wait(us).await?;
+        }
+        self.write(request.stream_head().as_bytes()).await;
+        match act {
+            Act::Good | Act::SlowStream(_) => {
+                self.send_events(request, first..EVENTS).await;
+                self.write_then(LAST_CHUNK, Then::Keep).await
             }
-            Act::Pause(n, us) => {
-                if !send_with_pause(&runtime, &mut c, &top, event, n..4, us, from).await {
-                    f.gone.lock().unwrap().push(runtime.now());
-                    return;
-                }
-                (b"0\r\n\r\n".to_vec(), false)
+            Act::Break(count) => {
+                self.send_events(request, 0..count).await;
+                Some(Then::Close)
             }
-            Act::PauseThenBreak(n, us) => {
-                send_with_pause(&runtime, &mut c, &top, event, n..n + 1, us, from).await;
-                (vec![], true)
+            Act::BreakInside(count) => {
+                self.send_events(request, 0..count).await;
+                let half = chunk(&format!("id: {count}\ndata: {}-", request.attempt()));
+                self.write_then(&half, Then::Close).await
             }
-            Act::SlowStream(us) => {
-                if is_left_within(&runtime, &mut c, us).await {
-                    f.gone.lock().unwrap().push(runtime.now());
-                    return;
-                }
-                let _ = c.write_all(top.as_bytes()).await;
-                for i in from..4 {
-                    let _ = c.write_all(&event(i)).await;
-                    runtime.sleep(20 * MS).await;
-                }
-                (b"0\r\n\r\n".to_vec(), false)
+            Act::Stall(count) => {
+                self.send_events(request, 0..count).await;
+                self.wait_for_leave().await
             }
-            Act::EndsAtOnce => {
-                let _ = c.write_all(top.as_bytes()).await;
-                (b"0\r\n\r\n".to_vec(), false)
+            Act::Pause(count, us) => {
+                self.send_events(request, first..count).await;
+                self.wait(us).await?;
+                self.send_events(request, count..EVENTS).await;
+                self.write_then(LAST_CHUNK, Then::Keep).await
+            }
+            Act::PauseThenBreak(count, us) => {
+                self.send_events(request, first..count).await;
+                self.wait(us).await?;
+                self.send_events(request, count..count + 1).await;
+                Some(Then::Close)
             }
             Act::Forever => {
-                let _ = c.write_all(top.as_bytes()).await;
-                let mut i = 0;
-                while c.write_all(&event(i)).await.is_ok() {
-                    runtime.sleep(20 * MS).await;
-                    i += 1;
+                let mut number = 0;
+                while self.write(&request.event(number)).await.is_some() {
+                    self.runtime.sleep(EVENT_INTERVAL).await;
+                    number += 1;
                 }
-                f.gone.lock().unwrap().push(runtime.now());
-                return;
-            }
-            Act::SlowFails(us, status) => {
-                runtime.sleep(us).await;
-                (say(status, &a, "", "mine"), false)
-            }
-            Act::Slow(us) => {
-                runtime.sleep(us).await;
-                (good, false)
+                self.note_leave()
             }
-        };
-        if c.write_all(&out).await.is_err() || close {
-            return;
+            other => unreachable!("{other:?} is no stream"),
+        }
+    }
+
+    /// Whether anybody reads them is seen later.
+    async fn send_events(&mut self, request: &Received, events: std::ops::Range<usize>) {
+        for number in events {
+            self.write(&request.event(number)).await;
+            self.runtime.sleep(EVENT_INTERVAL).await;
+        }
+    }
+
+    /// Waits for a time (us); None where the caller leaves meanwhile.
+    async fn wait(&mut self, us: u64) -> Option<()> {
+        let mut bytes = [0; 64];
+        let heard = self
+            .runtime
+            .timeout(us, self.connection.read(&mut bytes))
+            .await;
+        match heard {
+            Some(Ok(0) | Err(_)) => self.note_leave().map(|_: Then| ()),
+            _ => Some(()),
+        }
+    }
+
+    async fn wait_for_leave(&mut self) -> Option<Then> {
+        let mut bytes = [0; 64];
+        // Whatever is heard, nothing more is said.
+        let _ = self.connection.read(&mut bytes).await;
+        self.note_leave()
+    }
+
+    fn note_leave<T>(&self) -> Option<T> {
+        self.floor.gone.lock().unwrap().push(self.runtime.now());
+        None
+    }
+}
+
+/// Answers that are sent in one piece; None for all others.
+fn at_once(act: Act, request: &Received) -> Option<(Vec<u8>, Then)> {
+    let attempt = request.attempt();
+    let good = say(200, attempt, STAMP, "good");
+    let top = format!("HTTP/1.1 200 X\r\ntry: {attempt}\r\nstamp: 1\r\n");
+    let keep = |bytes: Vec<u8>| Some((bytes, Then::Keep));
+    let close = |bytes: Vec<u8>| Some((bytes, Then::Close));
+    match act {
+        Act::Good if !request.is_stream() => keep(good),
+        Act::Lose => close(vec![]),
+        Act::Half => close(good[..good.len() - 2].to_vec()),
+        Act::NotRun(status) => keep(say(status, attempt, "unrun: 1\r\n", "")),
+        Act::Fails(status) => keep(say(status, attempt, "", "mine")),
+        Act::NoStamp => keep(say(200, attempt, "", "good")),
+        Act::OtherTry => keep(say(200, "another", STAMP, "other")),
+        Act::Garble => close(b"\x00\x01garbage, no answer\r\n\r\n".to_vec()),
+        Act::Surplus => keep([good, b"surplus".to_vec()].concat()),
+        Act::Again => keep([good.clone(), good].concat()),
+        Act::Endless => close(format!("{top}\r\ngood").into_bytes()),
+        Act::OtherCoding => {
+            close(format!("{top}transfer-encoding: identity\r\n\r\ngo").into_bytes())
+        }
+        Act::Switches => {
+            let head = format!("HTTP/1.1 101 X\r\ntry: {attempt}\r\nstamp: 1\r\n");
+            let switch = format!("{head}connection: upgrade\r\nupgrade: x\r\n\r\ngood");
+            keep(switch.into_bytes())
+        }
+        Act::Encoded => {
+            let more = format!("{STAMP}content-encoding: br\r\n");
+            keep(say(200, attempt, &more, "good"))
+        }
+        Act::OldVersion => {
+            let text = String::from_utf8(good).unwrap();
+            close(text.replace("HTTP/1.1", "HTTP/1.0").into_bytes())
+        }
+        Act::Counted => {
+            let events: String = (0..EVENTS)
+                .map(|number| format!("id: {number}\ndata: {attempt}-{number}\n\n"))
+                .collect();
+            let more = format!("{STAMP}content-type: text/event-stream\r\n");
+            keep(say(200, attempt, &more, &events))
         }
+        Act::EndsAtOnce => keep([request.stream_head().as_bytes(), LAST_CHUNK].concat()),
+        _ => None,
     }
 }
