Streams: a server that cannot be reached does not cost a broken stream

What callers saw: a stream broke off, the server that was chosen for its rest refused the connection, and the answer was cut, though no byte was sent and other servers were free.

Cause: an attempt for which nothing was sent ended the take-up, as if no place were free. dispatch goes on to another server there.

Change: the take-up goes on too. A server that could not be reached stays among those tried; one whose choice no longer held may be chosen again, as in dispatch.

--- a/yewcross-proxy/src/relay/hedge.rs
+++ b/yewcross-proxy/src/relay/hedge.rs
@@ -59,8 +59,10 @@
             Raced::First(outcome) => outcome.or(second.await),
             Raced::Second(outcome) if outcome.is_good() => outcome,
             Raced::Second(outcome) => {
-                if outcome.nothing_sent() {
+                if matches!(outcome, Outcome::Withdrawn) {
                     tried.retain(|tried| *tried != server);
+                }
+                if outcome.nothing_sent() {
                     *sent -= 1;
                     permit.give_back();
                 }
--- a/yewcross-proxy/src/relay/resume.rs
+++ b/yewcross-proxy/src/relay/resume.rs
@@ -40,17 +40,22 @@
         self.sent += 1;
     }
 
-    /// Nothing was sent after all.
+    /// Nothing was sent after all: the server could not be reached.
+    fn not_sent(&mut self) {
+        self.sent -= 1;
+    }
+
+    /// Nothing was sent after all, since the choice no longer held: the server may be chosen again.
     fn withdraw(&mut self, server: &str) {
+        self.not_sent();
         self.tried.retain(|tried| tried != server);
-        self.sent -= 1;
     }
 }
 
 /// Why a server does not go on with a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TakeUpError {
-    /// No server was asked: no place was free, or none could be reached.
+    /// No server was asked: no place was free at any that could be reached.
     NotSent,
     /// A server was asked, and turned it away or failed.
     Failed,
@@ -119,24 +124,25 @@
     /// budget and the route's attempts as they were.
     async fn run(self, mut permit: RetryPermit) -> Result<Answer, TakeUpError> {
         let relay = &self.relay;
-        let tried = self.attempts.lock().unwrap().tried.clone();
-        let (route, claim) = relay
-            .seat(&self.request, &self.route, None, &tried)
-            .await
-            .map_err(|_| TakeUpError::NotSent)?;
-        let server = claim.to.server.clone();
-        self.attempts.lock().unwrap().begin(&server);
-        relay.counts.resumed.fetch_add(1, SeqCst);
-        permit.spend();
-        let outcome = relay.attempt(&self.request, claim, &route).await;
-        if outcome.nothing_sent() {
-            self.attempts.lock().unwrap().withdraw(&server);
+        loop {
+            let tried = self.attempts.lock().unwrap().tried.clone();
+            let (route, claim) = relay
+                .seat(&self.request, &self.route, None, &tried)
+                .await
+                .map_err(|_| TakeUpError::NotSent)?;
+            let server = claim.to.server.clone();
+            self.attempts.lock().unwrap().begin(&server);
+            relay.counts.resumed.fetch_add(1, SeqCst);
+            permit.spend();
+            match relay.attempt(&self.request, claim, &route).await {
+                Outcome::Answer(answer) if self.goes_on(&answer) => return Ok(*answer),
+                Outcome::Unsent => self.attempts.lock().unwrap().not_sent(),
+                Outcome::Withdrawn => self.attempts.lock().unwrap().withdraw(&server),
+                Outcome::Answer(_) | Outcome::NotRun | Outcome::Lost => {
+                    return Err(TakeUpError::Failed);
+                }
+            }
             permit.give_back();
-            return Err(TakeUpError::NotSent);
-        }
-        match outcome {
-            Outcome::Answer(answer) if self.goes_on(&answer) => Ok(*answer),
-            _ => Err(TakeUpError::Failed),
         }
     }
 
--- a/yewcross-proxy/src/relay/retry_budget.rs
+++ b/yewcross-proxy/src/relay/retry_budget.rs
@@ -72,7 +72,7 @@
     }
 
     /// Nothing was sent after all.
-    pub fn give_back(mut self) {
+    pub fn give_back(&mut self) {
         self.is_spent = false;
     }
 }
--- a/yewcross-testkit/tests/relay/resumption.rs
+++ b/yewcross-testkit/tests/relay/resumption.rs
@@ -402,6 +402,35 @@
     }
 }
 
+/// A broken stream whose next server cannot be reached is taken up at another one: nothing was sent,
+/// so that no attempt is spent.
+#[test]
+fn an_unreachable_server_does_not_cost_a_broken_stream() {
+    for tries in [2, 3] {
+        for seed in 270..276 {
+            let r = rig(seed, &[Act::Break(2); 3], Policies::all());
+            r.configure(2, json!([resumable("again/stream", tries)]));
+            *r.floor.other.lock().unwrap() = Some(Act::Good);
+            let (rig, w) = (r.clone(), r.relay.runtime.clone());
+            w.clone().spawn(async move {
+                while rig.floor.runs.lock().unwrap().is_empty() {
+                    w.sleep(MS).await;
+                }
+                rig.floor.acts.lock().unwrap().clear();
+                let first = rig.floor.runs.lock().unwrap()[0].server.clone();
+                let other = (0..3).find(|i| first != format!("model{i}")).unwrap();
+                rig.sim.kill(rig.machines[other], false);
+            });
+            let h = r.ask("t", "/again/stream/x", &[], "b");
+            assert_eq!(
+                (h.status, h.whole, h.body.as_str(), r.runs("t").len()),
+                (200, true, WHOLE, 2),
+                "{tries} tries, seed {seed}"
+            );
+        }
+    }
+}
+
 /// A front that is stopped while its stream's server pauses waits for it like any other.
 #[test]
 fn a_paused_stream_outlasts_the_stop_of_its_front() {
