--- a/yewcross-common/src/lib.rs
+++ b/yewcross-common/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod hash;
 pub mod membership;
 pub mod notify;
+pub mod process;
 pub mod process_settings;
 pub mod protocol;
 pub mod register;
--- a/yewcross-common/src/process_settings.rs
+++ b/yewcross-common/src/process_settings.rs
@@ -27,6 +27,17 @@
     Store,
 }
 
+impl Role {
+    /// The name of the role in settings and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Role::Front => "front",
+            Role::Core => "core",
+            Role::Store => "store",
+        }
+    }
+}
+
 /// The contents of the startup file.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/yewcross-common/src/runtime/os/mod.rs
+++ b/yewcross-common/src/runtime/os/mod.rs
@@ -198,7 +198,7 @@
     }
 
     fn log(&self, line: &str) {
-        spdlog::info!("{}", line);
+        crate::process::log(line);
     }
 }
 
--- a/yewcross-control/src/main.rs
+++ b/yewcross-control/src/main.rs
@@ -8,7 +8,6 @@
 use yewcross_common::runtime::Runtime;
 use yewcross_common::runtime::os::OsRuntime;
 use yewcross_control::Control;
-use yewcross_control::start::StartError;
 
 xflags::xflags! {
     /// Control plane of the yewcross serving tier.
@@ -39,10 +38,7 @@
         Ok(control) => control,
         Err(error) => {
             eprintln!("{error}");
-            return match error {
-                StartError::Bind { .. } => exit::CANNOT_BIND,
-                StartError::Disk { .. } => exit::BAD_DISK,
-            };
+            return error.exit_code();
         }
     };
     runtime.log(if role == Role::Core {
--- a/yewcross-control/src/start.rs
+++ b/yewcross-control/src/start.rs
@@ -19,7 +19,7 @@
 use yewcross_common::documents::cache::{DOCUMENT_NAMES, DocumentCache};
 use yewcross_common::documents::watcher::DocumentWatcher;
 use yewcross_common::membership::Membership;
-use yewcross_common::process_settings::{ProcessSettings, Role};
+use yewcross_common::process_settings::{ProcessSettings, Role, exit};
 use yewcross_common::register::{RegisterClient, Replica};
 use yewcross_common::runtime::{Listener, Runtime};
 use yewcross_common::storage::DurableStorage;
@@ -36,6 +36,16 @@
     Bind { at: SocketAddr, source: io::Error },
 }
 
+impl StartError {
+    /// The exit code of a process that ends with this error.
+    pub fn exit_code(&self) -> i32 {
+        match self {
+            StartError::Disk { .. } => exit::BAD_DISK,
+            StartError::Bind { .. } => exit::CANNOT_BIND,
+        }
+    }
+}
+
 /// The documents and peers that were stored on this node's own disk when it started.
 struct LocalState {
     documents: PersistedDocuments,
