Install the signal handlers before the start of a process, not after it

What callers saw: a process that gets SIGHUP (changed settings) while it starts is gone, and its machine serves nobody until it is started again; after SIGTERM its status tells of a crash.

Cause: the handlers came after the settings, the data folder and the runtime; in the product's own programs after the disk was read and all addresses were bound. Until then the kernel's default action ends the process. Those two programs also took a failed read of the signals for a signal to stop.

Now one type in yewcross_common installs the handlers first and runs the start beside them: a signal to stop ends the start with exit code 0, one to reload is kept until the settings can be read again.

What is left is the time until the kernel and the linker reach main, which a process cannot change.

--- a/yewcross-common/src/process/mod.rs
+++ b/yewcross-common/src/process/mod.rs
@@ -1,4 +1,6 @@
-//! The life of a process of the tier.
+//! The life of a process of the tier: its start, signals and end.
+
+pub mod signals;
 
 use crate::process_settings::exit;
 
--- a/yewcross-control/src/main.rs
+++ b/yewcross-control/src/main.rs
@@ -1,9 +1,9 @@
 //! The control plane's process: runs a core or store node until a signal stops it or a newer process
 //! with the same name replaces it.
 
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
 use std::sync::Arc;
+use yewcross_common::process;
+use yewcross_common::process::signals::{ProcessSignals, StartOutcome};
 use yewcross_common::process_settings::{ProcessSettings, Role, exit};
 use yewcross_common::runtime::Runtime;
 use yewcross_common::runtime::os::OsRuntime;
@@ -21,36 +21,54 @@
 
 fn main() {
     let flags = YewcrossControl::from_env_or_exit();
+    let signals = ProcessSignals::install().unwrap_or_else(|error| {
+        let reason = format!("cannot handle signals: {error}");
+        std::process::exit(process::log_end(exit::CANNOT_BIND, &reason))
+    });
     let settings = yewcross_common::process_settings::load(&flags.startup, false, flags.check);
     if let Err(error) = std::fs::create_dir_all(&settings.data) {
         eprintln!("cannot create the data folder {}: {error}", settings.data);
         std::process::exit(exit::BAD_DISK);
     }
     let runtime = OsRuntime::start(&settings.data, settings.threads);
-    let exit_code = smol::block_on(run(&runtime, settings, &flags.startup));
+    let exit_code = smol::block_on(run(&runtime, settings, &flags.startup, signals));
     std::process::exit(exit_code);
 }
 
 /// Runs the node until it stops and returns the exit code.
-async fn run(runtime: &Runtime, settings: ProcessSettings, startup_file: &str) -> i32 {
+async fn run(
+    runtime: &Runtime,
+    settings: ProcessSettings,
+    startup_file: &str,
+    mut signals: ProcessSignals,
+) -> i32 {
     let role = settings.role;
-    let control = match Control::start(runtime, settings).await {
-        Ok(control) => control,
-        Err(error) => {
+    let outcome = signals.start(Control::start(runtime, settings)).await;
+    let (control, is_reload_requested) = match outcome {
+        StartOutcome::Completed {
+            result: Ok(control),
+            is_reload_requested,
+        } => (control, is_reload_requested),
+        StartOutcome::Completed {
+            result: Err(error), ..
+        } => {
             eprintln!("{error}");
             return error.exit_code();
         }
+        StartOutcome::Stopped => return exit::OK,
     };
     runtime.log(if role == Role::Core {
         "core node started"
     } else {
         "store node started"
     });
-    let Ok(mut signals) = Signals::new([Signal::Term, Signal::Int, Signal::Hup]) else {
-        return exit::CANNOT_BIND;
-    };
+    if is_reload_requested {
+        reload(&control, startup_file);
+    }
     let stopped = async {
-        reload_until_stopped(runtime, &control, &mut signals, startup_file).await;
+        signals
+            .stop_requested(|| reload(&control, startup_file))
+            .await;
         control.stop().await;
         exit::OK
     };
@@ -61,21 +79,16 @@
     futures_lite::future::or(stopped, replaced).await
 }
 
-/// Reloads the startup file on each SIGHUP; returns on any other signal.
-async fn reload_until_stopped(
-    runtime: &Runtime,
-    control: &Arc<Control>,
-    signals: &mut Signals,
-    startup_file: &str,
-) {
-    while let Some(Ok(Signal::Hup)) = signals.next().await {
-        match control.settings.reload(startup_file) {
-            Ok(settings) => {
-                *control.members.seeds.lock().unwrap() = settings.seeds;
-                *control.platform.lock().unwrap() = settings.platform;
-                runtime.log("startup file reloaded");
-            }
-            Err(error) => runtime.log(&format!("startup file reload refused: {error}")),
+/// Reads the startup file again and applies the settings that may change at run time.
+fn reload(control: &Arc<Control>, startup_file: &str) {
+    match control.settings.reload(startup_file) {
+        Ok(settings) => {
+            *control.members.seeds.lock().unwrap() = settings.seeds;
+            *control.platform.lock().unwrap() = settings.platform;
+            control.runtime.log("startup file reloaded");
         }
+        Err(error) => control
+            .runtime
+            .log(&format!("startup file reload refused: {error}")),
     }
 }
--- a/yewcross-proxy/src/main.rs
+++ b/yewcross-proxy/src/main.rs
@@ -1,9 +1,13 @@
 //! The process of a data-plane node: reads its startup file, serves until a signal stops it, and
 //! reloads the file on SIGHUP.
 
-use futures_lite::StreamExt;
-use yewcross_common::process_settings::exit;
+use std::sync::Arc;
+use yewcross_common::process;
+use yewcross_common::process::signals::{ProcessSignals, StartOutcome};
+use yewcross_common::process_settings::{ProcessSettings, exit};
+use yewcross_common::runtime::Runtime;
 use yewcross_common::runtime::os::OsRuntime;
+use yewcross_proxy::Front;
 
 xflags::xflags! {
     /// Data plane of the yewcross serving tier.
@@ -16,48 +20,65 @@
 }
 
 fn main() {
-    let arguments = YewcrossFront::from_env_or_exit();
-    let settings =
-        yewcross_common::process_settings::load(&arguments.startup, true, arguments.check);
+    let flags = YewcrossFront::from_env_or_exit();
+    let signals = ProcessSignals::install().unwrap_or_else(|error| {
+        let reason = format!("cannot handle signals: {error}");
+        std::process::exit(process::log_end(exit::CANNOT_BIND, &reason))
+    });
+    let settings = yewcross_common::process_settings::load(&flags.startup, true, flags.check);
     let runtime = OsRuntime::start(".", settings.threads);
-    let code = smol::block_on(async {
-        let front = match yewcross_proxy::Front::start(&runtime, settings).await {
-            Ok(front) => front,
-            Err(error) => {
-                eprintln!("{error}");
-                return exit::CANNOT_BIND;
-            }
-        };
-        runtime.log("front node started");
-        let handled_signals = [
-            async_signal::Signal::Term,
-            async_signal::Signal::Int,
-            async_signal::Signal::Hup,
-        ];
-        let Ok(mut signals) = async_signal::Signals::new(handled_signals) else {
+    let exit_code = smol::block_on(run(&runtime, settings, &flags.startup, signals));
+    std::process::exit(exit_code);
+}
+
+/// Runs the node until it stops and returns the exit code.
+async fn run(
+    runtime: &Runtime,
+    settings: ProcessSettings,
+    startup_file: &str,
+    mut signals: ProcessSignals,
+) -> i32 {
+    let outcome = signals.start(Front::start(runtime, settings)).await;
+    let (front, is_reload_requested) = match outcome {
+        StartOutcome::Completed {
+            result: Ok(front),
+            is_reload_requested,
+        } => (front, is_reload_requested),
+        StartOutcome::Completed {
+            result: Err(error), ..
+        } => {
+            eprintln!("{error}");
             return exit::CANNOT_BIND;
-        };
-        let replaced = async {
-            front.members.replaced.wait().await;
-            exit::REPLACED
-        };
-        let stopped = async {
-            while let Some(Ok(signal)) = signals.next().await {
-                match signal {
-                    async_signal::Signal::Hup => match front.settings.reload(&arguments.startup) {
-                        Ok(new_settings) => {
-                            *front.members.seeds.lock().unwrap() = new_settings.seeds;
-                            runtime.log("startup file reloaded")
-                        }
-                        Err(error) => runtime.log(&format!("startup file reload refused: {error}")),
-                    },
-                    _ => break,
-                }
-            }
-            front.stop().await;
-            exit::OK
-        };
-        futures_lite::future::or(stopped, replaced).await
-    });
-    std::process::exit(code);
+        }
+        StartOutcome::Stopped => return exit::OK,
+    };
+    runtime.log("front node started");
+    if is_reload_requested {
+        reload(&front, startup_file);
+    }
+    let stopped = async {
+        signals
+            .stop_requested(|| reload(&front, startup_file))
+            .await;
+        front.stop().await;
+        exit::OK
+    };
+    let replaced = async {
+        front.members.replaced.wait().await;
+        exit::REPLACED
+    };
+    futures_lite::future::or(stopped, replaced).await
+}
+
+/// Reads the startup file again and applies the settings that may change at run time.
+fn reload(front: &Arc<Front>, startup_file: &str) {
+    match front.settings.reload(startup_file) {
+        Ok(settings) => {
+            *front.members.seeds.lock().unwrap() = settings.seeds;
+            front.runtime.log("startup file reloaded");
+        }
+        Err(error) => front
+            .runtime
+            .log(&format!("startup file reload refused: {error}")),
+    }
 }
