Wait at the start of a process for its addresses, data folder and disk

What callers saw: a machine whose process could not bind one of its addresses, or whose disk refused a write, ended with status 4 or 5 in its first milliseconds, however soon the condition passed. A process that was started while its predecessor still shut down was gone, and after the predecessor's end nobody served.

Cause: the start took every error for a final one. In service the same conditions are waited out: accept, reload and disks retry.

A process that waits must not have read its disk before its predecessor has ended, or it would start from old promises: the data folder is locked before anything in it is read. That was open before, too: a second process read, and cleaned up, the folder of a running one before it failed to bind.

The test of the exit code for an address in use sets start_timeout_ms to 300 and asks for the same code.

--- a/yewcross-common/src/constants.rs
+++ b/yewcross-common/src/constants.rs
@@ -9,6 +9,7 @@
 mod routing;
 mod servers;
 mod sessions;
+mod startup;
 mod transport;
 mod turn_log;
 
@@ -21,6 +22,7 @@
 pub use routing::*;
 pub use servers::*;
 pub use sessions::*;
+pub use startup::*;
 pub use transport::*;
 pub use turn_log::*;
 
--- a/yewcross-common/src/process/mod.rs
+++ b/yewcross-common/src/process/mod.rs
@@ -1,6 +1,10 @@
 //! The life of a process of the tier: its start, signals and end.
 
+pub mod data_folder;
 pub mod signals;
+mod startup_retry;
+
+pub use startup_retry::{bind, retry};
 
 use crate::process_settings::exit;
 
--- a/yewcross-common/src/process_settings.rs
+++ b/yewcross-common/src/process_settings.rs
@@ -1,6 +1,6 @@
 //! Process settings: the startup file, which is read and validated before any socket is bound.
 
-use crate::constants::{WIRE_VERSION, WIRE_VERSION_MIN};
+use crate::constants::{MS, START_TIMEOUT_MS, WIRE_VERSION, WIRE_VERSION_MIN};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::net::SocketAddr;
@@ -71,6 +71,10 @@
     #[serde(default)]
     #[serde(rename = "found")]
     pub bootstrap: bool,
+    /// Longest time in ms that the start waits for an address or a data folder in use, or for a disk
+    /// that does not accept writes.
+    #[serde(default = "default_start_timeout_ms")]
+    pub start_timeout_ms: u64,
     /// Guarantees that the tier has to provide.
     #[serde(default)]
     pub bounds: Bounds,
@@ -138,6 +142,10 @@
     THREADS_DEFAULT
 }
 
+fn default_start_timeout_ms() -> u64 {
+    START_TIMEOUT_MS
+}
+
 /// The reason why settings cannot be used.
 #[derive(Debug, Snafu)]
 pub enum SettingsError {
@@ -184,6 +192,11 @@
 }
 
 impl ProcessSettings {
+    /// Longest wait at the start, in µs.
+    pub fn start_timeout(&self) -> u64 {
+        self.start_timeout_ms * MS
+    }
+
     /// Reads a startup file without validating the values, see [`ProcessSettings::validate`].
     pub fn read(path: &str) -> Result<ProcessSettings, SettingsError> {
         let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
--- a/yewcross-control/src/main.rs
+++ b/yewcross-control/src/main.rs
@@ -3,11 +3,13 @@
 
 use std::sync::Arc;
 use yewcross_common::process;
+use yewcross_common::process::data_folder::DataFolder;
 use yewcross_common::process::signals::{ProcessSignals, StartOutcome};
 use yewcross_common::process_settings::{ProcessSettings, Role, exit};
 use yewcross_common::runtime::Runtime;
 use yewcross_common::runtime::os::OsRuntime;
 use yewcross_control::Control;
+use yewcross_control::start::StartError;
 
 xflags::xflags! {
     /// Control plane of the yewcross serving tier.
@@ -26,10 +28,6 @@
         std::process::exit(process::log_end(exit::CANNOT_BIND, &reason))
     });
     let settings = yewcross_common::process_settings::load(&flags.startup, false, flags.check);
-    if let Err(error) = std::fs::create_dir_all(&settings.data) {
-        eprintln!("cannot create the data folder {}: {error}", settings.data);
-        std::process::exit(exit::BAD_DISK);
-    }
     let runtime = OsRuntime::start(&settings.data, settings.threads);
     let exit_code = smol::block_on(run(&runtime, settings, &flags.startup, signals));
     std::process::exit(exit_code);
@@ -43,12 +41,12 @@
     mut signals: ProcessSignals,
 ) -> i32 {
     let role = settings.role;
-    let outcome = signals.start(Control::start(runtime, settings)).await;
-    let (control, is_reload_requested) = match outcome {
+    let outcome = signals.start(start(runtime, settings)).await;
+    let ((control, _data_folder), is_reload_requested) = match outcome {
         StartOutcome::Completed {
-            result: Ok(control),
+            result: Ok(started),
             is_reload_requested,
-        } => (control, is_reload_requested),
+        } => (started, is_reload_requested),
         StartOutcome::Completed {
             result: Err(error), ..
         } => {
@@ -79,6 +77,17 @@
     futures_lite::future::or(stopped, replaced).await
 }
 
+/// Starts the node once no other process uses its data folder.
+async fn start(
+    runtime: &Runtime,
+    settings: ProcessSettings,
+) -> Result<(Arc<Control>, DataFolder), StartError> {
+    let timeout = settings.start_timeout();
+    let data_folder = DataFolder::lock(runtime, &settings.data, timeout).await?;
+    let control = Control::start(runtime, settings).await?;
+    Ok((control, data_folder))
+}
+
 /// Reads the startup file again and applies the settings that may change at run time.
 fn reload(control: &Arc<Control>, startup_file: &str) {
     match control.settings.reload(startup_file) {
--- a/yewcross-control/src/start.rs
+++ b/yewcross-control/src/start.rs
@@ -19,6 +19,8 @@
 use yewcross_common::documents::cache::{DOCUMENT_NAMES, DocumentCache};
 use yewcross_common::documents::watcher::DocumentWatcher;
 use yewcross_common::membership::Membership;
+use yewcross_common::process;
+use yewcross_common::process::data_folder::DataFolderError;
 use yewcross_common::process_settings::{ProcessSettings, Role, exit};
 use yewcross_common::register::{RegisterClient, Replica};
 use yewcross_common::runtime::{Listener, Runtime};
@@ -30,6 +32,8 @@
 /// Errors that prevent a node from starting.
 #[derive(Debug, Snafu)]
 pub enum StartError {
+    #[snafu(transparent)]
+    DataFolder { source: DataFolderError },
     #[snafu(display("cannot read or write the data disk: {source}"))]
     Disk { source: io::Error },
     #[snafu(display("cannot listen on {at}: {source}"))]
@@ -40,7 +44,7 @@
     /// The exit code of a process that ends with this error.
     pub fn exit_code(&self) -> i32 {
         match self {
-            StartError::Disk { .. } => exit::BAD_DISK,
+            StartError::DataFolder { .. } | StartError::Disk { .. } => exit::BAD_DISK,
             StartError::Bind { .. } => exit::CANNOT_BIND,
         }
     }
@@ -85,11 +89,14 @@
         settings: ProcessSettings,
         options: Options,
     ) -> Result<Arc<Control>, StartError> {
-        let (control, local) = open(runtime, settings, options).await?;
+        let timeout = settings.start_timeout();
+        let attempt = || open(runtime, settings.clone(), options.clone());
+        let opened = process::retry(runtime, timeout, "opening the data disk", attempt).await;
+        let (control, local) = opened?;
         if control.options.maintains_layout {
             restrict_proposals(&control);
         }
-        let peer_listener = bind(runtime, control.settings.peer).await?;
+        let peer_listener = bind(&control, control.settings.peer).await?;
         if control.options.bind_http {
             serve_operators(&control).await?;
         }
@@ -242,7 +249,7 @@
 /// Serves the product's own HTTP interface for operators.
 async fn serve_operators(control: &Arc<Control>) -> Result<(), StartError> {
     let runtime = &control.runtime;
-    let listener = bind(runtime, control.settings.http).await?;
+    let listener = bind(control, control.settings.http).await?;
     let control_handle = control.clone();
     let handler: buffered_http::Handler = Arc::new(move |request| {
         Box::pin(operator::handle_request(control_handle.clone(), request))
@@ -279,6 +286,8 @@
     }
 }
 
-async fn bind(runtime: &Runtime, at: SocketAddr) -> Result<Box<dyn Listener>, StartError> {
-    runtime.bind(at).await.context(BindSnafu { at })
+async fn bind(control: &Control, at: SocketAddr) -> Result<Box<dyn Listener>, StartError> {
+    let timeout = control.settings.start_timeout();
+    let bound = process::bind(&control.runtime, at, timeout).await;
+    bound.context(BindSnafu { at })
 }
--- a/yewcross-proxy/src/lib.rs
+++ b/yewcross-proxy/src/lib.rs
@@ -25,8 +25,9 @@
 use crate::policy::Mechanism;
 use http_types::{Method, Response};
 use serde_json::json;
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, OnceLock};
 use yewcross_common::adapter::{CallerProtocol, ConfigurationFormat, UpstreamProtocol};
@@ -38,6 +39,7 @@
 use yewcross_common::documents::watcher::DocumentWatcher;
 use yewcross_common::error_code::Code;
 use yewcross_common::membership::Membership;
+use yewcross_common::process;
 use yewcross_common::process_settings::{ProcessSettings, Role};
 use yewcross_common::protocol::*;
 use yewcross_common::runtime::*;
@@ -158,7 +160,7 @@
 #[derive(Debug, Snafu)]
 #[snafu(display("cannot bind {address}: {source}"))]
 pub struct BindError {
-    address: String,
+    address: SocketAddr,
     source: std::io::Error,
 }
 
@@ -367,22 +369,8 @@
     }
 
     async fn listen(self: &Arc<Self>) -> Result<Box<dyn Listener>, BindError> {
-        let bind = |address: std::net::SocketAddr| {
-            move |source| BindError {
-                address: address.to_string(),
-                source,
-            }
-        };
-        let peer_listener = self
-            .runtime
-            .bind(self.settings.peer)
-            .await
-            .map_err(bind(self.settings.peer))?;
-        let http_listener = self
-            .runtime
-            .bind(self.settings.http)
-            .await
-            .map_err(bind(self.settings.http))?;
+        let peer_listener = self.bind(self.settings.peer).await?;
+        let http_listener = self.bind(self.settings.http).await?;
         self.runtime.spawn(
             self.peers
                 .clone()
@@ -391,6 +379,12 @@
         Ok(http_listener)
     }
 
+    async fn bind(&self, address: SocketAddr) -> Result<Box<dyn Listener>, BindError> {
+        let timeout = self.settings.start_timeout();
+        let bound = process::bind(&self.runtime, address, timeout).await;
+        bound.context(BindSnafu { address })
+    }
+
     /// Creates a node that does not listen yet.
     pub fn open(runtime: &Runtime, settings: ProcessSettings) -> Arc<Front> {
         Front::open_with_format(runtime, settings, None)
--- a/yewcross-testkit/examples/chain_load.rs
+++ b/yewcross-testkit/examples/chain_load.rs
@@ -100,6 +100,7 @@
             threads: 1,
             wire: WIRE_VERSION,
             bootstrap: false,
+            start_timeout_ms: yewcross_common::constants::START_TIMEOUT_MS,
             bounds: Bounds::default(),
         };
         let (nodes, client) = (nodes.clone(), client.clone());
--- a/yewcross-testkit/src/tier.rs
+++ b/yewcross-testkit/src/tier.rs
@@ -196,6 +196,7 @@
             threads: 1,
             wire: WIRE_VERSION,
             bootstrap: true,
+            start_timeout_ms: yewcross_common::constants::START_TIMEOUT_MS,
             bounds: Bounds {
                 lost,
                 probe_interval: 1200,
--- a/yewcross-testkit/src/topology.rs
+++ b/yewcross-testkit/src/topology.rs
@@ -210,6 +210,7 @@
                 threads: 1,
                 wire: WIRE_VERSION,
                 bootstrap: false,
+                start_timeout_ms: yewcross_common::constants::START_TIMEOUT_MS,
                 bounds: Default::default(),
             });
         }
--- a/yewcross-testkit/tests/chain.rs
+++ b/yewcross-testkit/tests/chain.rs
@@ -198,6 +198,7 @@
             threads: 1,
             wire: WIRE_VERSION,
             bootstrap: false,
+            start_timeout_ms: yewcross_common::constants::START_TIMEOUT_MS,
             bounds: Bounds {
                 lost: self.lost,
                 ..Default::default()
--- a/yewcross-testkit/tests/disk.rs
+++ b/yewcross-testkit/tests/disk.rs
@@ -440,6 +440,40 @@
     assert!(worst < SEC, "{worst}");
 }
 
+/// Disks of a core and a store refuse writes for 2 s from their first start on.
+#[test]
+fn a_disk_that_refuses_writes_at_the_first_start_does_not_end_the_process() {
+    for (seed, trouble) in (0..3).flat_map(|seed| [(seed, Trouble::Full), (seed, Trouble::Errors)])
+    {
+        let tier = Tier::new(4500 + seed, [4, 4, 1], 1);
+        run_script(&tier, move |t| {
+            Box::pin(async move {
+                for name in ["core2", "store2"] {
+                    set(&t, name, trouble, true);
+                }
+                t.boot_all();
+                t.operator.sleep(2 * SEC).await;
+                for name in ["core2", "store2"] {
+                    assert!(
+                        t.control_node(name).is_none(),
+                        "{name} did not need its disk"
+                    );
+                    set(&t, name, trouble, false);
+                }
+                for name in ["core2", "store2"] {
+                    let restored = until_restored(&t, name, 5 * SEC).await;
+                    assert!(
+                        restored.is_some(),
+                        "{trouble:?}: {name}\n{}",
+                        format_log(&t)
+                    );
+                }
+                t.put_until_acknowledged(0, "1 a").await;
+            })
+        });
+    }
+}
+
 /// A store's log after a disk that failed: what was answered is there, what was not is believed
 /// neither way, and the store answers again.
 #[test]
--- a/yewcross-testkit/tests/real.rs
+++ b/yewcross-testkit/tests/real.rs
@@ -241,7 +241,7 @@
     let good = at(
         "good",
         &format!(
-            "name='a'\nrole='front'\nsite='z'\npeer='{peer}'\nhttp='{http}'\nseeds=['127.0.0.1:1']\n"
+            "name='a'\nrole='front'\nsite='z'\npeer='{peer}'\nhttp='{http}'\nseeds=['127.0.0.1:1']\nstart_timeout_ms=300\n"
         ),
     );
     let bad = at(
