Allow a listener on the local port of an outgoing connection

The kernel refuses to bind a listener to a port of an outgoing connection, open or closed less than a minute ago, unless both sockets have SO_REUSEADDR. Listeners had it, outgoing connections did not; so where a deployment's ports lie in the kernel's range for outgoing connections, a process could keep another one, or its own successor, from starting.

--- a/yewcross-common/src/runtime/os/tcp.rs
+++ b/yewcross-common/src/runtime/os/tcp.rs
@@ -116,6 +116,8 @@
 /// Starts a non-blocking connect, with keepalive probes enabled.
 fn start_connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = new_socket(address)?;
+    // Otherwise no listener can be bound to its local port until a minute after the connection.
+    socket.set_reuse_address(true)?;
     set_stream_options(SockRef::from(&socket))?;
     let keepalive = TcpKeepalive::new()
         .with_time(Duration::from_micros(KEEPALIVE_INTERVAL))
