Disk threads: try again to start a thread that the system refused

A refused thread was counted as started for good: after four refusals no disk operation would ever have run.

--- a/yewcross-common/src/runtime/os/disk_threads.rs
+++ b/yewcross-common/src/runtime/os/disk_threads.rs
@@ -48,8 +48,7 @@
 
     fn start_thread(&self) {
         let (receiver, idle) = (self.receiver.clone(), self.idle.clone());
-        // If the system cannot start another thread, the existing ones process the queue.
-        let _ = std::thread::Builder::new()
+        let started = std::thread::Builder::new()
             .name("disk".into())
             .stack_size(STACK_BYTES)
             .spawn(move || {
@@ -62,5 +61,10 @@
                     operation();
                 }
             });
+        // If the system cannot start another thread, the existing ones process the queue, and the next
+        // operation tries again.
+        if started.is_err() {
+            self.started.fetch_sub(1, SeqCst);
+        }
     }
 }
