--- a/yewcross-proxy/src/lib.rs
+++ b/yewcross-proxy/src/lib.rs
@@ -9,26 +9,31 @@
 pub mod admission;
 pub mod back;
 pub mod balance;
+pub mod counts;
 pub mod kv;
 pub mod load_exchange;
 pub mod load_reports;
 pub mod lookup;
 pub mod policy;
 pub mod pool;
+pub mod push_pacer;
 pub mod relay;
 pub mod scan;
 pub mod scoring;
 pub mod server_table;
 pub mod turn;
 
+pub use counts::Counts;
+
 use crate::load_exchange::LoadExchange;
 use crate::policy::Mechanism;
+use crate::push_pacer::PushPacer;
 use http_types::{Method, Response};
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, OnceLock};
 use yewcross_common::adapter::{CallerProtocol, ConfigurationFormat, UpstreamProtocol};
 use yewcross_common::buffered_http::{
@@ -47,64 +52,6 @@
 use yewcross_common::transport::*;
 use yewcross_common::turn_log::TurnLogService;
 
-/// Defines the node's counters; `/metrics` shows each one under the name of its field.
-macro_rules! counts {
-    ($($f:ident),*) => {
-        /// Counters of a node, shown by `/metrics` under the names of the fields.
-        #[derive(Default)]
-        pub struct Counts { $(pub $f: AtomicU64),* }
-        impl Counts {
-            /// The values of all counters by name.
-            pub fn all(&self) -> BTreeMap<&'static str, u64> {
-                [$((stringify!($f), self.$f.load(SeqCst))),*].into()
-            }
-        }
-    };
-}
-
-counts!(
-    // Load reports of servers that failed validation.
-    absurd,
-    turns,
-    done,
-    replayed,
-    // Turns closed with an unknown outcome.
-    lost,
-    // Turn responses whose output failed verification.
-    broken,
-    cancelled,
-    lookups,
-    found,
-    // Connections that reached a server with another identity than selected.
-    strangers,
-    polls,
-    // Finished turns by the share of the prompt that the server reused from its cache.
-    warm,
-    partly,
-    cold,
-    // The same for turns that ran on another server than the one that holds the session's prefix;
-    // `moved_short`: with a prefix too short to have a replica.
-    moved_warm,
-    moved_partly,
-    moved_cold,
-    moved_short,
-    imports,
-    imports_failed,
-    imports_skipped,
-    // Turns dispatched to the server of a replica that had not been imported yet.
-    unready,
-    import_us,
-    pushes,
-    push_failed,
-    push_skipped,
-    // Bytes pushed to servers of the same site, and of another.
-    push_within,
-    push_across,
-    // Updates of a session's cache state that the store did not accept.
-    note_refused,
-    drops
-);
-
 /// A node of role `front`: its connections to peers and servers, its copies of the published
 /// documents, and its state by server and by session.
 pub struct Front {
@@ -164,69 +111,6 @@
     source: std::io::Error,
 }
 
-/// Paces replica pushes: at most [`KV_PUSHES_PER_SERVER`] at once to one server, and at most half
-/// of the sending server's link bandwidth.
-#[derive(Default)]
-pub struct PushPacer {
-    /// Pushes in progress by receiving server.
-    in_flight: Mutex<BTreeMap<String, usize>>,
-    /// By sending server: when its link may be used for the next push (us of the node's clock).
-    free_at: Mutex<BTreeMap<String, u64>>,
-}
-
-/// Permission for one push to a server; dropping it allows the next.
-pub struct PushPermit<'a>(&'a PushPacer, String);
-
-impl Drop for PushPermit<'_> {
-    fn drop(&mut self) {
-        self.0
-            .in_flight
-            .lock()
-            .unwrap()
-            .get_mut(&self.1)
-            .into_iter()
-            .for_each(|pushes| *pushes = pushes.saturating_sub(1));
-    }
-}
-
-impl PushPacer {
-    /// Waits until a push between the two servers is allowed; None if none is within
-    /// [`KV_PUSH_TIMEOUT`].
-    pub async fn acquire(&self, runtime: &Runtime, from: &str, to: &str) -> Option<PushPermit<'_>> {
-        let deadline = runtime.now() + KV_PUSH_TIMEOUT;
-        loop {
-            let free_at = self.free_at.lock().unwrap().get(from).cloned().unwrap_or(0);
-            if free_at > deadline {
-                return None;
-            }
-            if free_at <= runtime.now() {
-                let mut in_flight = self.in_flight.lock().unwrap();
-                let pushes = in_flight.entry(to.into()).or_default();
-                if *pushes < KV_PUSHES_PER_SERVER {
-                    *pushes += 1;
-                    return Some(PushPermit(self, to.into()));
-                }
-            }
-            if runtime.now() > deadline {
-                return None;
-            }
-            runtime
-                .sleep((free_at.saturating_sub(runtime.now())).max(50 * MS))
-                .await;
-        }
-    }
-
-    /// Reserves the sender's link for twice the time that the bytes take at the link's rate (bytes
-    /// per second), so that pushes use at most half of it.
-    pub fn charge_link(&self, now: u64, from: &str, bytes: u64, bytes_per_s: u64) {
-        let mut free_at = self.free_at.lock().unwrap();
-        let link_free_at = free_at.entry(from.into()).or_default();
-        *link_free_at = (*link_free_at)
-            .max(now)
-            .saturating_add(bytes.saturating_mul(2 * SEC) / bytes_per_s.max(1));
-    }
-}
-
 /// Counts a request as dispatched to a server until it is dropped.
 pub struct DispatchGuard<'a>(&'a Front, String);
 
