Bootstrap without a seed that cannot start

Callers saw a system that does not start: no configuration is taken, no front becomes ready, and no process ends. Cause: the first layout names the disks of all seeds, and is proposed only once all of them are known. One seed core whose inner port is held by another program, or that does not run, keeps the whole tier from starting for as long as that lasts. Change: a seed that stays unknown for the contact time is left out if each majority of the rest is a majority of the seeds; a disk that was not in the first start accepts no such layout; an accepted layout is proposed again by the disk that accepted it, is sent to nobody until it is decided, and gives way to another one that is.

--- a/yewcross-common/src/documents/cache.rs
+++ b/yewcross-common/src/documents/cache.rs
@@ -14,7 +14,7 @@
 use event_listener::Event;
 use snafu::Snafu;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 
 /// The text forms of all document names.
@@ -24,6 +24,9 @@
     DocumentName::ServerList.as_str(),
 ];
 
+/// Version of the layout that a bootstrap writes.
+pub const FIRST_LAYOUT_VERSION: u64 = 1;
+
 /// One version of a document. Version 0 is the empty document of a node that has not received any.
 #[derive(Clone, Debug, Default)]
 pub struct DocumentVersion {
@@ -81,6 +84,9 @@
     /// marked in it.
     pub server_list: ArcSwap<(u64, ServerList)>,
     departures: Mutex<Departures>,
+    /// Whether the current layout is a first one that this disk has accepted and that is not known to
+    /// be decided.
+    has_proposed_layout: AtomicBool,
 }
 
 impl DocumentCache {
@@ -105,17 +111,48 @@
             layout: ArcSwap::default(),
             server_list: ArcSwap::default(),
             departures: Mutex::default(),
+            has_proposed_layout: AtomicBool::new(false),
         })
     }
 
-    /// Name and current version of every document.
+    /// Name and current version of every document. A first layout that is not known to be decided
+    /// does not count once there is a configuration: it may have to be replaced.
     pub fn versions(&self) -> Vec<(String, u64)> {
+        let is_configured = self.document(DocumentName::Configuration.as_str()).version > 0;
+        let may_be_replaced = is_configured && self.has_proposed_layout();
+        let version_of = |name| match name {
+            DocumentName::Layout if may_be_replaced => 0,
+            _ => self.current(name).load().version,
+        };
         DocumentName::ALL
             .into_iter()
-            .map(|name| (name.to_string(), self.current(name).load().version))
+            .map(|name| (name.to_string(), version_of(name)))
             .collect()
     }
 
+    /// Applies a first layout that this disk has accepted. The decided first layout replaces it if it
+    /// is another one.
+    pub fn apply_proposed_layout(&self, content: Vec<u8>) -> bool {
+        let layout = DocumentName::Layout.as_str();
+        let is_applied = self.apply(layout, FIRST_LAYOUT_VERSION, Ballot::default(), content);
+        if is_applied {
+            self.has_proposed_layout.store(true, SeqCst);
+        }
+        is_applied
+    }
+
+    /// Whether the current layout is a first one that this disk has accepted and that is not known to
+    /// be decided.
+    pub fn has_proposed_layout(&self) -> bool {
+        self.has_proposed_layout.load(SeqCst)
+            && self.current(DocumentName::Layout).load().version == FIRST_LAYOUT_VERSION
+    }
+
+    /// Records that the current layout is decided.
+    pub fn confirm_layout(&self) {
+        self.has_proposed_layout.store(false, SeqCst);
+    }
+
     /// The current version of a document; the empty one for an unknown name.
     pub fn document(&self, name: &str) -> Arc<DocumentVersion> {
         DocumentName::parse(name)
@@ -194,6 +231,13 @@
         content: &[u8],
     ) -> Result<(), DocumentRejected> {
         let current = self.current(name).load();
+        let is_decided_layout = name == DocumentName::Layout
+            && version == FIRST_LAYOUT_VERSION
+            && version == current.version
+            && self.has_proposed_layout.swap(false, SeqCst);
+        if is_decided_layout && *current.content != content {
+            return Ok(());
+        }
         if version > 0 && version == current.version && *current.content != content {
             self.conflicts.fetch_add(1, SeqCst);
             self.runtime.log(&format!(
--- a/yewcross-control/src/config/document_requests.rs
+++ b/yewcross-control/src/config/document_requests.rs
@@ -2,7 +2,7 @@
 
 use super::distribution::{Announcement, DocumentChange, relay_announcement};
 use super::{late_documents, serving_leases};
-use crate::Control;
+use crate::{Control, layout};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross_common::constants::PEER_REQUEST_TIMEOUT;
@@ -93,9 +93,7 @@
     newer_than: u64,
 ) -> (PeerResponse, Vec<u8>) {
     let document = control.documents.document(name);
-    if document.version > newer_than
-        && (!control.options.maintains_layout || control.has_quorum_contact())
-    {
+    if document.version > newer_than && may_send_applied(control, name) {
         let response = PeerResponse::Document {
             version: document.version,
             ballot: document.ballot,
@@ -108,6 +106,14 @@
     read_decided_document(control, name).await
 }
 
+/// Whether other nodes may receive the version of a document that is applied here. A first layout
+/// that this disk has accepted is a proposal until it is decided; a node that adopted it from here
+/// would count as one that has accepted it.
+fn may_send_applied(control: &Control, name: &str) -> bool {
+    !control.options.maintains_layout
+        || control.has_quorum_contact() && (name != "layout" || layout::is_decided(control))
+}
+
 /// Reads the newest decided version of a document from a majority of the core disks.
 pub(crate) async fn read_decided_document(
     control: &Arc<Control>,
--- a/yewcross-control/src/layout/mod.rs
+++ b/yewcross-control/src/layout/mod.rs
@@ -56,7 +56,7 @@
 
 pub use anti_entropy::run as anti_entropy;
 pub use bootstrap::{
-    accept_first_layout, bootstrap, bootstrap_automatically, decide_first_documents,
+    accept_first_layout, bootstrap, bootstrap_automatically, decide_first_documents, is_decided,
 };
 pub use change::maintain_replicas;
 pub use error::{DiskChangeError, LayoutError};
--- a/yewcross-control/src/persisted_documents.rs
+++ b/yewcross-control/src/persisted_documents.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross_common::constants::{MS, SEC};
-use yewcross_common::documents::cache::{DOCUMENT_NAMES, DocumentCache, DocumentVersion};
+use yewcross_common::documents::cache::{
+    DOCUMENT_NAMES, DocumentCache, DocumentVersion, FIRST_LAYOUT_VERSION,
+};
 use yewcross_common::register::Ballot;
 use yewcross_common::storage::StoredFile;
 
@@ -47,7 +49,13 @@
             .as_ref()
             .and_then(|body| serde_json::from_slice::<StoredDocument>(body).ok());
         if let Some((version, ballot, content)) = stored {
-            documents.apply(name, version, ballot, content.into_bytes());
+            let content = content.into_bytes();
+            let is_configured = documents.document("config").version > 0;
+            if name == "layout" && version == FIRST_LAYOUT_VERSION && !is_configured {
+                documents.apply_proposed_layout(content);
+            } else {
+                documents.apply(name, version, ballot, content);
+            }
         }
         let document = PersistedDocument {
             file_version: file.version,
