Record the first start of the tier before the start waits for anything

Callers saw a system that does not start after all its processes were killed 5 to 35 ms after their first start: started again without being told that it is the first start, no core bootstraps the tier, for ever. Cause: a core wrote down that it was told of the first start only after its settings had settled for 20 ms and its disk was open. Change: cores and stores write it as soon as the finished lines of the settings file say so. The next start continues from it.

--- a/yewcross-common/src/process/data_folder.rs
+++ b/yewcross-common/src/process/data_folder.rs
@@ -57,7 +57,8 @@
         .await
     }
 
-    fn try_lock(path: &str) -> Result<DataFolder, DataFolderError> {
+    /// Creates the folder if it does not exist, and locks it if that is possible at once.
+    pub fn try_lock(path: &str) -> Result<DataFolder, DataFolderError> {
         std::fs::create_dir_all(path).context(CreateSnafu { path })?;
         let folder = File::open(path).context(OpenSnafu { path })?;
         match folder.try_lock() {
--- a/yewcross-common/src/storage.rs
+++ b/yewcross-common/src/storage.rs
@@ -12,7 +12,9 @@
 use event_listener::Event;
 use snafu::Snafu;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io;
+use std::fs::File;
+use std::io::{self, Write};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 
@@ -27,6 +29,9 @@
 /// Name of the file that contains the identity of the disk.
 const IDENTITY_FILE: &str = "disk";
 
+/// The version that a name is first written as.
+const FIRST_VERSION: u64 = 1;
+
 /// Length in bytes of a frame's format number, a little-endian u32 before the body length.
 const FORMAT_LENGTH: usize = 4;
 /// Length in bytes of a frame's header: the format number and the body length.
@@ -113,6 +118,31 @@
     format!("{folder}/{name}-{version:016x}")
 }
 
+/// Writes the first version of a name in a data folder that is not open, unless a version is there.
+/// Blocks until it is durable.
+pub fn create_first_version(
+    data_folder: &Path,
+    folder: &str,
+    name: &str,
+    body: &[u8],
+) -> io::Result<()> {
+    let directory = data_folder.join(folder);
+    std::fs::create_dir_all(&directory)?;
+    let files: Vec<String> = std::fs::read_dir(&directory)?
+        .filter_map(|entry| entry.ok()?.file_name().into_string().ok())
+        .collect();
+    if versions_of(&files, name).next().is_some() {
+        return Ok(());
+    }
+    let temporary = directory.join(format!(".{name}-first"));
+    let mut file = File::create(&temporary)?;
+    file.write_all(&encode_frame(body))?;
+    file.sync_all()?;
+    let path = version_path(folder, name, FIRST_VERSION);
+    std::fs::rename(&temporary, data_folder.join(path))?;
+    File::open(&directory)?.sync_all()
+}
+
 /// Splits a file name into name and version; `None` for any other file.
 fn split_version(file: &str) -> Option<(&str, u64)> {
     let (name, version) = file.rsplit_once('-')?;
--- a/yewcross-control/src/layout/bootstrap/mod.rs
+++ b/yewcross-control/src/layout/bootstrap/mod.rs
@@ -13,6 +13,7 @@
 mod manual;
 
 pub use automatic::bootstrap_automatically;
+pub use first_start::record_first_start;
 pub use manual::bootstrap;
 
 use super::LAYOUT;
--- a/yewcross-control/src/layout/mod.rs
+++ b/yewcross-control/src/layout/mod.rs
@@ -57,6 +57,7 @@
 pub use anti_entropy::run as anti_entropy;
 pub use bootstrap::{
     accept_first_layout, bootstrap, bootstrap_automatically, decide_first_documents, is_decided,
+    record_first_start,
 };
 pub use change::maintain_replicas;
 pub use error::{DiskChangeError, LayoutError};
