Limit the sum of what a process holds for its callers

Callers saw processes that end: a machine that holds the memory limit ends a process that exceeds it, and all requests on it are lost. Cause: bodies that are received, prompts, answers that a client does not read, events without an end and connections each had a limit of their own or none; their sum had none. Bounds::memory_mb was known and used for caches only. The number of callers' connections follows from the limits of memory and descriptors. Both HTTP servers, all roles. The log says when the peak passes 50, 75 and 90% of the limit, how often buffers were refused memory, and the peak at the end.

--- /dev/null
+++ b/yewcross-common/src/buffer_memory.rs
@@ -0,0 +1,239 @@
+//! Memory for data whose size others determine: request bodies, responses that a client has not read
+//! yet, prompts. Each of them has a limit of its own; here their sum has one, so that callers cannot
+//! make a process exceed its memory limit.
+//!
+//! A buffer reserves memory before it grows. What cannot be reserved is rejected by its owner.
+
+use crate::constants::{
+    BUFFER_MEMORY_PERCENT, CALLER_CONNECTION_BYTES, CALLER_CONNECTION_FILES_PERCENT,
+    CALLER_CONNECTION_MEMORY_PERCENT, LARGE_BUFFER_PERCENT, MAX_CALLER_CONNECTIONS,
+    SMALL_BUFFER_BYTES,
+};
+use crate::process_settings::Bounds;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst};
+
+/// Bytes in one MB of the settings.
+const MB: usize = 1 << 20;
+
+/// Upper limit on the open connections of callers of a process within these bounds.
+pub fn max_caller_connections(bounds: &Bounds) -> usize {
+    let by_memory = match bounds.memory_mb as usize {
+        0 => MAX_CALLER_CONNECTIONS,
+        memory_mb => {
+            memory_mb * MB / 100 * CALLER_CONNECTION_MEMORY_PERCENT / CALLER_CONNECTION_BYTES
+        }
+    };
+    let by_files = match bounds.files as usize {
+        0 => MAX_CALLER_CONNECTIONS,
+        files => files * CALLER_CONNECTION_FILES_PERCENT / 100,
+    };
+    MAX_CALLER_CONNECTIONS.min(by_memory).min(by_files).max(1)
+}
+
+/// The memory that the buffers of a process may use together.
+#[derive(Debug)]
+pub struct BufferMemory {
+    /// Upper limit in bytes.
+    limit: usize,
+    /// Bytes that are reserved.
+    reserved: AtomicUsize,
+    /// Number of reservations that were refused.
+    refusals: AtomicU64,
+}
+
+impl Default for BufferMemory {
+    fn default() -> BufferMemory {
+        BufferMemory::with_limit(usize::MAX)
+    }
+}
+
+impl BufferMemory {
+    /// The memory for buffers of a process within these bounds; unlimited if they set no limit.
+    pub fn within(bounds: &Bounds) -> Arc<BufferMemory> {
+        Arc::new(match bounds.memory_mb as usize {
+            0 => BufferMemory::default(),
+            memory_mb => BufferMemory::with_limit(memory_mb * MB / 100 * BUFFER_MEMORY_PERCENT),
+        })
+    }
+
+    /// Memory of this many bytes.
+    pub fn with_limit(limit: usize) -> BufferMemory {
+        BufferMemory {
+            limit,
+            reserved: AtomicUsize::new(0),
+            refusals: AtomicU64::new(0),
+        }
+    }
+
+    /// Upper limit in bytes.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Bytes that are reserved at the moment.
+    pub fn reserved(&self) -> usize {
+        self.reserved.load(SeqCst)
+    }
+
+    /// Number of reservations that were refused so far.
+    pub fn refusals(&self) -> u64 {
+        self.refusals.load(SeqCst)
+    }
+
+    /// The part of the limit that a buffer of this size may use. The rest is left to small buffers, so
+    /// that a few large ones cannot keep out all others.
+    fn limit_for(&self, buffer_bytes: usize) -> usize {
+        if buffer_bytes <= SMALL_BUFFER_BYTES {
+            self.limit
+        } else {
+            self.limit / 100 * LARGE_BUFFER_PERCENT
+        }
+    }
+
+    fn try_reserve(&self, bytes: usize, limit: usize) -> bool {
+        let reserve = |reserved: usize| reserved.checked_add(bytes).filter(|sum| *sum <= limit);
+        let is_reserved = self.reserved.fetch_update(SeqCst, SeqCst, reserve).is_ok();
+        if !is_reserved {
+            self.refusals.fetch_add(1, SeqCst);
+        }
+        is_reserved
+    }
+}
+
+/// Memory that one buffer has reserved; it is released when this is dropped.
+#[derive(Debug)]
+pub struct Reservation {
+    memory: Arc<BufferMemory>,
+    bytes: usize,
+}
+
+impl Reservation {
+    /// A reservation of no bytes.
+    pub fn new(memory: &Arc<BufferMemory>) -> Reservation {
+        Reservation {
+            memory: memory.clone(),
+            bytes: 0,
+        }
+    }
+
+    /// Reserves further bytes; returns whether there is memory for them.
+    #[must_use]
+    pub fn try_grow(&mut self, bytes: usize) -> bool {
+        let limit = self.memory.limit_for(self.bytes.saturating_add(bytes));
+        let is_reserved = self.memory.try_reserve(bytes, limit);
+        if is_reserved {
+            self.bytes += bytes;
+        }
+        is_reserved
+    }
+
+    /// Returns `bytes` unchanged in content; the reservation lasts as long as any copy of them.
+    pub fn attach_to(self, bytes: impl AsRef<[u8]> + Send + 'static) -> Bytes {
+        Bytes::from_owner(ReservedBytes {
+            bytes,
+            _reservation: self,
+        })
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.memory.reserved.fetch_sub(self.bytes, SeqCst);
+    }
+}
+
+/// Bytes with the reservation of their memory.
+struct ReservedBytes<T> {
+    bytes: T,
+    _reservation: Reservation,
+}
+
+impl<T: AsRef<[u8]>> AsRef<[u8]> for ReservedBytes<T> {
+    fn as_ref(&self) -> &[u8] {
+        self.bytes.as_ref()
+    }
+}
+
+/// There is no memory left for a buffer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OutOfBufferMemory;
+
+/// A buffer that reserves its memory before it grows.
+pub struct ReservedBuffer {
+    bytes: Vec<u8>,
+    reservation: Reservation,
+}
+
+impl ReservedBuffer {
+    /// An empty buffer.
+    pub fn new(memory: &Arc<BufferMemory>) -> ReservedBuffer {
+        ReservedBuffer {
+            bytes: Vec::new(),
+            reservation: Reservation::new(memory),
+        }
+    }
+
+    /// A buffer for exactly this many bytes.
+    pub fn with_capacity(
+        memory: &Arc<BufferMemory>,
+        bytes: usize,
+    ) -> Result<ReservedBuffer, OutOfBufferMemory> {
+        let mut buffer = ReservedBuffer::new(memory);
+        buffer.grow_to(bytes)?;
+        Ok(buffer)
+    }
+
+    /// Appends bytes. The capacity doubles when it is used up, but not beyond `expected_bytes` unless
+    /// the content is longer.
+    pub fn extend(
+        &mut self,
+        bytes: &[u8],
+        expected_bytes: Option<usize>,
+    ) -> Result<(), OutOfBufferMemory> {
+        let needed = self.bytes.len() + bytes.len();
+        if needed > self.bytes.capacity() {
+            let doubled = needed.max(2 * self.bytes.capacity());
+            let capacity = match expected_bytes {
+                Some(expected) if expected >= needed => doubled.min(expected),
+                _ => doubled,
+            };
+            self.grow_to(capacity)?;
+        }
+        self.bytes.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn grow_to(&mut self, capacity: usize) -> Result<(), OutOfBufferMemory> {
+        let additional = capacity - self.bytes.capacity();
+        if !self.reservation.try_grow(additional) {
+            return Err(OutOfBufferMemory);
+        }
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        Ok(())
+    }
+
+    /// Number of bytes in the buffer.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Whether the buffer is empty.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// The content, and the reservation of its memory.
+    pub fn into_parts(self) -> (Vec<u8>, Reservation) {
+        (self.bytes, self.reservation)
+    }
+
+    /// The content; its memory stays reserved as long as any copy of it exists.
+    pub fn freeze(self) -> Bytes {
+        if self.bytes.is_empty() {
+            return Bytes::new();
+        }
+        self.reservation.attach_to(self.bytes)
+    }
+}
--- a/yewcross-common/src/buffered_http/server.rs
+++ b/yewcross-common/src/buffered_http/server.rs
@@ -2,9 +2,10 @@
 
 use super::response::{SendDeadline, error_response};
 use super::tracker::ConnectionTracker;
+use crate::buffer_memory::{BufferMemory, ReservedBuffer};
 use crate::constants::{
-    BODY_TIMEOUT, HEAD_TIMEOUT, IDLE_CONNECTION_TIMEOUT, MAX_BODY_BYTES, MAX_CALLER_CONNECTIONS,
-    MAX_HEAD_BYTES, MS, RESPONSE_TIMEOUT, SEC,
+    BODY_TIMEOUT, HEAD_TIMEOUT, IDLE_CONNECTION_TIMEOUT, MAX_BODY_BYTES, MAX_HEAD_BYTES, MS,
+    RESPONSE_TIMEOUT, SEC,
 };
 use crate::error_code::Code;
 use crate::runtime::{BoxFuture, Connection, Listener, Runtime};
@@ -28,6 +29,9 @@
 /// descriptors.
 const ACCEPT_BACKOFF: u64 = 10 * MS;
 
+/// Number of bytes of a body that are read at once.
+const BODY_PART_BYTES: usize = 8 << 10;
+
 /// A request that has been read completely.
 #[derive(Debug)]
 pub struct BufferedRequest {
@@ -84,7 +88,7 @@
             runtime.sleep(ACCEPT_BACKOFF).await;
             continue;
         };
-        if tracker.open_connections.fetch_add(1, SeqCst) >= MAX_CALLER_CONNECTIONS {
+        if tracker.open_connections.fetch_add(1, SeqCst) >= tracker.max_connections {
             tracker.connection_closed();
             let reject_runtime = runtime.clone();
             runtime.spawn(async move {
@@ -134,8 +138,9 @@
             Ok(head) => head,
             Err(error) => return end_connection(runtime, connection, error).await,
         };
-    let body = match read_body(runtime, &mut request).await {
-        Ok(body) => body,
+    let read = read_body(runtime, &mut request, &tracker.memory).await;
+    let (body, _reservation) = match read {
+        Ok(body) => body.into_parts(),
         Err(error) => return end_connection(runtime, connection, error).await,
     };
     tracker.active_requests.fetch_add(1, SeqCst);
@@ -227,26 +232,46 @@
     Ok(head)
 }
 
-/// Reads the complete body of a request.
-async fn read_body(runtime: &Runtime, request: &mut Request) -> Result<Vec<u8>, ReadError> {
+/// Reads the complete body of a request into the memory for buffers.
+async fn read_body(
+    runtime: &Runtime,
+    request: &mut Request,
+    memory: &Arc<BufferMemory>,
+) -> Result<ReservedBuffer, ReadError> {
     let expected = request.len();
     if expected.is_some_and(|length| length > MAX_BODY_BYTES) {
         return Err(ReadError::Rejected(Code::TooLarge));
     }
-    let mut body = Vec::new();
     // Reading one byte more than allowed detects a body that is too large.
-    let mut reader = request.take_body().take(MAX_BODY_BYTES as u64 + 1);
-    let read = runtime
-        .timeout(BODY_TIMEOUT, reader.read_to_end(&mut body))
-        .await;
-    match read {
-        None => Err(ReadError::Rejected(Code::TooSlow)),
-        Some(Err(_)) => Err(ReadError::Rejected(Code::BadBody)),
-        Some(Ok(_)) if body.len() > MAX_BODY_BYTES => Err(ReadError::Rejected(Code::TooLarge)),
-        Some(Ok(_)) if expected.is_some_and(|length| length != body.len()) => {
-            Err(ReadError::Rejected(Code::BadBody))
+    let reader = request.take_body().take(MAX_BODY_BYTES as u64 + 1);
+    let body = runtime
+        .timeout(BODY_TIMEOUT, read_to_end(reader, expected, memory))
+        .await
+        .unwrap_or(Err(ReadError::Rejected(Code::TooSlow)))?;
+    if body.len() > MAX_BODY_BYTES {
+        return Err(ReadError::Rejected(Code::TooLarge));
+    }
+    if expected.is_some_and(|length| length != body.len()) {
+        return Err(ReadError::Rejected(Code::BadBody));
+    }
+    Ok(body)
+}
+
+async fn read_to_end(
+    mut reader: impl AsyncRead + Unpin,
+    expected: Option<usize>,
+    memory: &Arc<BufferMemory>,
+) -> Result<ReservedBuffer, ReadError> {
+    let mut body = ReservedBuffer::new(memory);
+    let mut part = vec![0; BODY_PART_BYTES];
+    loop {
+        let read = reader.read(&mut part).await;
+        let count = read.map_err(|_| ReadError::Rejected(Code::BadBody))?;
+        if count == 0 {
+            return Ok(body);
         }
-        Some(Ok(_)) => Ok(body),
+        body.extend(&part[..count], expected)
+            .map_err(|_| ReadError::Rejected(Code::LineFull))?;
     }
 }
 
--- a/yewcross-common/src/lib.rs
+++ b/yewcross-common/src/lib.rs
@@ -3,6 +3,7 @@
 //! storage, and the messages exchanged between nodes.
 
 pub mod adapter;
+pub mod buffer_memory;
 pub mod buffered_http;
 pub mod configuration;
 pub mod constants;
--- /dev/null
+++ b/yewcross-common/src/process/memory.rs
@@ -0,0 +1,88 @@
+//! Reports in the log how much memory a process uses relative to its limit: a process that exceeds the
+//! limit is killed by its machine and cannot say so itself.
+
+use crate::buffer_memory::BufferMemory;
+use crate::constants::MEMORY_WATCH_INTERVAL;
+use crate::process_settings::Bounds;
+use crate::runtime::Runtime;
+use std::sync::Arc;
+
+/// The file in which the system states the memory of a process.
+const STATUS_FILE: &str = "/proc/self/status";
+
+/// Percentages of the limit at which the peak is logged.
+const LOGGED_PERCENTAGES: [u64; 3] = [50, 75, 90];
+
+/// Bytes in one MB.
+const MB: usize = 1 << 20;
+
+/// The highest resident memory of this process so far, in MB; `None` if the system does not state it.
+pub fn peak_mb() -> Option<u64> {
+    parse_peak_mb(&std::fs::read_to_string(STATUS_FILE).ok()?)
+}
+
+/// The peak in the text of the status file.
+pub fn parse_peak_mb(status: &str) -> Option<u64> {
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let kilobytes: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kilobytes >> 10)
+}
+
+/// What has been logged so far.
+struct MemoryWatch {
+    limit_mb: u64,
+    buffers: Arc<BufferMemory>,
+    logged_percentage: u64,
+    logged_refusals: u64,
+}
+
+/// Logs when the peak of the memory passes parts of the limit, and when buffers were refused memory,
+/// for as long as the process runs. Returns at once if there is no limit.
+pub async fn watch(runtime: Runtime, bounds: Bounds, buffers: Arc<BufferMemory>) {
+    if bounds.memory_mb == 0 {
+        return;
+    }
+    let mut watch = MemoryWatch {
+        limit_mb: bounds.memory_mb,
+        buffers,
+        logged_percentage: 0,
+        logged_refusals: 0,
+    };
+    while let Some(peak_mb) = peak_mb() {
+        watch.log_peak(&runtime, peak_mb);
+        watch.log_refusals(&runtime);
+        runtime.sleep(MEMORY_WATCH_INTERVAL).await;
+    }
+}
+
+impl MemoryWatch {
+    fn log_peak(&mut self, runtime: &Runtime, peak_mb: u64) {
+        let percentage = peak_mb * 100 / self.limit_mb;
+        let passed = LOGGED_PERCENTAGES
+            .into_iter()
+            .rfind(|logged| percentage >= *logged);
+        if passed.is_none_or(|passed| passed <= self.logged_percentage) {
+            return;
+        }
+        self.logged_percentage = passed.unwrap_or_default();
+        let reserved_mb = self.buffers.reserved() / MB;
+        runtime.log(&format!(
+            "peak resident memory {peak_mb} MB is {percentage}% of the limit of {} MB; buffers use {reserved_mb} MB",
+            self.limit_mb
+        ));
+    }
+
+    fn log_refusals(&mut self, runtime: &Runtime) {
+        let refusals = self.buffers.refusals();
+        if refusals > self.logged_refusals {
+            runtime.log(&format!(
+                "buffers were refused memory {} times; their limit is {} MB",
+                refusals - self.logged_refusals,
+                self.buffers.limit() / MB
+            ));
+            self.logged_refusals = refusals;
+        }
+    }
+}
--- a/yewcross-common/src/process/mod.rs
+++ b/yewcross-common/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! The life of a process of the tier: its start, signals and end.
 
 pub mod data_folder;
+pub mod memory;
 pub mod signals;
 mod startup_retry;
 
@@ -15,6 +16,9 @@
 
 /// Logs how the process ends, on standard error if it is a failure; returns the exit code.
 pub fn log_end(exit_code: i32, reason: &str) -> i32 {
+    if let Some(peak_mb) = memory::peak_mb() {
+        spdlog::info!("peak resident memory {peak_mb} MB");
+    }
     if exit_code == exit::OK {
         spdlog::info!("process is ending with exit code {exit_code}: {reason}");
     } else {
--- a/yewcross-common/src/streaming_http/server.rs
+++ b/yewcross-common/src/streaming_http/server.rs
@@ -3,13 +3,15 @@
 use super::head_timeout::{HeadProgress, HeadProgressRecorder, HeadTimer};
 use super::tracker::ConnectionTracker;
 use super::{Body, full};
+use crate::buffer_memory::{BufferMemory, ReservedBuffer};
 use crate::configuration::route::Limits;
-use crate::constants::{CLOSING_LINGER, MAX_CALLER_CONNECTIONS, MS};
+use crate::constants::{CLOSING_LINGER, MS};
 use crate::runtime::{BoxFuture, Connection, Listener, Runtime};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use smol_hyper::rt::FuturesIo;
 use std::convert::Infallible;
@@ -165,7 +167,7 @@
             })
             .await;
         match accepted {
-            Some(Ok(connection)) if tracker.open_connections() <= MAX_CALLER_CONNECTIONS => {
+            Some(Ok(connection)) if tracker.open_connections() <= tracker.max_connections() => {
                 spawn_connection(connection)
             }
             // Connections above the limit are closed immediately.
@@ -189,19 +191,39 @@
     TooLarge,
     /// The body was not received completely, or is malformed.
     Incomplete,
+    /// The body was received completely, but there was no memory to keep it.
+    OutOfMemory,
 }
 
-/// Reads a complete body of at most `max_bytes`.
-pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, BodyReadError> {
-    use hyper::body::Body as _;
-    if body.size_hint().lower() > max_bytes as u64 {
+/// Reads a complete body of at most `max_bytes` into the memory for buffers. A body for which there is
+/// not enough of it is read to its end and discarded, so that it can be answered.
+pub async fn read_body(
+    mut body: Incoming,
+    max_bytes: usize,
+    memory: &Arc<BufferMemory>,
+) -> Result<Bytes, BodyReadError> {
+    let size = body.size_hint();
+    if size.lower() > max_bytes as u64 {
         return Err(BodyReadError::TooLarge);
     }
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(BodyReadError::TooLarge)
+    let expected_bytes = size.exact().map(|bytes| bytes as usize);
+    let mut buffer = Some(ReservedBuffer::new(memory));
+    let mut received_bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyReadError::Incomplete)?;
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
+        received_bytes += chunk.len();
+        if received_bytes > max_bytes {
+            return Err(BodyReadError::TooLarge);
         }
-        Err(_) => Err(BodyReadError::Incomplete),
+        buffer = buffer.and_then(|mut buffer| {
+            buffer.extend(&chunk, expected_bytes).ok()?;
+            Some(buffer)
+        });
     }
+    buffer
+        .map(ReservedBuffer::freeze)
+        .ok_or(BodyReadError::OutOfMemory)
 }
--- a/yewcross-common/src/streaming_http/tracker.rs
+++ b/yewcross-common/src/streaming_http/tracker.rs
@@ -1,5 +1,8 @@
 //! Counts open connections and requests in progress, and shuts a server down.
 
+use crate::buffer_memory::max_caller_connections;
+use crate::constants::MAX_CALLER_CONNECTIONS;
+use crate::process_settings::Bounds;
 use async_channel::{Receiver, Sender};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 
@@ -34,6 +37,8 @@
 /// woken by events, without polling.
 #[derive(Default)]
 pub struct ConnectionTracker {
+    /// Upper limit on open connections; `None` for the general one.
+    max_connections: Option<usize>,
     /// Each response closes its connection.
     keep_alive_disabled: AtomicBool,
     /// Number of open connections, plus one for the listener while it is open.
@@ -47,6 +52,19 @@
 }
 
 impl ConnectionTracker {
+    /// A tracker for the server of a process within these bounds.
+    pub fn within(bounds: &Bounds) -> ConnectionTracker {
+        ConnectionTracker {
+            max_connections: Some(max_caller_connections(bounds)),
+            ..ConnectionTracker::default()
+        }
+    }
+
+    /// Upper limit on open connections. Further ones are closed at once.
+    pub fn max_connections(&self) -> usize {
+        self.max_connections.unwrap_or(MAX_CALLER_CONNECTIONS)
+    }
+
     /// Closes each connection after its next response; new connections are still accepted.
     pub fn disable_keep_alive(&self) {
         self.keep_alive_disabled.store(true, SeqCst);
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -32,6 +32,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
+use yewcross_common::buffer_memory::BufferMemory;
 use yewcross_common::buffered_http::ConnectionTracker;
 use yewcross_common::constants::MS;
 use yewcross_common::documents::cache::DocumentCache;
@@ -77,6 +78,8 @@
     pub(crate) watcher: Arc<DocumentWatcher>,
     /// Open connections of the operators' HTTP interface.
     pub(crate) connections: Arc<ConnectionTracker>,
+    /// Memory for the requests of operators.
+    pub buffer_memory: Arc<BufferMemory>,
     /// By front, when the serving lease granted here expires, in µs.
     pub(crate) serving_leases: Mutex<BTreeMap<String, u64>>,
     /// Number of keys that the running sweep still has to check.
--- a/yewcross-control/src/main.rs
+++ b/yewcross-control/src/main.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use yewcross_common::process;
 use yewcross_common::process::data_folder::DataFolder;
+use yewcross_common::process::memory;
 use yewcross_common::process::signals::{ProcessSignals, StartOutcome};
 use yewcross_common::process_settings::{ProcessSettings, Role, exit};
 use yewcross_common::runtime::Runtime;
@@ -63,6 +64,12 @@
     if is_reload_requested {
         reload(&control, startup_file);
     }
+    let bounds = control.settings.bounds.clone();
+    runtime.spawn(memory::watch(
+        runtime.clone(),
+        bounds,
+        control.buffer_memory.clone(),
+    ));
     let stopped = async {
         signals
             .stop_requested(|| reload(&control, startup_file))
--- a/yewcross-control/src/start.rs
+++ b/yewcross-control/src/start.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, Weak};
+use yewcross_common::buffer_memory::BufferMemory;
 use yewcross_common::buffered_http;
 use yewcross_common::constants::MS;
 use yewcross_common::documents::cache::{DOCUMENT_NAMES, DocumentCache};
@@ -149,6 +150,7 @@
     let turn_store = TurnStore::start(runtime, &settings, &members, &documents, &storage)
         .await
         .context(DiskSnafu)?;
+    let buffer_memory = BufferMemory::within(&settings.bounds);
     let control = Arc::new(Control {
         runtime: runtime.clone(),
         peers,
@@ -161,7 +163,11 @@
         turn_store,
         watcher,
         singleton_tasks,
-        connections: Default::default(),
+        connections: Arc::new(buffered_http::ConnectionTracker::within(
+            &settings.bounds,
+            &buffer_memory,
+        )),
+        buffer_memory,
         serving_leases: Default::default(),
         in_force_version: AtomicU64::new(local.in_force_version),
         swept_layout_version: AtomicU64::new(0),
--- a/yewcross-proxy/src/lib.rs
+++ b/yewcross-proxy/src/lib.rs
@@ -36,6 +36,7 @@
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, OnceLock};
 use yewcross_common::adapter::{CallerProtocol, ConfigurationFormat, UpstreamProtocol};
+use yewcross_common::buffer_memory::BufferMemory;
 use yewcross_common::buffered_http::{
     BufferedRequest, ConnectionTracker, error_response, json_response,
 };
@@ -91,6 +92,8 @@
     /// Callers' connections where routed requests are served.
     streaming_connections: Arc<streaming_http::ConnectionTracker>,
     is_stopping: AtomicBool,
+    /// Memory for requests, prompts and responses.
+    pub buffer_memory: Arc<BufferMemory>,
 }
 
 /// The ports of another platform. Without a turn log, requests that continue a previous turn are
@@ -201,6 +204,7 @@
             balance: Default::default(),
             retry_budget: Default::default(),
             counts: Default::default(),
+            buffer_memory: front.buffer_memory.clone(),
         });
         let _ = front.relay.set(relay.clone());
         let routed = relay.clone();
@@ -310,13 +314,14 @@
                 (document_cache, document_watcher)
             }
         };
+        let buffer_memory = BufferMemory::within(&settings.bounds);
         Arc::new(Front {
             runtime: runtime.clone(),
             peers,
             members,
             documents: document_cache,
             watcher: document_watcher,
-            connections: Default::default(),
+            connections: Arc::new(ConnectionTracker::within(&settings.bounds, &buffer_memory)),
             pool: Default::default(),
             admission: Default::default(),
             push_pacer: Default::default(),
@@ -331,8 +336,11 @@
             counts: Default::default(),
             relay: Default::default(),
             load_exchange: Default::default(),
-            streaming_connections: Default::default(),
+            streaming_connections: Arc::new(streaming_http::ConnectionTracker::within(
+                &settings.bounds,
+            )),
             is_stopping: Default::default(),
+            buffer_memory,
             settings,
         })
     }
--- a/yewcross-proxy/src/main.rs
+++ b/yewcross-proxy/src/main.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 use yewcross_common::process;
+use yewcross_common::process::memory;
 use yewcross_common::process::signals::{ProcessSignals, StartOutcome};
 use yewcross_common::process_settings::{ProcessSettings, exit};
 use yewcross_common::runtime::Runtime;
@@ -56,6 +57,12 @@
     if is_reload_requested {
         reload(&front, startup_file);
     }
+    let bounds = front.settings.bounds.clone();
+    runtime.spawn(memory::watch(
+        runtime.clone(),
+        bounds,
+        front.buffer_memory.clone(),
+    ));
     let stopped = async {
         signals
             .stop_requested(|| reload(&front, startup_file))
--- a/yewcross-proxy/src/relay.rs
+++ b/yewcross-proxy/src/relay.rs
@@ -31,6 +31,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst};
 use yewcross_common::adapter::{CallerProtocol, RequestMeta, UpstreamProtocol};
+use yewcross_common::buffer_memory::BufferMemory;
 use yewcross_common::configuration::route::Route;
 use yewcross_common::documents::cache::DocumentCache;
 use yewcross_common::error_code::Code;
@@ -83,6 +84,8 @@
     pub balance: LoadBalancer,
     pub retry_budget: RetryBudget,
     pub counts: Counts,
+    /// Memory for requests, prompts and responses.
+    pub buffer_memory: Arc<BufferMemory>,
 }
 
 /// One attempt of a caller, with its complete body.
--- a/yewcross-proxy/src/relay/admission.rs
+++ b/yewcross-proxy/src/relay/admission.rs
@@ -5,6 +5,7 @@
 use super::resume::Resumption;
 use super::turn::{OpenedTurn, build_prompt, needs_turn_log, open_turn_request, set_prompt_parts};
 use super::{ClientRequest, Rejection, Relay};
+use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header, request};
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -52,7 +53,8 @@
         let turn_to_store = route.retained.then(|| Turn {
             id: request.meta.attempt.clone(),
             prev: request.meta.previous_turn.clone(),
-            input,
+            // A copy: caches keep the turn longer than the request's memory may stay reserved.
+            input: Bytes::copy_from_slice(&input),
             server: answer.claim.target.server.clone(),
             tokens: request.meta.prompt_tokens,
             retain_ms: route.retain_ms,
@@ -117,7 +119,10 @@
         let left_us = deadline.saturating_sub(self.runtime.now());
         let body = self
             .runtime
-            .timeout(left_us.min(BODY_TIMEOUT), read_body(body, body_limit))
+            .timeout(
+                left_us.min(BODY_TIMEOUT),
+                read_body(body, body_limit, &self.buffer_memory),
+            )
             .await;
         let (route, upstream) = selected?;
         let body = body
@@ -127,6 +132,7 @@
                 BodyReadError::Incomplete => {
                     Rejection(Code::TooSlow, "the body did not come whole", 0)
                 }
+                BodyReadError::OutOfMemory => self.out_of_memory(&route),
             })?;
         strip_hop_by_hop(&mut head.headers);
         [header::CONTENT_LENGTH, header::EXPECT]
@@ -189,10 +195,10 @@
                     OpenTurnError::Unavailable => unavailable(),
                 })?;
         if route.retained {
-            request.body = build_prompt(&opened.chain, &request.body);
             set_prompt_parts(&mut request.meta, &opened.chain);
         }
         let tokens_per_event = self.tokens_per_event(&upstream.name).unwrap_or(1);
+        // If the prompt cannot be built, dropping the turn settles it as not run.
         let turn = OpenedTurn {
             turn_log,
             open_turn,
@@ -200,9 +206,19 @@
             is_settled: false,
             forwarded_events: 0,
         };
+        if route.retained {
+            request.body = build_prompt(&opened.chain, &request.body, &self.buffer_memory)
+                .map_err(|_| self.out_of_memory(route))?;
+        }
         Ok((Some(turn), opened.chain.last().cloned()))
     }
 
+    /// The rejection of a request for which there is no buffer memory.
+    fn out_of_memory(&self, route: &Route) -> Rejection {
+        let reason = "the requests in progress use all memory for buffers";
+        Rejection(Code::LineFull, reason, self.retry_after_ms(route))
+    }
+
     /// Whether a configuration and a server list have been received.
     pub fn has_documents(&self) -> bool {
         self.documents.config.load().0 > 0 && self.documents.server_list.load().0 > 0
--- a/yewcross-proxy/src/relay/attempt.rs
+++ b/yewcross-proxy/src/relay/attempt.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use yewcross_common::adapter::ResponseMeta;
+use yewcross_common::buffer_memory::ReservedBuffer;
 use yewcross_common::configuration::route::{Mode, Route};
 use yewcross_common::constants::*;
 use yewcross_common::protocol::ListedServer;
@@ -187,13 +188,15 @@
         if !is_bodiless && !is_small(&body) || is_streamed && head.status.is_success() {
             return Some((head, AnswerBody::Streaming(body, link)));
         }
+        let length = body.size_hint().upper().unwrap_or_default() as usize;
+        let Ok(buffer) = ReservedBuffer::with_capacity(&self.buffer_memory, length) else {
+            return Some((head, AnswerBody::Streaming(body, link)));
+        };
         let left_us = request.deadline.saturating_sub(self.runtime.now());
         let bytes = self
             .runtime
-            .timeout(left_us, body.collect())
-            .await?
-            .ok()?
-            .to_bytes();
+            .timeout(left_us, collect_into(buffer, body))
+            .await??;
         self.return_connection(&claim.target.server, link, meta);
         Some((head, AnswerBody::Buffered(bytes)))
     }
@@ -353,6 +356,16 @@
     is_same_attempt && !is_from_intermediary && !status.is_informational()
 }
 
+/// Reads a body to its end into a buffer of its length; none if it ends early.
+async fn collect_into(mut buffer: ReservedBuffer, mut body: Incoming) -> Option<Bytes> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(chunk) = frame.ok()?.into_data() {
+            buffer.extend(&chunk, None).ok()?;
+        }
+    }
+    Some(buffer.freeze())
+}
+
 /// Whether a body is small enough to be read completely before it is forwarded.
 fn is_small(body: &Incoming) -> bool {
     let length = body.size_hint().upper();
--- a/yewcross-proxy/src/relay/streaming.rs
+++ b/yewcross-proxy/src/relay/streaming.rs
@@ -19,7 +19,7 @@
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use yewcross_common::runtime::*;
-use yewcross_common::streaming_http::{Body, full};
+use yewcross_common::streaming_http::{Body, full, full_in_parts};
 use yewcross_common::turn_log::{OpenTurnError, Turn};
 
 impl Relay {
@@ -49,7 +49,7 @@
         }
         let head = head.clone();
         if let AnswerBody::Buffered(body) = answer.body {
-            return Response::from_parts(head, full(body));
+            return Response::from_parts(head, full_in_parts(body));
         }
         let scan = is_streamed.then(|| EventScanner::new(turn_to_store.is_some()));
         let Some(upstream) = UpstreamBody::new(self, answer, scan, resumption.is_some()) else {
@@ -160,7 +160,7 @@
             UpstreamPart::Failed(UpstreamFailure::EventIdsNotIncreasing) => {
                 Poll::Ready(Err(ForwardError::EventIdsNotIncreasing))
             }
-            UpstreamPart::Failed(UpstreamFailure::ReadFailed) => {
+            UpstreamPart::Failed(UpstreamFailure::ReadFailed | UpstreamFailure::EventTooLarge) => {
                 self.upstream.fail();
                 self.restart_stall_timer();
                 if !self.candidates.is_empty() || self.start_resume() {
--- a/yewcross-proxy/src/relay/turn.rs
+++ b/yewcross-proxy/src/relay/turn.rs
@@ -1,9 +1,10 @@
 //! The turn of a request: it is opened in the turn log before the request is sent, and settled
 //! however the request ends.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use std::sync::Arc;
 use yewcross_common::adapter::RequestMeta;
+use yewcross_common::buffer_memory::{BufferMemory, OutOfBufferMemory, ReservedBuffer};
 use yewcross_common::configuration::route::{Mode, Route};
 use yewcross_common::hash::rendezvous_weight;
 use yewcross_common::turn_log::{OpenTurn, Turn, TurnLogService};
@@ -56,22 +57,25 @@
 }
 
 /// The inputs and outputs of the chain's turns in order, followed by the new input.
-pub(super) fn build_prompt(chain: &[Arc<Turn>], input: &Bytes) -> Bytes {
+pub(super) fn build_prompt(
+    chain: &[Arc<Turn>],
+    input: &Bytes,
+    memory: &Arc<BufferMemory>,
+) -> Result<Bytes, OutOfBufferMemory> {
     if chain.is_empty() {
-        return input.clone();
+        return Ok(input.clone());
     }
-    let length = chain
-        .iter()
-        .map(|turn| turn.input.len() + turn.output.len())
-        .sum::<usize>()
-        + input.len();
-    let mut prompt = BytesMut::with_capacity(length);
-    chain.iter().for_each(|turn| {
-        prompt.extend_from_slice(&turn.input);
-        prompt.extend_from_slice(&turn.output);
-    });
-    prompt.extend_from_slice(input);
-    prompt.freeze()
+    let earlier_parts = chain.iter().flat_map(|turn| [&turn.input, &turn.output]);
+    let parts: Vec<&[u8]> = earlier_parts
+        .map(|part| part.as_ref())
+        .chain([input.as_ref()])
+        .collect();
+    let length = parts.iter().map(|part| part.len()).sum();
+    let mut prompt = ReservedBuffer::with_capacity(memory, length)?;
+    for part in parts {
+        prompt.extend(part, Some(length))?;
+    }
+    Ok(prompt.freeze())
 }
 
 /// Where the caller states no segments of its prompt, each turn of the chain becomes one segment.
--- a/yewcross-proxy/src/relay/upstream_body.rs
+++ b/yewcross-proxy/src/relay/upstream_body.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use yewcross_common::adapter::ResponseMeta;
+use yewcross_common::constants::MAX_EVENT_BYTES;
 
 /// The next part of a server's response.
 pub(super) enum UpstreamPart {
@@ -29,6 +30,8 @@
     ReadFailed,
     /// The ids of its events do not increase.
     EventIdsNotIncreasing,
+    /// One of its events exceeds [`MAX_EVENT_BYTES`].
+    EventTooLarge,
 }
 
 /// What a response occupies until it is complete: its connection, and its claim on the server.
@@ -138,6 +141,9 @@
                     };
                     self.last_byte_at = self.relay.runtime.now();
                     let forwardable = self.forwardable_bytes(chunk);
+                    if self.has_too_large_event() {
+                        return Poll::Ready(UpstreamPart::Failed(UpstreamFailure::EventTooLarge));
+                    }
                     if self.complete_events_only
                         && self.scan().is_some_and(|scan| !scan.ids_increase())
                     {
@@ -164,6 +170,12 @@
         }
     }
 
+    /// Whether the event being received is too large to be kept until its end.
+    fn has_too_large_event(&self) -> bool {
+        let is_too_large = |scan: &EventScanner| scan.open_bytes() > MAX_EVENT_BYTES;
+        self.scan.as_ref().is_some_and(is_too_large)
+    }
+
     /// The bytes that may be forwarded after a chunk has arrived.
     fn forwardable_bytes(&mut self, chunk: Bytes) -> Bytes {
         let Some(scan) = &mut self.scan else {
--- a/yewcross-proxy/src/scan.rs
+++ b/yewcross-proxy/src/scan.rs
@@ -25,6 +25,8 @@
     has_decreasing_ids: bool,
     /// Bytes of the last chunk up to the end of its last complete event.
     complete_bytes: usize,
+    /// Bytes received since the end of the last complete event.
+    open_bytes: usize,
 }
 
 /// The value of a line's field, without the colon and one space after it.
@@ -107,6 +109,10 @@
             }
         }
         self.line.extend_from_slice(rest);
+        self.open_bytes = match self.complete_bytes {
+            0 => self.open_bytes + chunk.len(),
+            complete_bytes => chunk.len() - complete_bytes,
+        };
     }
 
     /// Events of which at least one byte of data was read, complete or not.
@@ -132,6 +138,7 @@
         scan.line.clear();
         scan.data.truncate(scan.complete_data);
         scan.complete_bytes = 0;
+        scan.open_bytes = 0;
         scan
     }
 
@@ -140,6 +147,11 @@
         self.complete_bytes
     }
 
+    /// Bytes received since the end of the last complete event.
+    pub fn open_bytes(&self) -> usize {
+        self.open_bytes
+    }
+
     /// The id of the last complete event that had one.
     pub fn last_id(&self) -> Option<&[u8]> {
         self.last_id.as_deref()
--- a/yewcross-testkit/tests/relay/main.rs
+++ b/yewcross-testkit/tests/relay/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod attempts;
+mod buffers;
 mod promises;
 mod requests;
 mod resumption;
--- a/yewcross-testkit/tests/relay/rig.rs
+++ b/yewcross-testkit/tests/relay/rig.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
+use yewcross_common::buffer_memory::BufferMemory;
 use yewcross_common::configuration::route::Limits;
 use yewcross_common::constants::*;
 use yewcross_common::documents::cache::DocumentCache;
@@ -137,6 +138,11 @@
 
     /// A front in which some mechanisms may be switched off.
     pub fn with_policies(seed: u64, servers: usize, policies: Policies) -> Rig {
+        Rig::with_buffers(seed, servers, policies, usize::MAX)
+    }
+
+    /// A front whose buffers may use so many bytes.
+    pub fn with_buffers(seed: u64, servers: usize, policies: Policies, limit: usize) -> Rig {
         let sim = Sim::new(seed, 1_000);
         let fm = sim.add_machine("front", "z", "10.0.0.1".parse().unwrap());
         let w = sim.boot(fm);
@@ -155,6 +161,7 @@
             balance: LoadBalancer::with_policies(policies),
             retry_budget: RetryBudget::new(policies),
             counts: Default::default(),
+            buffer_memory: Arc::new(BufferMemory::with_limit(limit)),
         });
         let door: SocketAddr = "10.0.0.1:80".parse().unwrap();
         let gate: Arc<yewcross_common::streaming_http::ConnectionTracker> = Default::default();
--- a/yewcross-testkit/tests/relay/server.rs
+++ b/yewcross-testkit/tests/relay/server.rs
@@ -72,6 +72,10 @@
     EndsAtOnce,
     /// Events without end.
     Forever,
+    /// One event, and then another one without end.
+    EndlessEvent,
+    /// A good answer with a body of so many bytes.
+    Large(usize),
     Slow(u64),
 }
 
@@ -157,6 +161,8 @@
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 /// count. Events of a whole stream.
 const EVENTS: usize = 4;
+/// Bytes of each chunk of an event without end.
+const ENDLESS_CHUNK_BYTES: usize = 16 << 10;
 /// us between two events.
 const EVENT_INTERVAL: u64 = 20 * MS;
 /// us after an answer until what comes behind it.
@@ -349,6 +355,15 @@
                 }
                 self.note_leave()
             }
+            Act::EndlessEvent => {
+                self.send_events(request, 0..1).await;
+                self.write(&chunk("data: ")).await;
+                let data = chunk(&"x".repeat(ENDLESS_CHUNK_BYTES));
+                while self.write(&data).await.is_some() {
+                    self.runtime.sleep(MS).await;
+                }
+                self.note_leave()
+            }
             other => unreachable!("{other:?} is no stream"),
         }
     }
@@ -429,6 +444,7 @@
             let more = format!("{STAMP}content-type: text/event-stream\r\n");
             keep(say(200, attempt, &more, &events))
         }
+        Act::Large(bytes) => keep(say(200, attempt, STAMP, &"x".repeat(bytes))),
         Act::EndsAtOnce => keep([request.stream_head().as_bytes(), LAST_CHUNK].concat()),
         _ => None,
     }
