--- a/yewcross-common/src/process_settings.rs
+++ b/yewcross-common/src/process_settings.rs
@@ -213,7 +213,10 @@
     /// have changed; `Err` contains the reason for a rejection.
     pub fn reload(&self, path: &str) -> Result<ProcessSettings, String> {
         let reloaded = ProcessSettings::read(path).map_err(|error| error.to_string())?;
-        if let Some(error) = reloaded.validate(self.role == Role::Front).first() {
+        if let Some(error) = reloaded
+            .validate_startup_file(self.role == Role::Front)
+            .first()
+        {
             return Err(error.to_string());
         }
         if reloaded.needs_restart(self) {
@@ -234,7 +237,21 @@
             || self.wire != running.wire
     }
 
-    /// Validates the settings for a front, or else for a core or store. Returns all errors.
+    /// Validates settings that an operator writes: like [`ProcessSettings::validate`], but a process
+    /// that knows no seed is taken for a mistake.
+    pub fn validate_startup_file(&self, is_front: bool) -> Vec<SettingsError> {
+        let mut errors = self.validate(is_front);
+        if self.seeds.is_empty() {
+            errors.push(SettingsError::Invalid {
+                key: "seeds",
+                reason: "must list at least one other process",
+            });
+        }
+        errors
+    }
+
+    /// Validates the settings for a front, or else for a core or store. Returns all errors. Seeds may
+    /// be missing: a process without them waits until others contact it or a reload names some.
     pub fn validate(&self, is_front: bool) -> Vec<SettingsError> {
         const NAME_RULE: &str = "must be 1 to 64 letters, digits, - or _";
         let supports_wire_version = (WIRE_VERSION_MIN..=WIRE_VERSION).contains(&self.wire);
@@ -246,11 +263,6 @@
                 "role",
                 "this program does not support the role",
             ),
-            (
-                !self.seeds.is_empty(),
-                "seeds",
-                "must list at least one other process",
-            ),
             (self.peer != self.http, "http", "must differ from peer"),
             (
                 !self.peer.ip().is_unspecified(),
@@ -296,7 +308,7 @@
         eprintln!("{error}");
         std::process::exit(exit::BAD_STARTUP)
     });
-    let errors = settings.validate(is_front);
+    let errors = settings.validate_startup_file(is_front);
     for error in &errors {
         eprintln!("{path}: {error}");
     }
