End a process whose essential task panics

Operators saw a process that runs and does not do all its work: a panic in a background task ended that task alone, and nothing said so. Cause: the executor drops a task that panics. Change: tasks without which a process cannot do its work are spawned as essential; a panic in one ends the process with code 7 and names the task in the log, and the machine starts it again. A panic in the handling of one request or connection still ends that alone.

--- a/yewcross-common/src/process_settings.rs
+++ b/yewcross-common/src/process_settings.rs
@@ -189,6 +189,8 @@
     pub const BAD_DISK: i32 = 5;
     /// A process with the same name that was started later has replaced this one.
     pub const REPLACED: i32 = 6;
+    /// A task without which the process cannot do its work panicked.
+    pub const TASK_PANICKED: i32 = 7;
 }
 
 impl ProcessSettings {
--- a/yewcross-common/src/runtime/mod.rs
+++ b/yewcross-common/src/runtime/mod.rs
@@ -44,6 +44,12 @@
     fn sleep(&self, us: u64) -> BoxFuture<'static, ()>;
     /// Runs a task in the background until it completes.
     fn spawn(&self, task: BoxFuture<'static, ()>);
+    /// Runs a task without which the process cannot do its work. A panic in it ends a process that
+    /// runs on an operating system: its machine starts it again.
+    fn spawn_essential(&self, name: &'static str, task: BoxFuture<'static, ()>) {
+        let _ = name;
+        self.spawn(task);
+    }
     /// Opens a connection to an address.
     fn connect(&self, address: SocketAddr) -> BoxFuture<'static, io::Result<Connection>>;
     /// Binds a listener to an address.
@@ -99,6 +105,16 @@
         self.0.spawn(Box::pin(task));
     }
 
+    /// Runs a task without which the process cannot do its work; see
+    /// [`RuntimeBackend::spawn_essential`].
+    pub fn spawn_essential(
+        &self,
+        name: &'static str,
+        task: impl Future<Output = ()> + Send + 'static,
+    ) {
+        self.0.spawn_essential(name, Box::pin(task));
+    }
+
     /// Returns the output of a future, or `None` if it takes longer than `us` µs; the future is then
     /// dropped.
     pub async fn timeout<T>(&self, us: u64, future: impl Future<Output = T>) -> Option<T> {
--- a/yewcross-common/src/runtime/os/mod.rs
+++ b/yewcross-common/src/runtime/os/mod.rs
@@ -5,11 +5,15 @@
 
 use super::reactor::Reactor;
 use super::{BoxFuture, Connection, FrameFault, Listener, Runtime, RuntimeBackend};
+use crate::process;
+use crate::process_settings::exit;
 use disk_threads::DiskThreads;
+use futures_lite::FutureExt;
 use std::fs::{File, OpenOptions};
 use std::future::pending;
 use std::io::{self, Write};
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::SystemTime;
@@ -115,6 +119,16 @@
         self.executor.spawn(task).detach();
     }
 
+    fn spawn_essential(&self, name: &'static str, task: BoxFuture<'static, ()>) {
+        let supervised = async move {
+            if AssertUnwindSafe(task).catch_unwind().await.is_err() {
+                let reason = format!("the task {name} panicked");
+                std::process::exit(process::log_end(exit::TASK_PANICKED, &reason));
+            }
+        };
+        self.executor.spawn(supervised).detach();
+    }
+
     fn connect(&self, address: SocketAddr) -> BoxFuture<'static, io::Result<Connection>> {
         Box::pin(tcp::connect(self.reactor.clone(), address))
     }
--- a/yewcross-control/src/singleton_tasks.rs
+++ b/yewcross-control/src/singleton_tasks.rs
@@ -243,16 +243,28 @@
 /// Starts the background tasks of a core process.
 pub async fn run(control: Arc<Control>) {
     let runtime = &control.runtime;
-    runtime.spawn(quorum_contact::maintain_contact(control.clone()));
-    runtime.spawn(lease_holder::run(control.clone()));
-    runtime.spawn(poll_platform_list(control.clone()));
+    runtime.spawn_essential(
+        "quorum contact",
+        quorum_contact::maintain_contact(control.clone()),
+    );
+    runtime.spawn_essential("lease", lease_holder::run(control.clone()));
+    runtime.spawn_essential("server list", poll_platform_list(control.clone()));
     if control.options.maintains_layout {
-        runtime.spawn(config::fetch_late_documents(control.clone()));
-        runtime.spawn(layout::bootstrap_automatically(control.clone()));
-        runtime.spawn(maintain_replicas(control.clone()));
+        runtime.spawn_essential(
+            "late documents",
+            config::fetch_late_documents(control.clone()),
+        );
+        runtime.spawn_essential(
+            "bootstrap",
+            layout::bootstrap_automatically(control.clone()),
+        );
+        runtime.spawn_essential("replica assignment", maintain_replicas(control.clone()));
     } else {
         control.is_bootstrapped.store(true, SeqCst);
-        runtime.spawn(maintain_manual_layout(control.clone()));
+        runtime.spawn_essential(
+            "replica assignment",
+            maintain_manual_layout(control.clone()),
+        );
     }
 }
 
--- a/yewcross-control/src/start.rs
+++ b/yewcross-control/src/start.rs
@@ -102,7 +102,10 @@
             serve_operators(&control).await?;
         }
         let handler = Arc::new(PeerRequestHandler(control.clone()));
-        runtime.spawn(control.peers.clone().serve(peer_listener, handler));
+        runtime.spawn_essential(
+            "peer requests",
+            control.peers.clone().serve(peer_listener, handler),
+        );
         spawn_tasks(&control, local);
         Ok(control)
     }
@@ -260,35 +263,32 @@
     let handler: buffered_http::Handler = Arc::new(move |request| {
         Box::pin(operator::handle_request(control_handle.clone(), request))
     });
-    runtime.spawn(buffered_http::serve(
+    let serving = buffered_http::serve(
         runtime.clone(),
         listener,
         handler,
         control.connections.clone(),
-    ));
+    );
+    runtime.spawn_essential("operator requests", serving);
     Ok(())
 }
 
 /// Starts the background tasks of the node.
 fn spawn_tasks(control: &Arc<Control>, local: LocalState) {
     let runtime = &control.runtime;
-    runtime.spawn(control.members.clone().run());
-    runtime.spawn(control.watcher.clone().run());
-    runtime.spawn(persisted_documents::persist_changes(
-        control.clone(),
-        local.documents,
-    ));
+    runtime.spawn_essential("membership", control.members.clone().run());
+    runtime.spawn_essential("document watcher", control.watcher.clone().run());
+    let persisting = persisted_documents::persist_changes(control.clone(), local.documents);
+    runtime.spawn_essential("persisted documents", persisting);
     if control.options.maintains_layout {
-        runtime.spawn(persisted_peers::persist_changes(
-            control.clone(),
-            local.peers,
-        ));
+        let persisting = persisted_peers::persist_changes(control.clone(), local.peers);
+        runtime.spawn_essential("persisted peers", persisting);
     }
-    runtime.spawn(layout::anti_entropy(control.clone()));
-    runtime.spawn(maintenance::run(control.clone()));
-    runtime.spawn(disk_recovery::run(control.clone()));
+    runtime.spawn_essential("anti-entropy", layout::anti_entropy(control.clone()));
+    runtime.spawn_essential("maintenance", maintenance::run(control.clone()));
+    runtime.spawn_essential("disk recovery", disk_recovery::run(control.clone()));
     if control.settings.role == Role::Core {
-        runtime.spawn(singleton_tasks::run(control.clone()));
+        runtime.spawn_essential("singleton tasks", singleton_tasks::run(control.clone()));
     }
 }
 
--- a/yewcross-proxy/src/lib.rs
+++ b/yewcross-proxy/src/lib.rs
@@ -164,14 +164,15 @@
         let node = front.clone();
         let handler: yewcross_common::buffered_http::Handler =
             Arc::new(move |request| Box::pin(answer(node.clone(), request)));
-        runtime.spawn(yewcross_common::buffered_http::serve(
+        let serving = yewcross_common::buffered_http::serve(
             runtime.clone(),
             http,
             handler,
             front.connections.clone(),
-        ));
+        );
+        runtime.spawn_essential("caller requests", serving);
         front.run();
-        runtime.spawn(load_reports::run(front.clone()));
+        runtime.spawn_essential("load reports", load_reports::run(front.clone()));
         Ok(front)
     }
 
@@ -211,13 +212,14 @@
         let handler: streaming_http::Handler =
             Arc::new(move |request, _| Box::pin(routed.clone().serve(request)));
         let documents = front.documents.clone();
-        runtime.spawn(streaming_http::serve(
+        let serving = streaming_http::serve(
             runtime.clone(),
             http,
             handler,
             Arc::new(move || documents.config.load().1.routing.limits.clone()),
             front.streaming_connections.clone(),
-        ));
+        );
+        runtime.spawn_essential("caller requests", serving);
         front.run();
         if relay.balance.policies.has(Mechanism::LoadExchange) {
             let exchange = LoadExchange::new(
@@ -227,10 +229,10 @@
                 &front.settings.site,
             );
             let _ = front.load_exchange.set(exchange.clone());
-            runtime.spawn(exchange.run(relay.clone()));
+            runtime.spawn_essential("load exchange", exchange.run(relay.clone()));
         }
         let runtime = runtime.clone();
-        self.runtime.spawn(async move {
+        self.runtime.spawn_essential("maintenance", async move {
             loop {
                 runtime.sleep(MAINTENANCE_INTERVAL).await;
                 relay.prune(
@@ -252,18 +254,18 @@
     }
 
     fn run(self: &Arc<Self>) {
-        self.runtime.spawn(self.members.clone().run());
-        self.runtime.spawn(self.watcher.clone().run());
+        self.runtime
+            .spawn_essential("membership", self.members.clone().run());
+        self.runtime
+            .spawn_essential("document watcher", self.watcher.clone().run());
     }
 
     async fn listen(self: &Arc<Self>) -> Result<Box<dyn Listener>, BindError> {
         let peer_listener = self.bind(self.settings.peer).await?;
         let http_listener = self.bind(self.settings.http).await?;
-        self.runtime.spawn(
-            self.peers
-                .clone()
-                .serve(peer_listener, Arc::new(PeerHandler(self.clone()))),
-        );
+        let handler = Arc::new(PeerHandler(self.clone()));
+        let serving = self.peers.clone().serve(peer_listener, handler);
+        self.runtime.spawn_essential("peer requests", serving);
         Ok(http_listener)
     }
 
--- a/yewcross-state/src/segment_log/writer.rs
+++ b/yewcross-state/src/segment_log/writer.rs
@@ -103,8 +103,10 @@
         log.queue.push(QueuedAppend { records, written });
         if !std::mem::replace(&mut log.is_writing, true) {
             let store = self.clone();
-            self.runtime
-                .spawn(async move { store.write_batches().await });
+            self.runtime.spawn_essential(
+                "turn log writer",
+                async move { store.write_batches().await },
+            );
         }
         receiver
     }
--- a/yewcross-state/src/turn_store/mod.rs
+++ b/yewcross-state/src/turn_store/mod.rs
@@ -110,8 +110,8 @@
             under_replicated: AtomicU64::new(0),
         });
         store.mark_torn_ends(&scan.torn);
-        runtime.spawn(store.clone().run_expiry());
-        runtime.spawn(store.clone().run_anti_entropy());
+        runtime.spawn_essential("turn expiry", store.clone().run_expiry());
+        runtime.spawn_essential("turn log anti-entropy", store.clone().run_anti_entropy());
         Ok(store)
     }
 
