Never wait for whoever reads the log

Operators saw a process that neither serves nor obeys SIGTERM: its log is a pipe that nobody reads, and the pipe is full. Cause: the thread that writes a line waits for room in the pipe, and all tasks of the process run on that thread. Change: a line is written only if the stream accepts it at once; otherwise it is dropped, and the next line that is written says how many were. Panics are logged the same way.

--- a/yewcross-common/src/process/mod.rs
+++ b/yewcross-common/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! The life of a process of the tier: its start, signals and end.
 
 pub mod data_folder;
+pub mod log_output;
 pub mod memory;
 pub mod signals;
 mod startup_retry;
--- a/yewcross-control/src/main.rs
+++ b/yewcross-control/src/main.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use yewcross_common::process;
 use yewcross_common::process::data_folder::DataFolder;
-use yewcross_common::process::memory;
 use yewcross_common::process::signals::{ProcessSignals, StartOutcome};
+use yewcross_common::process::{log_output, memory};
 use yewcross_common::process_settings::{ProcessSettings, Role, exit};
 use yewcross_common::runtime::Runtime;
 use yewcross_common::runtime::os::OsRuntime;
@@ -24,6 +24,7 @@
 
 fn main() {
     let flags = YewcrossControl::from_env_or_exit();
+    log_output::install();
     let signals = ProcessSignals::install().unwrap_or_else(|error| {
         let reason = format!("cannot handle signals: {error}");
         std::process::exit(process::log_end(exit::CANNOT_BIND, &reason))
--- a/yewcross-proxy/src/main.rs
+++ b/yewcross-proxy/src/main.rs
@@ -3,8 +3,8 @@
 
 use std::sync::Arc;
 use yewcross_common::process;
-use yewcross_common::process::memory;
 use yewcross_common::process::signals::{ProcessSignals, StartOutcome};
+use yewcross_common::process::{log_output, memory};
 use yewcross_common::process_settings::{ProcessSettings, exit};
 use yewcross_common::runtime::Runtime;
 use yewcross_common::runtime::os::OsRuntime;
@@ -22,6 +22,7 @@
 
 fn main() {
     let flags = YewcrossFront::from_env_or_exit();
+    log_output::install();
     let signals = ProcessSignals::install().unwrap_or_else(|error| {
         let reason = format!("cannot handle signals: {error}");
         std::process::exit(process::log_end(exit::CANNOT_BIND, &reason))
