Reach a node at a spare internal port if its own stays in use

Callers saw a process that ends with code 4 every 75 s for as long as another program has its internal port, though the machine leaves a range of ports free for nodes to talk to each other. Cause: a role knew one port of the range.

--- a/yewcross-common/src/process/mod.rs
+++ b/yewcross-common/src/process/mod.rs
@@ -6,7 +6,7 @@
 pub mod signals;
 mod startup_retry;
 
-pub use startup_retry::{bind, retry};
+pub use startup_retry::{bind, choose_address, retry};
 
 use crate::process_settings::exit;
 
--- a/yewcross-common/src/process/startup_retry.rs
+++ b/yewcross-common/src/process/startup_retry.rs
@@ -51,3 +51,25 @@
     let action = format!("binding {address}");
     retry(runtime, timeout, &action, || runtime.bind(address)).await
 }
+
+/// The address to listen on: the preferred one if it can be bound within `patience` µs, or else the
+/// first of the alternatives that can. Returns the preferred one if none can be bound.
+pub async fn choose_address(
+    runtime: &Runtime,
+    preferred: SocketAddr,
+    alternatives: &[SocketAddr],
+    patience: u64,
+) -> SocketAddr {
+    if alternatives.is_empty() || bind(runtime, preferred, patience).await.is_ok() {
+        return preferred;
+    }
+    for alternative in alternatives {
+        if runtime.bind(*alternative).await.is_ok() {
+            runtime.log(&format!(
+                "{preferred} stays in use; other nodes reach this one at {alternative}"
+            ));
+            return *alternative;
+        }
+    }
+    preferred
+}
