Close the callers that hold most for longest when a process is short

Callers saw: a process that went over the memory of its machine (resident memory and unread bytes 40 to 66 MB of 40), a core that answered nobody for as long as a crowd kept its connections open, and fronts that reset every new connection while a crowd came again.

Cause: each port counted its own connections and refused the newest; a body on the operators' port had no time limit; a response that nobody read was kept to its deadline or longer; and nothing bounded what the system keeps for connections that are not read or not accepted.

Change: one OverloadManager a process, shared by its HTTP ports. It admits connections and grants memory for bodies; when either is used up it closes the connections that wait for their callers, those that hold most for longest first, and never one whose request was received whole and is being answered. Receive windows and accept backlogs follow from the memory limit and are part of what is counted; a large body gets a wide window if there is memory for it. A body may take 5 s and one second more for each 128 kB. A shutdown accepts the backlog for a second at most, whoever keeps coming.

Descriptors: the platform reserves 200 of the limit for files, so callers get 60% of the rest; the unit test says so in place of 60% of all.

--- a/yewcross-common/src/buffer_memory.rs
+++ b/yewcross-common/src/buffer_memory.rs
@@ -4,34 +4,14 @@
 //!
 //! A buffer reserves memory before it grows. What cannot be reserved is rejected by its owner.
 
-use crate::constants::{
-    BUFFER_MEMORY_PERCENT, CALLER_CONNECTION_BYTES, CALLER_CONNECTION_FILES_PERCENT,
-    CALLER_CONNECTION_MEMORY_PERCENT, LARGE_BUFFER_PERCENT, MAX_CALLER_CONNECTIONS,
-    SMALL_BUFFER_BYTES,
-};
+use crate::constants::{BUFFER_MEMORY_PERCENT, LARGE_BUFFER_PERCENT, SMALL_BUFFER_BYTES};
+use crate::notify::Notifier;
+use crate::overload::available_memory;
 use crate::process_settings::Bounds;
 use bytes::Bytes;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst};
 
-/// Bytes in one MB of the settings.
-const MB: usize = 1 << 20;
-
-/// Upper limit on the open connections of callers of a process within these bounds.
-pub fn max_caller_connections(bounds: &Bounds) -> usize {
-    let by_memory = match bounds.memory_mb as usize {
-        0 => MAX_CALLER_CONNECTIONS,
-        memory_mb => {
-            memory_mb * MB / 100 * CALLER_CONNECTION_MEMORY_PERCENT / CALLER_CONNECTION_BYTES
-        }
-    };
-    let by_files = match bounds.files as usize {
-        0 => MAX_CALLER_CONNECTIONS,
-        files => files * CALLER_CONNECTION_FILES_PERCENT / 100,
-    };
-    MAX_CALLER_CONNECTIONS.min(by_memory).min(by_files).max(1)
-}
-
 /// The memory that the buffers of a process may use together.
 #[derive(Debug)]
 pub struct BufferMemory {
@@ -41,6 +21,8 @@
     reserved: AtomicUsize,
     /// Number of reservations that were refused.
     refusals: AtomicU64,
+    /// Notified when memory is released.
+    released: Notifier,
 }
 
 impl Default for BufferMemory {
@@ -52,9 +34,9 @@
 impl BufferMemory {
     /// The memory for buffers of a process within these bounds; unlimited if they set no limit.
     pub fn within(bounds: &Bounds) -> Arc<BufferMemory> {
-        Arc::new(match bounds.memory_mb as usize {
-            0 => BufferMemory::default(),
-            memory_mb => BufferMemory::with_limit(memory_mb * MB / 100 * BUFFER_MEMORY_PERCENT),
+        Arc::new(match available_memory(bounds) {
+            None => BufferMemory::default(),
+            Some(available) => BufferMemory::with_limit(available / 100 * BUFFER_MEMORY_PERCENT),
         })
     }
 
@@ -64,9 +46,15 @@
             limit,
             reserved: AtomicUsize::new(0),
             refusals: AtomicU64::new(0),
+            released: Notifier::default(),
         }
     }
 
+    /// Notified each time that memory is released.
+    pub fn released(&self) -> &Notifier {
+        &self.released
+    }
+
     /// Upper limit in bytes.
     pub fn limit(&self) -> usize {
         self.limit
@@ -107,6 +95,10 @@
 pub struct Reservation {
     memory: Arc<BufferMemory>,
     bytes: usize,
+    /// Counts the bytes reserved by the same holder.
+    holder: Option<Arc<AtomicUsize>>,
+    /// It may use the memory that large buffers leave to small ones.
+    has_precedence: bool,
 }
 
 impl Reservation {
@@ -115,16 +107,43 @@
         Reservation {
             memory: memory.clone(),
             bytes: 0,
+            holder: None,
+            has_precedence: false,
         }
     }
 
+    /// The same empty reservation; its bytes are added to `holder` as long as they are reserved.
+    pub fn counted_in(mut self, holder: &Arc<AtomicUsize>) -> Reservation {
+        debug_assert_eq!(self.bytes, 0);
+        self.holder = Some(holder.clone());
+        self
+    }
+
+    /// The same empty reservation, for what the tier needs to work: it may use the memory that large
+    /// buffers of callers leave to small ones.
+    pub fn with_precedence(mut self) -> Reservation {
+        self.has_precedence = true;
+        self
+    }
+
+    /// Bytes that are reserved.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Reserves further bytes; returns whether there is memory for them.
     #[must_use]
     pub fn try_grow(&mut self, bytes: usize) -> bool {
-        let limit = self.memory.limit_for(self.bytes.saturating_add(bytes));
+        let limit = match self.has_precedence {
+            true => self.memory.limit,
+            false => self.memory.limit_for(self.bytes.saturating_add(bytes)),
+        };
         let is_reserved = self.memory.try_reserve(bytes, limit);
         if is_reserved {
             self.bytes += bytes;
+            if let Some(holder) = &self.holder {
+                holder.fetch_add(bytes, SeqCst);
+            }
         }
         is_reserved
     }
@@ -140,7 +159,11 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
+        if let Some(holder) = &self.holder {
+            holder.fetch_sub(self.bytes, SeqCst);
+        }
         self.memory.reserved.fetch_sub(self.bytes, SeqCst);
+        self.memory.released.notify();
     }
 }
 
@@ -175,6 +198,41 @@
         }
     }
 
+    /// An empty buffer whose memory belongs to this empty reservation.
+    pub fn with_reservation(reservation: Reservation) -> ReservedBuffer {
+        ReservedBuffer {
+            bytes: Vec::new(),
+            reservation,
+        }
+    }
+
+    /// The reservation of its memory.
+    pub fn reservation_mut(&mut self) -> &mut Reservation {
+        &mut self.reservation
+    }
+
+    /// Bytes that must be reserved before `additional` bytes can be appended. The capacity doubles when
+    /// it is used up, but not beyond `expected_bytes` unless the content is longer.
+    pub fn growth_for(&self, additional: usize, expected_bytes: Option<usize>) -> usize {
+        let needed = self.bytes.len() + additional;
+        if needed <= self.bytes.capacity() {
+            return 0;
+        }
+        let doubled = needed.max(2 * self.bytes.capacity());
+        let capacity = match expected_bytes {
+            Some(expected) if expected >= needed => doubled.min(expected),
+            _ => doubled,
+        };
+        capacity - self.bytes.capacity()
+    }
+
+    /// Appends bytes, after `growth` further bytes were reserved for them.
+    pub fn extend_reserved(&mut self, bytes: &[u8], growth: usize) {
+        let capacity = self.bytes.capacity() + growth;
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        self.bytes.extend_from_slice(bytes);
+    }
+
     /// A buffer for exactly this many bytes.
     pub fn with_capacity(
         memory: &Arc<BufferMemory>,
@@ -192,16 +250,11 @@
         bytes: &[u8],
         expected_bytes: Option<usize>,
     ) -> Result<(), OutOfBufferMemory> {
-        let needed = self.bytes.len() + bytes.len();
-        if needed > self.bytes.capacity() {
-            let doubled = needed.max(2 * self.bytes.capacity());
-            let capacity = match expected_bytes {
-                Some(expected) if expected >= needed => doubled.min(expected),
-                _ => doubled,
-            };
-            self.grow_to(capacity)?;
+        let growth = self.growth_for(bytes.len(), expected_bytes);
+        if growth > 0 && !self.reservation.try_grow(growth) {
+            return Err(OutOfBufferMemory);
         }
-        self.bytes.extend_from_slice(bytes);
+        self.extend_reserved(bytes, growth);
         Ok(())
     }
 
--- a/yewcross-common/src/buffered_http/server.rs
+++ b/yewcross-common/src/buffered_http/server.rs
@@ -2,12 +2,13 @@
 
 use super::response::{SendDeadline, error_response};
 use super::tracker::ConnectionTracker;
-use crate::buffer_memory::{BufferMemory, ReservedBuffer};
+use crate::buffer_memory::ReservedBuffer;
 use crate::constants::{
     BODY_TIMEOUT, HEAD_TIMEOUT, IDLE_CONNECTION_TIMEOUT, MAX_BODY_BYTES, MAX_HEAD_BYTES, MS,
     RESPONSE_TIMEOUT, SEC,
 };
 use crate::error_code::Code;
+use crate::overload::{CallerConnection, ConnectionPermit};
 use crate::runtime::{BoxFuture, Connection, Listener, Runtime};
 use futures_lite::future::or;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt};
@@ -88,19 +89,20 @@
             runtime.sleep(ACCEPT_BACKOFF).await;
             continue;
         };
-        if tracker.open_connections.fetch_add(1, SeqCst) >= tracker.max_connections {
-            tracker.connection_closed();
+        let Some(permit) = tracker.overload.admit(&runtime, &connection).await else {
             let reject_runtime = runtime.clone();
             runtime.spawn(async move {
                 reject_and_close(&reject_runtime, connection, Code::TooMany).await
             });
             continue;
-        }
+        };
+        tracker.open_connections.fetch_add(1, SeqCst);
         runtime.spawn(serve_connection(
             runtime.clone(),
             connection,
             handler.clone(),
             tracker.clone(),
+            permit,
         ));
     }
     drop(listener);
@@ -113,16 +115,32 @@
     mut connection: Connection,
     handler: Handler,
     tracker: Arc<ConnectionTracker>,
+    permit: ConnectionPermit,
+) {
+    let caller = permit.connection();
+    let serving = serve_requests(&runtime, &mut connection, &handler, &tracker, caller);
+    or(serving, caller.evicted()).await;
+    // Fails if the caller has already closed the connection.
+    let _ = connection.close().await;
+    drop(connection);
+    drop(permit);
+    tracker.connection_closed();
+}
+
+async fn serve_requests(
+    runtime: &Runtime,
+    connection: &mut Connection,
+    handler: &Handler,
+    tracker: &ConnectionTracker,
+    caller: &Arc<CallerConnection>,
 ) {
     let mut is_first = true;
-    while serve_request(&runtime, &mut connection, &handler, &tracker, is_first).await
+    while serve_request(runtime, connection, handler, tracker, caller, is_first).await
         == AfterRequest::KeepAlive
     {
         is_first = false;
+        caller.begin_idle();
     }
-    // Fails if the caller has already closed the connection.
-    let _ = connection.close().await;
-    tracker.connection_closed();
 }
 
 /// Reads, handles and answers the next request of a connection.
@@ -131,6 +149,7 @@
     connection: &mut Connection,
     handler: &Handler,
     tracker: &ConnectionTracker,
+    caller: &Arc<CallerConnection>,
     is_first: bool,
 ) -> AfterRequest {
     let (mut request, mut body_rest) =
@@ -138,11 +157,13 @@
             Ok(head) => head,
             Err(error) => return end_connection(runtime, connection, error).await,
         };
-    let read = read_body(runtime, &mut request, &tracker.memory).await;
+    caller.begin_receiving();
+    let read = read_body(runtime, &mut request, caller).await;
     let (body, _reservation) = match read {
         Ok(body) => body.into_parts(),
         Err(error) => return end_connection(runtime, connection, error).await,
     };
+    caller.begin_working();
     tracker.active_requests.fetch_add(1, SeqCst);
     let method = request.method();
     let wants_close = request
@@ -236,7 +257,7 @@
 async fn read_body(
     runtime: &Runtime,
     request: &mut Request,
-    memory: &Arc<BufferMemory>,
+    caller: &CallerConnection,
 ) -> Result<ReservedBuffer, ReadError> {
     let expected = request.len();
     if expected.is_some_and(|length| length > MAX_BODY_BYTES) {
@@ -245,7 +266,7 @@
     // Reading one byte more than allowed detects a body that is too large.
     let reader = request.take_body().take(MAX_BODY_BYTES as u64 + 1);
     let body = runtime
-        .timeout(BODY_TIMEOUT, read_to_end(reader, expected, memory))
+        .timeout(BODY_TIMEOUT, read_to_end(reader, expected, caller))
         .await
         .unwrap_or(Err(ReadError::Rejected(Code::TooSlow)))?;
     if body.len() > MAX_BODY_BYTES {
@@ -260,9 +281,9 @@
 async fn read_to_end(
     mut reader: impl AsyncRead + Unpin,
     expected: Option<usize>,
-    memory: &Arc<BufferMemory>,
+    caller: &CallerConnection,
 ) -> Result<ReservedBuffer, ReadError> {
-    let mut body = ReservedBuffer::new(memory);
+    let mut body = ReservedBuffer::with_reservation(caller.reservation());
     let mut part = vec![0; BODY_PART_BYTES];
     loop {
         let read = reader.read(&mut part).await;
@@ -270,8 +291,14 @@
         if count == 0 {
             return Ok(body);
         }
-        body.extend(&part[..count], expected)
-            .map_err(|_| ReadError::Rejected(Code::LineFull))?;
+        let growth = body.growth_for(count, expected.or(Some(MAX_BODY_BYTES)));
+        if growth > 0 && !caller.grow(body.reservation_mut(), growth).await {
+            return Err(ReadError::Rejected(Code::LineFull));
+        }
+        body.extend_reserved(&part[..count], growth);
+        if CallerConnection::is_large(body.len()) {
+            caller.widen_receive_window();
+        }
     }
 }
 
--- a/yewcross-common/src/buffered_http/tracker.rs
+++ b/yewcross-common/src/buffered_http/tracker.rs
@@ -1,13 +1,12 @@
 //! Counts open connections and requests in progress, so that a graceful shutdown can wait for them.
 
-use crate::buffer_memory::{BufferMemory, max_caller_connections};
-use crate::constants::MAX_CALLER_CONNECTIONS;
 use crate::notify::{Latch, Notifier};
-use crate::process_settings::Bounds;
+use crate::overload::OverloadManager;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 
-/// Counts the open connections of a server, limits what they use, and signals its shutdown.
+/// Counts the open connections of a server, and signals its shutdown.
+#[derive(Default)]
 pub struct ConnectionTracker {
     /// Number of open connections.
     pub open_connections: AtomicUsize,
@@ -18,31 +17,15 @@
     pub shutdown: Latch,
     /// Notified when either count decreases.
     decreased: Notifier,
-    /// Upper limit on open connections; further ones are rejected.
-    pub(super) max_connections: usize,
-    /// Memory for the bodies of requests.
-    pub(super) memory: Arc<BufferMemory>,
-}
-
-impl Default for ConnectionTracker {
-    fn default() -> ConnectionTracker {
-        ConnectionTracker {
-            open_connections: AtomicUsize::default(),
-            active_requests: AtomicUsize::default(),
-            shutdown: Latch::default(),
-            decreased: Notifier::default(),
-            max_connections: MAX_CALLER_CONNECTIONS,
-            memory: Arc::default(),
-        }
-    }
+    /// Limits what the connections hold.
+    pub(super) overload: Arc<OverloadManager>,
 }
 
 impl ConnectionTracker {
-    /// A tracker for the server of a process within these bounds.
-    pub fn within(bounds: &Bounds, memory: &Arc<BufferMemory>) -> ConnectionTracker {
+    /// A tracker for a server whose connections are admitted by `overload`.
+    pub fn new(overload: &Arc<OverloadManager>) -> ConnectionTracker {
         ConnectionTracker {
-            max_connections: max_caller_connections(bounds),
-            memory: memory.clone(),
+            overload: overload.clone(),
             ..ConnectionTracker::default()
         }
     }
--- a/yewcross-common/src/constants/transport.rs
+++ b/yewcross-common/src/constants/transport.rs
@@ -18,9 +18,9 @@
 /// A keep-alive probe is sent on an outgoing connection after this long without data, in µs, and
 /// repeated at the same interval.
 pub const KEEPALIVE_INTERVAL: u64 = SEC;
-/// Upper limit on new connections that wait to be accepted: a burst from all callers of a front
-/// while a turn is computed.
-pub const ACCEPT_BACKLOG: i32 = 1024;
+/// Upper limit on new connections that wait to be accepted, whatever the memory: a burst from all
+/// callers of a front while a turn is computed.
+pub const MAX_ACCEPT_BACKLOG: i32 = 1024;
 /// Number of threads that may wait for the disk at once.
 pub const DISK_THREADS: usize = 4;
 /// Bytes read from a connection at once: several frames of the usual size.
--- a/yewcross-common/src/lib.rs
+++ b/yewcross-common/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod hash;
 pub mod membership;
 pub mod notify;
+pub mod overload;
 pub mod process;
 pub mod process_settings;
 pub mod protocol;
--- a/yewcross-common/src/process/memory.rs
+++ b/yewcross-common/src/process/memory.rs
@@ -1,8 +1,8 @@
 //! Reports in the log how much memory a process uses relative to its limit: a process that exceeds the
 //! limit is killed by its machine and cannot say so itself.
 
-use crate::buffer_memory::BufferMemory;
 use crate::constants::MEMORY_WATCH_INTERVAL;
+use crate::overload::OverloadManager;
 use crate::process_settings::Bounds;
 use crate::runtime::Runtime;
 use std::sync::Arc;
@@ -33,26 +33,31 @@
 /// What has been logged so far.
 struct MemoryWatch {
     limit_mb: u64,
-    buffers: Arc<BufferMemory>,
+    overload: Arc<OverloadManager>,
     logged_percentage: u64,
     logged_refusals: u64,
+    logged_evictions: u64,
 }
 
-/// Logs when the peak of the memory passes parts of the limit, and when buffers were refused memory,
-/// for as long as the process runs. Returns at once if there is no limit.
-pub async fn watch(runtime: Runtime, bounds: Bounds, buffers: Arc<BufferMemory>) {
+/// Logs when the peak of the memory passes parts of the limit, when buffers were refused memory and when
+/// connections were closed to make room, and closes connections without progress, for as long as the
+/// process runs. Returns at once if there is no limit.
+pub async fn watch(runtime: Runtime, bounds: Bounds, overload: Arc<OverloadManager>) {
     if bounds.memory_mb == 0 {
         return;
     }
     let mut watch = MemoryWatch {
         limit_mb: bounds.memory_mb,
-        buffers,
+        overload,
         logged_percentage: 0,
         logged_refusals: 0,
+        logged_evictions: 0,
     };
     while let Some(peak_mb) = peak_mb() {
         watch.log_peak(&runtime, peak_mb);
         watch.log_refusals(&runtime);
+        watch.log_evictions(&runtime);
+        watch.overload.close_stalled(runtime.now());
         runtime.sleep(MEMORY_WATCH_INTERVAL).await;
     }
 }
@@ -67,7 +72,7 @@
             return;
         }
         self.logged_percentage = passed.unwrap_or_default();
-        let reserved_mb = self.buffers.reserved() / MB;
+        let reserved_mb = self.overload.memory.reserved() / MB;
         runtime.log(&format!(
             "peak resident memory {peak_mb} MB is {percentage}% of the limit of {} MB; buffers use {reserved_mb} MB",
             self.limit_mb
@@ -75,14 +80,26 @@
     }
 
     fn log_refusals(&mut self, runtime: &Runtime) {
-        let refusals = self.buffers.refusals();
+        let refusals = self.overload.memory.refusals();
         if refusals > self.logged_refusals {
             runtime.log(&format!(
                 "buffers were refused memory {} times; their limit is {} MB",
                 refusals - self.logged_refusals,
-                self.buffers.limit() / MB
+                self.overload.memory.limit() / MB
             ));
             self.logged_refusals = refusals;
         }
     }
+
+    fn log_evictions(&mut self, runtime: &Runtime) {
+        let evictions = self.overload.evictions();
+        if evictions > self.logged_evictions {
+            let count = evictions - self.logged_evictions;
+            runtime.log(&format!(
+                "{count} connections were closed to make room, {} are open",
+                self.overload.open_connections()
+            ));
+        }
+        self.logged_evictions = evictions;
+    }
 }
--- a/yewcross-common/src/runtime/connection.rs
+++ b/yewcross-common/src/runtime/connection.rs
@@ -5,8 +5,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Weak};
 use std::task::{Context, Poll};
 
 /// The read allowance of a connection whose reads are not limited.
@@ -22,6 +22,9 @@
     fn close(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>>;
     /// Sets the send timeout in µs, see [`Connection::set_send_timeout`]. Ignored by default.
     fn set_send_timeout(&self, _timeout_us: u64) {}
+    /// Sets the size of the receive window in bytes, see [`WeakConnection::set_receive_window`]. Ignored
+    /// by default.
+    fn set_receive_window(&self, _bytes: usize) {}
 }
 
 /// A connection to a peer. Clones share the stream and the read allowance.
@@ -61,12 +64,36 @@
         self.stream.set_send_timeout(timeout_us);
     }
 
+    /// A reference that does not keep the connection open.
+    pub fn downgrade(&self) -> WeakConnection {
+        WeakConnection(Arc::downgrade(&self.stream))
+    }
+
     /// Whether all bytes allowed by [`Connection::limit_reads`] have been read.
     pub fn read_limit_reached(&self) -> bool {
         self.read_allowance.load(Relaxed) == 0
     }
 }
 
+/// A reference to a connection that does not keep it open.
+pub struct WeakConnection(Weak<dyn ByteStream>);
+
+impl std::fmt::Debug for WeakConnection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("WeakConnection")
+    }
+}
+
+impl WeakConnection {
+    /// Sets how many bytes the system keeps for the process before it reads them. Has no effect on a
+    /// connection that is closed.
+    pub fn set_receive_window(&self, bytes: usize) {
+        if let Some(stream) = self.0.upgrade() {
+            stream.set_receive_window(bytes);
+        }
+    }
+}
+
 impl AsyncRead for Connection {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/yewcross-common/src/runtime/mod.rs
+++ b/yewcross-common/src/runtime/mod.rs
@@ -8,7 +8,7 @@
 pub mod os;
 pub mod reactor;
 
-pub use connection::{ByteStream, Connection, Listener};
+pub use connection::{ByteStream, Connection, Listener, WeakConnection};
 
 use std::future::Future;
 use std::io;
--- a/yewcross-common/src/runtime/os/mod.rs
+++ b/yewcross-common/src/runtime/os/mod.rs
@@ -5,8 +5,9 @@
 
 use super::reactor::Reactor;
 use super::{BoxFuture, Connection, FrameFault, Listener, Runtime, RuntimeBackend};
+use crate::overload::OverloadLimits;
 use crate::process;
-use crate::process_settings::exit;
+use crate::process_settings::{Bounds, exit};
 use disk_threads::DiskThreads;
 use futures_lite::FutureExt;
 use std::fs::{File, OpenOptions};
@@ -31,6 +32,8 @@
     disk_threads: DiskThreads,
     /// The process's data folder.
     data_folder: PathBuf,
+    /// Limits of the connections that are accepted.
+    limits: OverloadLimits,
     /// Kept open between appends to the same path.
     append_file: Arc<Mutex<Option<AppendFile>>>,
 }
@@ -42,6 +45,15 @@
     /// # Panics
     /// If the operating system cannot create an event queue.
     pub fn start(data_folder: &str, threads: usize) -> Runtime {
+        OsRuntime::start_within(data_folder, threads, &Bounds::default())
+    }
+
+    /// Like [`OsRuntime::start`], for a process within these bounds: they limit what the system keeps
+    /// for the connections that it accepts.
+    ///
+    /// # Panics
+    /// If the operating system cannot create an event queue.
+    pub fn start_within(data_folder: &str, threads: usize, bounds: &Bounds) -> Runtime {
         let executor = Arc::new(smol::Executor::new());
         let (reactor, poller) = Reactor::new()
             .unwrap_or_else(|error| panic!("cannot create the reactor's event queue: {error}"));
@@ -60,6 +72,7 @@
             reactor,
             disk_threads: DiskThreads::new(),
             data_folder: PathBuf::from(data_folder),
+            limits: OverloadLimits::within(bounds),
             append_file: Default::default(),
         }))
     }
@@ -134,8 +147,8 @@
     }
 
     fn bind(&self, address: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Listener>>> {
-        let reactor = self.reactor.clone();
-        Box::pin(async move { tcp::bind(reactor, address) })
+        let (reactor, limits) = (self.reactor.clone(), self.limits);
+        Box::pin(async move { tcp::bind(reactor, address, &limits) })
     }
 
     fn frame_fault(&self, _: SocketAddr) -> FrameFault {
--- a/yewcross-common/src/runtime/os/tcp.rs
+++ b/yewcross-common/src/runtime/os/tcp.rs
@@ -1,6 +1,7 @@
 //! Non-blocking TCP sockets of the operating system, registered with the reactor.
 
-use crate::constants::{ACCEPT_BACKLOG, KEEPALIVE_INTERVAL, SEND_TIMEOUT};
+use crate::constants::{KEEPALIVE_INTERVAL, SEND_TIMEOUT};
+use crate::overload::OverloadLimits;
 use crate::runtime::reactor::{Direction, Reactor, WatchedSocket};
 use crate::runtime::{BoxFuture, ByteStream, Connection, Listener};
 use mio::Interest;
@@ -60,6 +61,11 @@
         let _ =
             SockRef::from(&self.0.io).set_tcp_user_timeout(Some(Duration::from_micros(timeout_us)));
     }
+
+    fn set_receive_window(&self, bytes: usize) {
+        // A system that refuses keeps the window as it is.
+        let _ = SockRef::from(&self.0.io).set_recv_buffer_size(bytes);
+    }
 }
 
 /// A TCP listener of the operating system.
@@ -134,11 +140,20 @@
 }
 
 /// Binds a listener to an address.
-pub(super) fn bind(reactor: Arc<Reactor>, address: SocketAddr) -> io::Result<Box<dyn Listener>> {
+pub(super) fn bind(
+    reactor: Arc<Reactor>,
+    address: SocketAddr,
+    limits: &OverloadLimits,
+) -> io::Result<Box<dyn Listener>> {
     let socket = new_socket(address)?;
     socket.set_reuse_address(true)?;
+    if let Some(window) = limits.receive_window {
+        // Accepted connections inherit it, and those that wait to be accepted have it. A system that
+        // refuses keeps its own.
+        let _ = socket.set_recv_buffer_size(window);
+    }
     socket.bind(&address.into())?;
-    socket.listen(ACCEPT_BACKLOG)?;
+    socket.listen(limits.accept_backlog)?;
     let listener = TcpListener::from_std(socket.into());
     let socket = reactor.watch(listener, Interest::READABLE)?;
     Ok(Box::new(OsTcpListener { socket, reactor }))
--- a/yewcross-common/src/streaming_http/head_timeout.rs
+++ b/yewcross-common/src/streaming_http/head_timeout.rs
@@ -4,6 +4,7 @@
 //! connection from one that receives a head slowly. Here, the connection records when the first byte
 //! of a head arrives, and hyper's timer, which uses the runtime's clock, is shortened from then on.
 
+use crate::overload::{CallerConnection, ObservedConnection};
 use crate::runtime::{BoxFuture, Connection, Runtime};
 use futures_lite::{AsyncRead, AsyncWrite};
 use std::future::Future;
@@ -40,9 +41,10 @@
 
 /// A connection that records the progress of request heads.
 pub(super) struct HeadProgressRecorder {
-    connection: Connection,
+    connection: ObservedConnection,
     runtime: Runtime,
     progress: Arc<HeadProgress>,
+    caller: Arc<CallerConnection>,
     /// Number, counted from 1, of the last request whose request line was received completely.
     last_line_received: u64,
 }
@@ -52,11 +54,13 @@
         connection: Connection,
         runtime: Runtime,
         progress: Arc<HeadProgress>,
+        caller: Arc<CallerConnection>,
     ) -> HeadProgressRecorder {
         HeadProgressRecorder {
-            connection,
+            connection: ObservedConnection::new(connection, caller.clone()),
             runtime,
             progress,
+            caller,
             last_line_received: 0,
         }
     }
@@ -69,6 +73,7 @@
         }
         if self.progress.started.load(SeqCst) == 0 {
             self.progress.started.store(self.runtime.now(), SeqCst);
+            self.caller.begin_receiving();
         }
         let line_end = received.iter().position(|byte| *byte == b'\n');
         // hyper would silently remove a fragment from the target.
--- a/yewcross-common/src/streaming_http/mod.rs
+++ b/yewcross-common/src/streaming_http/mod.rs
@@ -12,7 +12,7 @@
 mod tracker;
 
 pub use client::fetch;
-pub use server::{BodyReadError, Handler, read_body, serve};
+pub use server::{BodyReadError, BodyReader, Handler, serve};
 pub use tracker::ConnectionTracker;
 
 use crate::constants::RESPONSE_PART_BYTES;
--- a/yewcross-common/src/streaming_http/server.rs
+++ b/yewcross-common/src/streaming_http/server.rs
@@ -3,21 +3,26 @@
 use super::head_timeout::{HeadProgress, HeadProgressRecorder, HeadTimer};
 use super::tracker::ConnectionTracker;
 use super::{Body, full};
-use crate::buffer_memory::{BufferMemory, ReservedBuffer};
+use crate::buffer_memory::{BufferMemory, Reservation, ReservedBuffer};
 use crate::configuration::route::Limits;
-use crate::constants::{CLOSING_LINGER, MS};
+use crate::constants::{
+    BODY_BYTES_PER_SECOND_MIN, BODY_TIMEOUT, CLOSING_LINGER, MS, RESPONSE_PART_BYTES, SEC,
+};
+use crate::overload::{CallerConnection, ConnectionPermit, WorkingGuard};
 use crate::runtime::{BoxFuture, Connection, Listener, Runtime};
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{Extensions, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming, SizeHint};
 use smol_hyper::rt::FuturesIo;
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 /// Minimum size of hyper's buffer for a connection, in bytes.
@@ -27,6 +32,9 @@
 /// descriptors.
 const ACCEPT_BACKOFF: u64 = 10 * MS;
 
+/// Longest time in µs for which connections are still accepted after the shutdown begins.
+const BACKLOG_TIME_MAX: u64 = SEC;
+
 /// Handles a request from the given address. The future is dropped when the caller disconnects.
 pub type Handler =
     Arc<dyn Fn(Request<Incoming>, SocketAddr) -> BoxFuture<'static, Response<Body>> + Send + Sync>;
@@ -54,22 +62,72 @@
 /// Answers one request: malformed ones with status 400, others with the handler's response.
 async fn serve_request(
     handler: Handler,
-    request: Request<Incoming>,
-    caller: SocketAddr,
+    mut request: Request<Incoming>,
+    address: SocketAddr,
     guard: RequestGuard,
+    caller: Arc<CallerConnection>,
 ) -> Result<Response<Body>, Infallible> {
+    let working = WorkingGuard::new(&caller);
+    if request.body().is_end_stream() {
+        caller.begin_working();
+    }
+    request.extensions_mut().insert(caller);
     let is_malformed = guard.progress.take_malformed() || request.uri().authority().is_some();
     let mut response = if is_malformed {
         bad_request()
     } else {
-        handler(request, caller).await
+        handler(request, address).await
     };
     if is_malformed || guard.tracker.keep_alive_disabled() {
         response
             .headers_mut()
             .insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    Ok(response.map(|body| AnsweredBody::guarded(body, working)))
+}
+
+/// The body of a response whose request counts as being answered until it is sent.
+struct AnsweredBody {
+    body: Body,
+    _working: WorkingGuard,
+}
+
+impl AnsweredBody {
+    /// Keeps the guard until the body is sent. A short body is handed over at once and needs none.
+    fn guarded(body: Body, working: WorkingGuard) -> Body {
+        let is_short = body
+            .size_hint()
+            .exact()
+            .is_some_and(|bytes| bytes <= RESPONSE_PART_BYTES as u64);
+        if is_short {
+            return body;
+        }
+        let answered = AnsweredBody {
+            body,
+            _working: working,
+        };
+        answered.boxed()
+    }
+}
+
+impl hyper::body::Body for AnsweredBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 fn bad_request() -> Response<Body> {
@@ -85,8 +143,10 @@
     handler: Handler,
     limits: Limits,
     tracker: Arc<ConnectionTracker>,
+    permit: ConnectionPermit,
 ) {
-    let (progress, caller) = (Arc::new(HeadProgress::default()), connection.peer);
+    let (progress, address) = (Arc::new(HeadProgress::default()), connection.peer);
+    let caller = permit.connection().clone();
     let idle_ms = limits.idle_ms.max(limits.head_ms);
     let timer = HeadTimer {
         runtime: runtime.clone(),
@@ -96,14 +156,22 @@
         idle_timeout: idle_ms * MS,
     };
     let (request_tracker, request_progress) = (tracker.clone(), progress.clone());
+    let request_caller = caller.clone();
     let service = hyper::service::service_fn(move |request| {
         let guard = RequestGuard::new(request_tracker.clone(), request_progress.clone());
-        serve_request(handler.clone(), request, caller, guard)
+        serve_request(
+            handler.clone(),
+            request,
+            address,
+            guard,
+            request_caller.clone(),
+        )
     });
     let io = FuturesIo::new(HeadProgressRecorder::new(
         connection,
         runtime.clone(),
         progress,
+        caller.clone(),
     ));
     let mut serving = pin!(
         hyper::server::conn::http1::Builder::new()
@@ -114,27 +182,29 @@
             .auto_date_header(false)
             .serve_connection(io, service)
     );
-    // Errors of the connection are ignored: no response can be sent on it any more.
-    let has_ended = async {
-        let _ = serving.as_mut().await;
-        true
-    }
-    .or(async {
-        tracker.shutdown_started().await;
-        false
-    })
-    .await;
-    // Requests that arrive while the shutdown begins are still served.
-    if !has_ended
-        && runtime
-            .timeout(CLOSING_LINGER, serving.as_mut())
-            .await
-            .is_none()
-    {
-        serving.as_mut().graceful_shutdown();
-        let _ = serving.await;
-    }
-    tracker.connection_closed();
+    let serving_until_shutdown = async {
+        // Errors of the connection are ignored: no response can be sent on it any more.
+        let has_ended = async {
+            let _ = serving.as_mut().await;
+            true
+        }
+        .or(async {
+            tracker.shutdown_started().await;
+            false
+        })
+        .await;
+        // Requests that arrive while the shutdown begins are still served.
+        if !has_ended
+            && runtime
+                .timeout(CLOSING_LINGER, serving.as_mut())
+                .await
+                .is_none()
+        {
+            serving.as_mut().graceful_shutdown();
+            let _ = serving.as_mut().await;
+        }
+    };
+    serving_until_shutdown.or(caller.evicted()).await;
 }
 
 /// Serves until the tracker begins a shutdown, then accepts the connections in the backlog and returns
@@ -149,15 +219,28 @@
     // The listener counts as a connection, so that the tracker does not report all connections as
     // closed while the listener is open.
     tracker.connection_opened();
-    let spawn_connection = |connection: Connection| {
+    let spawn_connection = |connection: Connection, permit: ConnectionPermit| {
         tracker.connection_opened();
-        runtime.spawn(serve_connection(
+        let serving = serve_connection(
             runtime.clone(),
             connection,
             handler.clone(),
             limits(),
             tracker.clone(),
-        ));
+            permit,
+        );
+        let tracker = tracker.clone();
+        runtime.spawn(async move {
+            serving.await;
+            tracker.connection_closed();
+        });
+    };
+    // A connection for which there is no room is closed.
+    let admit = async |connection: Connection| {
+        let permit = tracker.overload().admit(&runtime, &connection).await;
+        if let Some(permit) = permit {
+            spawn_connection(connection, permit);
+        }
     };
     loop {
         let accepted = async { Some(listener.accept().await) }
@@ -167,17 +250,18 @@
             })
             .await;
         match accepted {
-            Some(Ok(connection)) if tracker.open_connections() <= tracker.max_connections() => {
-                spawn_connection(connection)
-            }
-            // Connections above the limit are closed immediately.
-            Some(Ok(connection)) => drop(connection),
+            Some(Ok(connection)) => admit(connection).await,
             Some(Err(_)) => runtime.sleep(ACCEPT_BACKOFF).await,
             None => break,
         }
     }
+    // New connections may keep coming: those of the backlog are accepted, not all that follow.
+    let backlog_end = runtime.now() + BACKLOG_TIME_MAX;
     while let Some(Ok(connection)) = runtime.timeout(CLOSING_LINGER, listener.accept()).await {
-        spawn_connection(connection);
+        admit(connection).await;
+        if runtime.now() >= backlog_end {
+            break;
+        }
     }
     drop(listener);
     tracker.connection_closed();
@@ -195,35 +279,127 @@
     OutOfMemory,
 }
 
-/// Reads a complete body of at most `max_bytes` into the memory for buffers. A body for which there is
-/// not enough of it is read to its end and discarded, so that it can be answered.
-pub async fn read_body(
-    mut body: Incoming,
-    max_bytes: usize,
-    memory: &Arc<BufferMemory>,
-) -> Result<Bytes, BodyReadError> {
-    let size = body.size_hint();
-    if size.lower() > max_bytes as u64 {
-        return Err(BodyReadError::TooLarge);
-    }
-    let expected_bytes = size.exact().map(|bytes| bytes as usize);
-    let mut buffer = Some(ReservedBuffer::new(memory));
-    let mut received_bytes = 0;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyReadError::Incomplete)?;
-        let Ok(chunk) = frame.into_data() else {
-            continue;
-        };
-        received_bytes += chunk.len();
-        if received_bytes > max_bytes {
+/// Reads the bodies of requests into the memory for buffers.
+pub struct BodyReader<'a> {
+    /// The clock of the time limits.
+    pub runtime: &'a Runtime,
+    /// Memory for the body if the request has no connection of its own.
+    pub memory: &'a Arc<BufferMemory>,
+    /// Largest body that is accepted, in bytes.
+    pub max_bytes: usize,
+}
+
+impl BodyReader<'_> {
+    /// Reads a complete body. One for which there is not enough memory is read to its end and
+    /// discarded, so that it can be answered. A body may take `BODY_TIMEOUT`, and longer the more of it
+    /// has arrived. The connection is the one that the server has added to the request.
+    pub async fn read(
+        &self,
+        body: Incoming,
+        extensions: &Extensions,
+    ) -> Result<Bytes, BodyReadError> {
+        let caller = extensions.get::<Arc<CallerConnection>>();
+        let read = self.read_from(body, caller.map(|caller| &**caller)).await;
+        if let Some(caller) = caller {
+            caller.begin_working();
+        }
+        read
+    }
+
+    async fn read_from(
+        &self,
+        mut body: Incoming,
+        caller: Option<&CallerConnection>,
+    ) -> Result<Bytes, BodyReadError> {
+        let size = body.size_hint();
+        if size.lower() > self.max_bytes as u64 {
             return Err(BodyReadError::TooLarge);
         }
-        buffer = buffer.and_then(|mut buffer| {
-            buffer.extend(&chunk, expected_bytes).ok()?;
-            Some(buffer)
-        });
+        let expected_bytes = size.exact().map_or(self.max_bytes, |bytes| bytes as usize);
+        let mut buffer = BodyBuffer::new(self.memory, caller, expected_bytes);
+        let started = self.runtime.now();
+        while let Some(frame) = self.next_frame(&mut body, started, buffer.received).await? {
+            if let Ok(chunk) = frame.into_data() {
+                buffer.append(&chunk).await;
+            }
+            if buffer.received > self.max_bytes {
+                return Err(BodyReadError::TooLarge);
+            }
+        }
+        buffer.freeze()
+    }
+
+    /// The next part of a body that began to be read at `started`; none at its end.
+    async fn next_frame(
+        &self,
+        body: &mut Incoming,
+        started: u64,
+        received: usize,
+    ) -> Result<Option<Frame<Bytes>>, BodyReadError> {
+        let extension = received as u64 * SEC / BODY_BYTES_PER_SECOND_MIN;
+        let deadline = started + BODY_TIMEOUT + extension;
+        let left = deadline.saturating_sub(self.runtime.now());
+        let frame = self.runtime.timeout(left, body.frame()).await;
+        let frame = frame.ok_or(BodyReadError::Incomplete)?;
+        frame.transpose().map_err(|_| BodyReadError::Incomplete)
+    }
+}
+
+/// The part of a body that has been received.
+struct BodyBuffer<'a> {
+    caller: Option<&'a CallerConnection>,
+    /// `None` once there was no memory for it.
+    content: Option<ReservedBuffer>,
+    expected_bytes: usize,
+    received: usize,
+}
+
+impl<'a> BodyBuffer<'a> {
+    fn new(
+        memory: &Arc<BufferMemory>,
+        caller: Option<&'a CallerConnection>,
+        expected_bytes: usize,
+    ) -> BodyBuffer<'a> {
+        let reservation = match caller {
+            Some(caller) => caller.reservation(),
+            None => Reservation::new(memory),
+        };
+        BodyBuffer {
+            caller,
+            content: Some(ReservedBuffer::with_reservation(reservation)),
+            expected_bytes,
+            received: 0,
+        }
+    }
+
+    /// Appends a chunk, or discards the content if there is no memory for it.
+    async fn append(&mut self, chunk: &[u8]) {
+        self.received += chunk.len();
+        let Some(content) = &mut self.content else {
+            return;
+        };
+        let growth = content.growth_for(chunk.len(), Some(self.expected_bytes));
+        let has_memory = growth == 0
+            || match self.caller {
+                Some(caller) => caller.grow(content.reservation_mut(), growth).await,
+                None => content.reservation_mut().try_grow(growth),
+            };
+        if !has_memory {
+            self.content = None;
+            return;
+        }
+        content.extend_reserved(chunk, growth);
+        if let Some(caller) = self.caller.filter(|_| self.is_large()) {
+            caller.widen_receive_window();
+        }
+    }
+
+    fn is_large(&self) -> bool {
+        CallerConnection::is_large(self.received)
+    }
+
+    fn freeze(self) -> Result<Bytes, BodyReadError> {
+        let content = self.content.ok_or(BodyReadError::OutOfMemory)?;
+        Ok(content.freeze())
     }
-    buffer
-        .map(ReservedBuffer::freeze)
-        .ok_or(BodyReadError::OutOfMemory)
 }
--- a/yewcross-common/src/streaming_http/tracker.rs
+++ b/yewcross-common/src/streaming_http/tracker.rs
@@ -1,9 +1,8 @@
 //! Counts open connections and requests in progress, and shuts a server down.
 
-use crate::buffer_memory::max_caller_connections;
-use crate::constants::MAX_CALLER_CONNECTIONS;
-use crate::process_settings::Bounds;
+use crate::overload::OverloadManager;
 use async_channel::{Receiver, Sender};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 
 /// A one-time signal, implemented as a channel that never carries an item and is closed to send the
@@ -37,8 +36,8 @@
 /// woken by events, without polling.
 #[derive(Default)]
 pub struct ConnectionTracker {
-    /// Upper limit on open connections; `None` for the general one.
-    max_connections: Option<usize>,
+    /// Limits what the connections hold.
+    overload: Arc<OverloadManager>,
     /// Each response closes its connection.
     keep_alive_disabled: AtomicBool,
     /// Number of open connections, plus one for the listener while it is open.
@@ -52,17 +51,16 @@
 }
 
 impl ConnectionTracker {
-    /// A tracker for the server of a process within these bounds.
-    pub fn within(bounds: &Bounds) -> ConnectionTracker {
+    /// A tracker for a server whose connections are admitted by `overload`.
+    pub fn new(overload: &Arc<OverloadManager>) -> ConnectionTracker {
         ConnectionTracker {
-            max_connections: Some(max_caller_connections(bounds)),
+            overload: overload.clone(),
             ..ConnectionTracker::default()
         }
     }
 
-    /// Upper limit on open connections. Further ones are closed at once.
-    pub fn max_connections(&self) -> usize {
-        self.max_connections.unwrap_or(MAX_CALLER_CONNECTIONS)
+    pub(super) fn overload(&self) -> &Arc<OverloadManager> {
+        &self.overload
     }
 
     /// Closes each connection after its next response; new connections are still accepted.
--- a/yewcross-common/tests/buffer_memory.rs
+++ b/yewcross-common/tests/buffer_memory.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use yewcross_common::buffer_memory::*;
 use yewcross_common::constants::*;
+use yewcross_common::overload::OverloadLimits;
 use yewcross_common::process::memory::parse_peak_mb;
 use yewcross_common::process_settings::Bounds;
 
@@ -71,22 +72,39 @@
 fn connections_and_buffers_of_callers_fit_into_the_memory_limit() {
     for memory_mb in [64, 128, 256, 260, 1_024, 16_384] {
         let bounds = bounds(memory_mb, 0);
-        let connections = max_caller_connections(&bounds) * CALLER_CONNECTION_BYTES;
+        let connections = OverloadLimits::within(&bounds).max_connections * CALLER_CONNECTION_BYTES;
         let buffers = BufferMemory::within(&bounds).limit();
         let limit = memory_mb as usize * (1 << 20);
         assert!(connections + buffers <= limit * 6 / 10, "{memory_mb} MB");
     }
-    assert_eq!(
-        max_caller_connections(&bounds(0, 0)),
-        MAX_CALLER_CONNECTIONS
-    );
+    let unlimited = OverloadLimits::within(&bounds(0, 0));
+    assert_eq!(unlimited.max_connections, MAX_CALLER_CONNECTIONS);
+    assert_eq!(unlimited.receive_window, None);
     assert_eq!(BufferMemory::within(&bounds(0, 0)).limit(), usize::MAX);
 }
 
+/// All that callers can make a process hold, with the bytes that are not read yet and those of
+/// connections that are not accepted, fits into the limit beside the process itself.
+#[test]
+fn unread_bytes_fit_into_the_memory_limit_too() {
+    for memory_mb in [32, 40, 64, 128, 256, 260, 1_024, 16_384] {
+        let bounds = bounds(memory_mb, 0);
+        let limits = OverloadLimits::within(&bounds);
+        let unread = limits.receive_window.unwrap() * UNREAD_WINDOWS;
+        let connections = limits.max_connections * (CALLER_CONNECTION_BYTES + unread);
+        let backlogs = LISTENING_PORTS * limits.accept_backlog as usize * unread;
+        let buffers = BufferMemory::within(&bounds).limit();
+        let limit = memory_mb as usize * (1 << 20);
+        let held = PROCESS_BASE_BYTES + connections + backlogs + buffers;
+        assert!(held <= limit, "{memory_mb} MB: {held} bytes");
+    }
+}
+
 #[test]
 fn connections_of_callers_leave_descriptors_for_servers_and_files() {
-    assert_eq!(max_caller_connections(&bounds(0, 1_000)), 600);
-    assert_eq!(max_caller_connections(&bounds(0, 1)), 1);
+    let max_connections = |files| OverloadLimits::within(&bounds(0, files)).max_connections;
+    assert_eq!(max_connections(1_200), 600);
+    assert_eq!(max_connections(1), 1);
 }
 
 #[test]
--- a/yewcross-control/src/lib.rs
+++ b/yewcross-control/src/lib.rs
@@ -38,6 +38,7 @@
 use yewcross_common::documents::cache::DocumentCache;
 use yewcross_common::documents::watcher::DocumentWatcher;
 use yewcross_common::membership::Membership;
+use yewcross_common::overload::OverloadManager;
 use yewcross_common::process_settings::ProcessSettings;
 use yewcross_common::register::{RegisterClient, Replica, ReplicaSet};
 use yewcross_common::runtime::Runtime;
@@ -80,6 +81,8 @@
     pub(crate) connections: Arc<ConnectionTracker>,
     /// Memory for the requests of operators.
     pub buffer_memory: Arc<BufferMemory>,
+    /// Limits what the node holds for callers and peers, on all its ports.
+    pub overload: Arc<OverloadManager>,
     /// By front, when the serving lease granted here expires, in µs.
     pub(crate) serving_leases: Mutex<BTreeMap<String, u64>>,
     /// Number of keys that the running sweep still has to check.
--- a/yewcross-control/src/main.rs
+++ b/yewcross-control/src/main.rs
@@ -30,7 +30,7 @@
         std::process::exit(process::log_end(exit::CANNOT_BIND, &reason))
     });
     let settings = yewcross_common::process_settings::load(&flags.startup, false, flags.check);
-    let runtime = OsRuntime::start(&settings.data, settings.threads);
+    let runtime = OsRuntime::start_within(&settings.data, settings.threads, &settings.bounds);
     let exit_code = smol::block_on(run(&runtime, settings, &flags.startup, signals));
     std::process::exit(exit_code);
 }
@@ -69,7 +69,7 @@
     runtime.spawn(memory::watch(
         runtime.clone(),
         bounds,
-        control.buffer_memory.clone(),
+        control.overload.clone(),
     ));
     let stopped = async {
         signals
--- a/yewcross-control/src/start.rs
+++ b/yewcross-control/src/start.rs
@@ -14,12 +14,12 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, Weak};
-use yewcross_common::buffer_memory::BufferMemory;
 use yewcross_common::buffered_http;
 use yewcross_common::constants::MS;
 use yewcross_common::documents::cache::{DOCUMENT_NAMES, DocumentCache};
 use yewcross_common::documents::watcher::DocumentWatcher;
 use yewcross_common::membership::Membership;
+use yewcross_common::overload::OverloadManager;
 use yewcross_common::process;
 use yewcross_common::process::data_folder::DataFolderError;
 use yewcross_common::process_settings::{ProcessSettings, Role, exit};
@@ -153,7 +153,7 @@
     let turn_store = TurnStore::start(runtime, &settings, &members, &documents, &storage)
         .await
         .context(DiskSnafu)?;
-    let buffer_memory = BufferMemory::within(&settings.bounds);
+    let overload = OverloadManager::within(&settings.bounds);
     let control = Arc::new(Control {
         runtime: runtime.clone(),
         peers,
@@ -166,11 +166,9 @@
         turn_store,
         watcher,
         singleton_tasks,
-        connections: Arc::new(buffered_http::ConnectionTracker::within(
-            &settings.bounds,
-            &buffer_memory,
-        )),
-        buffer_memory,
+        connections: Arc::new(buffered_http::ConnectionTracker::new(&overload)),
+        buffer_memory: overload.memory.clone(),
+        overload,
         serving_leases: Default::default(),
         in_force_version: AtomicU64::new(local.in_force_version),
         swept_layout_version: AtomicU64::new(0),
--- a/yewcross-proxy/src/lib.rs
+++ b/yewcross-proxy/src/lib.rs
@@ -45,6 +45,7 @@
 use yewcross_common::documents::watcher::DocumentWatcher;
 use yewcross_common::error_code::Code;
 use yewcross_common::membership::Membership;
+use yewcross_common::overload::OverloadManager;
 use yewcross_common::process;
 use yewcross_common::process_settings::{ProcessSettings, Role};
 use yewcross_common::protocol::*;
@@ -94,6 +95,8 @@
     is_stopping: AtomicBool,
     /// Memory for requests, prompts and responses.
     pub buffer_memory: Arc<BufferMemory>,
+    /// Limits what the node holds for callers and peers, on all its ports.
+    pub overload: Arc<OverloadManager>,
 }
 
 /// The ports of another platform. Without a turn log, requests that continue a previous turn are
@@ -316,14 +319,14 @@
                 (document_cache, document_watcher)
             }
         };
-        let buffer_memory = BufferMemory::within(&settings.bounds);
+        let overload = OverloadManager::within(&settings.bounds);
         Arc::new(Front {
             runtime: runtime.clone(),
             peers,
             members,
             documents: document_cache,
             watcher: document_watcher,
-            connections: Arc::new(ConnectionTracker::within(&settings.bounds, &buffer_memory)),
+            connections: Arc::new(ConnectionTracker::new(&overload)),
             pool: Default::default(),
             admission: Default::default(),
             push_pacer: Default::default(),
@@ -338,11 +341,10 @@
             counts: Default::default(),
             relay: Default::default(),
             load_exchange: Default::default(),
-            streaming_connections: Arc::new(streaming_http::ConnectionTracker::within(
-                &settings.bounds,
-            )),
+            streaming_connections: Arc::new(streaming_http::ConnectionTracker::new(&overload)),
             is_stopping: Default::default(),
-            buffer_memory,
+            buffer_memory: overload.memory.clone(),
+            overload,
             settings,
         })
     }
--- a/yewcross-proxy/src/main.rs
+++ b/yewcross-proxy/src/main.rs
@@ -28,7 +28,7 @@
         std::process::exit(process::log_end(exit::CANNOT_BIND, &reason))
     });
     let settings = yewcross_common::process_settings::load(&flags.startup, true, flags.check);
-    let runtime = OsRuntime::start(".", settings.threads);
+    let runtime = OsRuntime::start_within(".", settings.threads, &settings.bounds);
     let exit_code = smol::block_on(run(&runtime, settings, &flags.startup, signals));
     std::process::exit(exit_code);
 }
@@ -62,7 +62,7 @@
     runtime.spawn(memory::watch(
         runtime.clone(),
         bounds,
-        front.buffer_memory.clone(),
+        front.overload.clone(),
     ));
     let stopped = async {
         signals
--- a/yewcross-proxy/src/relay/admission.rs
+++ b/yewcross-proxy/src/relay/admission.rs
@@ -14,7 +14,7 @@
 use yewcross_common::constants::*;
 use yewcross_common::error_code::Code;
 use yewcross_common::hash::rendezvous_weight;
-use yewcross_common::streaming_http::{Body, BodyReadError, read_body};
+use yewcross_common::streaming_http::{Body, BodyReadError, BodyReader};
 use yewcross_common::turn_log::{OpenTurnError, Turn};
 
 /// The value of the `Host` header; none where the header is missing, repeated or not visible ASCII.
@@ -117,13 +117,17 @@
                 .min(timeout_ms)
                 * MS;
         let left_us = deadline.saturating_sub(self.runtime.now());
+        let reader = BodyReader {
+            runtime: &self.runtime,
+            memory: &self.buffer_memory,
+            max_bytes: body_limit,
+        };
         let body = self
             .runtime
-            .timeout(
-                left_us.min(BODY_TIMEOUT),
-                read_body(body, body_limit, &self.buffer_memory),
-            )
+            .timeout(left_us, reader.read(body, &head.extensions))
             .await;
+        // The connection is not to be held by the copies of the head.
+        head.extensions.clear();
         let (route, upstream) = selected?;
         let body = body
             .unwrap_or(Err(BodyReadError::Incomplete))
