Bound what the ports between nodes hold for strangers

Callers saw: whoever reaches an internal port ends any process of the tier. 300 connections that announce a frame of 32 MB and send a part of it took 4.8 GB in each process with a limit of 40 MB; 160 that ask for a configuration of 500 kB and do not read it took 2.1 GB in a core; silent connections took all descriptors.

Cause: the reader of frames allocates what a frame announces before it arrives, up to 64 MB; requests were handled without a limit, and replies queued for whoever does not read; connections were not counted.

Change: the OverloadManager admits the connections of the internal ports too. The memory of a frame, by the size that the library reads from its segment table, of its request and of its response is reserved first, and until the response is written; a core reserves the copies of a document before it makes them.

--- a/yewcross-common/src/constants/transport.rs
+++ b/yewcross-common/src/constants/transport.rs
@@ -27,3 +27,5 @@
 pub const PEER_READ_BUFFER_BYTES: usize = 16 << 10;
 /// Largest frame that is accepted from a peer, in bytes.
 pub const MAX_FRAME_BYTES: usize = 64 << 20;
+/// Memory of a peer's request that is being handled, in bytes, without its frame and its response.
+pub const PEER_REQUEST_BYTES: usize = 8 << 10;
--- a/yewcross-common/src/transport/connection.rs
+++ b/yewcross-common/src/transport/connection.rs
@@ -4,8 +4,8 @@
 use crate::constants::PEER_READ_BUFFER_BYTES;
 use crate::runtime::{Connection, Runtime};
 use async_channel::{Receiver, Sender};
-use futures_lite::AsyncWriteExt;
 use futures_lite::io::BufReader;
+use futures_lite::{AsyncWrite, AsyncWriteExt};
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -99,9 +99,12 @@
 }
 
 /// Writes queued frames until the queue is closed and empty, or the connection fails.
-pub(super) async fn write_frames(frames: &Receiver<Vec<u8>>, writer: &mut Connection) {
+pub(super) async fn write_frames<Frame: AsRef<[u8]>>(
+    frames: &Receiver<Frame>,
+    writer: &mut (impl AsyncWrite + Unpin),
+) {
     while let Ok(frame) = frames.recv().await {
-        if writer.write_all(&frame).await.is_err() {
+        if writer.write_all(frame.as_ref()).await.is_err() {
             return;
         }
     }
--- a/yewcross-common/src/transport/frame.rs
+++ b/yewcross-common/src/transport/frame.rs
@@ -1,6 +1,7 @@
 //! The encoding of one message between processes: a Cap'n Proto `Frame`.
 
 use super::frame_capnp::frame;
+use super::request_memory::RequestMemory;
 use crate::constants::{MAX_FRAME_BYTES, WIRE_VERSION_MIN};
 use capnp::message::ReaderOptions;
 use futures_lite::io::AsyncRead;
@@ -12,7 +13,8 @@
 /// Words reserved for the fixed fields and the pointers of a frame.
 const FRAME_OVERHEAD_WORDS: usize = 24;
 
-type FrameReader = capnp::message::Reader<capnp::serialize::OwnedSegments>;
+/// A frame that was read.
+pub(super) type FrameReader = capnp::message::Reader<capnp::serialize::OwnedSegments>;
 
 /// A received message and its sender.
 #[derive(Clone, Debug)]
@@ -27,6 +29,8 @@
     pub payload: Vec<u8>,
     /// Frame version that the sender used.
     pub version: u16,
+    /// Memory for the message and its response; `None` without a limit.
+    pub(super) memory: Option<RequestMemory>,
 }
 
 impl Envelope {
@@ -34,6 +38,15 @@
     pub fn decode<T: for<'a> Deserialize<'a>>(&self) -> Option<T> {
         serde_json::from_slice(&self.message).ok()
     }
+
+    /// Reserves memory for a response of up to `bytes` bytes before it is made; returns whether there is
+    /// enough.
+    pub async fn reserve_response(&self, bytes: usize) -> bool {
+        match &self.memory {
+            Some(memory) => memory.grow_to(bytes).await,
+            None => true,
+        }
+    }
 }
 
 /// A frame of a version that this process supports.
@@ -80,7 +93,8 @@
         .flatten()
 }
 
-fn reader_options() -> ReaderOptions {
+/// The limit on the size of a frame.
+pub(super) fn reader_options() -> ReaderOptions {
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(MAX_FRAME_BYTES / WORD_BYTES));
     options
@@ -96,6 +110,7 @@
         message: frame.get_body().ok()?.to_vec(),
         payload: frame.get_blob().ok()?.to_vec(),
         version: frame.get_version(),
+        memory: None,
     };
     (WIRE_VERSION_MIN..=newest_version)
         .contains(&frame.get_version())
--- a/yewcross-control/src/request_handler.rs
+++ b/yewcross-control/src/request_handler.rs
@@ -10,6 +10,10 @@
 use yewcross_common::runtime::BoxFuture;
 use yewcross_common::transport::{Envelope, Reply, RequestHandler};
 
+/// Copies of a document that are made to send it: the payload, the frame that contains it, and the bytes
+/// of that frame.
+const DOCUMENT_COPIES: usize = 3;
+
 /// Decodes requests from other processes and encodes the responses of [`Control::handle`].
 pub(crate) struct PeerRequestHandler(pub(crate) Arc<Control>);
 
@@ -17,6 +21,9 @@
     fn handle(self: Arc<Self>, envelope: Envelope) -> BoxFuture<'static, Reply> {
         Box::pin(async move {
             let (response, payload) = match envelope.decode::<PeerRequest>() {
+                Some(request) if !self.0.reserve_response(&envelope, &request).await => {
+                    without_payload(PeerResponse::Rejected(Code::NoMajority))
+                }
                 Some(request) => {
                     self.0
                         .handle(request, envelope.payload, &envelope.from)
@@ -37,6 +44,20 @@
 }
 
 impl Control {
+    /// Reserves memory for the document that a request asks for, and its copy in a frame, before it is
+    /// copied for each of many requests. Returns whether there is enough.
+    async fn reserve_response(&self, envelope: &Envelope, request: &PeerRequest) -> bool {
+        let (PeerRequest::FetchDocument { name, .. }
+        | PeerRequest::ReadDecidedDocument { name, .. }) = request
+        else {
+            return true;
+        };
+        let document_bytes = self.documents.document(name).content.len();
+        envelope
+            .reserve_response(DOCUMENT_COPIES * document_bytes)
+            .await
+    }
+
     /// Handles a request of the process named `from`. The payload is the binary data sent along
     /// with the message: a register's value, a document or a delta.
     pub async fn handle(
--- a/yewcross-control/src/start.rs
+++ b/yewcross-control/src/start.rs
@@ -104,7 +104,10 @@
         let handler = Arc::new(PeerRequestHandler(control.clone()));
         runtime.spawn_essential(
             "peer requests",
-            control.peers.clone().serve(peer_listener, handler),
+            control
+                .peers
+                .clone()
+                .serve_within(peer_listener, handler, control.overload.clone()),
         );
         spawn_tasks(&control, local);
         Ok(control)
--- a/yewcross-proxy/src/lib.rs
+++ b/yewcross-proxy/src/lib.rs
@@ -267,7 +267,11 @@
         let peer_listener = self.bind(self.settings.peer).await?;
         let http_listener = self.bind(self.settings.http).await?;
         let handler = Arc::new(PeerHandler(self.clone()));
-        let serving = self.peers.clone().serve(peer_listener, handler);
+        let overload = self.overload.clone();
+        let serving = self
+            .peers
+            .clone()
+            .serve_within(peer_listener, handler, overload);
         self.runtime.spawn_essential("peer requests", serving);
         Ok(http_listener)
     }
