Relay tests: the server shares the relay's memory, as in a process

Since the connections of a server count the memory of their bodies, two tests of the buffer memory failed: the rig gave the server a memory of its own, without a limit.

--- a/yewcross-testkit/tests/relay/rig.rs
+++ b/yewcross-testkit/tests/relay/rig.rs
@@ -13,6 +13,7 @@
 use yewcross_common::configuration::route::Limits;
 use yewcross_common::constants::*;
 use yewcross_common::documents::cache::DocumentCache;
+use yewcross_common::overload::{OverloadLimits, OverloadManager};
 use yewcross_common::protocol::{ListedServer, ServerList};
 use yewcross_common::register::Ballot;
 use yewcross_common::runtime::*;
@@ -164,7 +165,14 @@
             buffer_memory: Arc::new(BufferMemory::with_limit(limit)),
         });
         let door: SocketAddr = "10.0.0.1:80".parse().unwrap();
-        let gate: Arc<yewcross_common::streaming_http::ConnectionTracker> = Default::default();
+        // As in a process, the server's connections and the relay share the memory for buffers.
+        let overload = Arc::new(OverloadManager::with_limits(
+            OverloadLimits::default(),
+            relay.buffer_memory.clone(),
+        ));
+        let gate = Arc::new(yewcross_common::streaming_http::ConnectionTracker::new(
+            &overload,
+        ));
         let mut rig = Rig {
             sim: sim.clone(),
             relay: relay.clone(),
