Let a new connection into a full house at once unless it is flooded

Cause: as long as one connection was new and young, the accept loop of a process with all places taken waited up to 200 ms for it to be late, before any that rest between requests. In a full house of ordinary callers there is always a new one.

Change: those that rest give way at once, unless an eighth of all connections is stalled. Responses of the product's own ports that are not read count as stalled too.

--- a/yewcross-common/src/buffered_http/server.rs
+++ b/yewcross-common/src/buffered_http/server.rs
@@ -8,10 +8,10 @@
     RESPONSE_TIMEOUT, SEC,
 };
 use crate::error_code::Code;
-use crate::overload::{CallerConnection, ConnectionPermit};
+use crate::overload::{CallerConnection, ConnectionPermit, ObservedConnection};
 use crate::runtime::{BoxFuture, Connection, Listener, Runtime};
 use futures_lite::future::or;
-use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use http_types::{Method, Request, Response};
 use std::io;
 use std::sync::Arc;
@@ -178,10 +178,11 @@
         .ext()
         .get::<SendDeadline>()
         .map_or(runtime.now() + RESPONSE_TIMEOUT, |deadline| deadline.0);
+    let mut observed = ObservedConnection::new(connection.clone(), caller.clone());
     let sent = runtime
         .timeout(
             deadline.saturating_sub(runtime.now()),
-            send(connection, response, method),
+            send(&mut observed, response, method),
         )
         .await
         .unwrap_or(Err(io::ErrorKind::TimedOut.into()));
@@ -320,7 +321,11 @@
 }
 
 /// Sends a response to a request with the given method.
-async fn send(connection: &mut Connection, response: Response, method: Method) -> io::Result<()> {
+async fn send(
+    connection: &mut (impl AsyncWrite + Unpin),
+    response: Response,
+    method: Method,
+) -> io::Result<()> {
     let mut encoder = async_h1::server::Encoder::new(response, method);
     futures_lite::io::copy(&mut encoder, connection)
         .await
--- a/yewcross-common/src/overload/eviction.rs
+++ b/yewcross-common/src/overload/eviction.rs
@@ -32,8 +32,13 @@
     }
 }
 
+/// A process whose stalled connections make up this part of all is being flooded.
+const FLOOD_DIVISOR: usize = 8;
+
 /// All connections that wait for their callers, the heaviest first.
 pub(super) struct Candidates {
+    /// Number of all connections, those that are being served included.
+    connection_count: usize,
     stalled: Vec<Candidate>,
     resting: Vec<Candidate>,
 }
@@ -44,6 +49,7 @@
         now: u64,
     ) -> Candidates {
         let mut candidates = Candidates {
+            connection_count: connections.len(),
             stalled: vec![],
             resting: vec![],
         };
@@ -67,26 +73,37 @@
         candidates
     }
 
-    /// Chooses `count` connections that have waited for `age_min` µs. Those that rest between two
-    /// requests are chosen only if none is stalled.
+    /// Whether so many connections are stalled that they, and not those that rest, are to give way.
+    fn is_flood(&self) -> bool {
+        self.stalled.len() * FLOOD_DIVISOR >= self.connection_count
+    }
+
+    /// Chooses `count` connections that have waited for `age_min` µs: stalled ones, or, if none has and
+    /// there is no flood of new ones, those that rest between two requests.
     pub(super) fn choose_for_connections(
         self,
         count: usize,
         age_min: u64,
     ) -> (Choice, Vec<Arc<CallerConnection>>) {
-        let candidates = match self.stalled.is_empty() {
-            false => self.stalled,
-            true => self.resting,
+        let may_close_resting = self.stalled.is_empty() || !self.is_flood();
+        let lists = match may_close_resting {
+            true => vec![self.stalled, self.resting],
+            false => vec![self.stalled],
         };
-        let Some(oldest) = candidates.iter().map(|one| one.age).max() else {
-            return (Choice::Nobody, vec![]);
-        };
-        if oldest < age_min {
-            return (Choice::Later(age_min - oldest), vec![]);
+        let mut oldest = None;
+        for list in lists {
+            oldest = oldest.max(list.iter().map(|one| one.age).max());
+            let eligible = list.into_iter().filter(|one| one.age >= age_min);
+            let victims: Vec<_> = eligible.take(count).map(|one| one.connection).collect();
+            if !victims.is_empty() {
+                return (Choice::Begun, victims);
+            }
         }
-        let eligible = candidates.into_iter().filter(|one| one.age >= age_min);
-        let victims = eligible.take(count).map(|one| one.connection).collect();
-        (Choice::Begun, victims)
+        let choice = match oldest {
+            Some(oldest) => Choice::Later(age_min - oldest),
+            None => Choice::Nobody,
+        };
+        (choice, vec![])
     }
 
     /// Chooses stalled connections, other than the requester's, whose buffers make up `bytes`.
--- a/yewcross-testkit/tests/overload.rs
+++ b/yewcross-testkit/tests/overload.rs
@@ -136,6 +136,30 @@
     assert!(is_evicted(&resting) && !is_evicted(&third));
 }
 
+/// In a full house without a flood, a new connection does not wait for another new one to be late.
+#[test]
+fn a_full_house_that_rests_lets_a_new_connection_in_at_once() {
+    const HOUSE: usize = 16;
+    let rig = Rig::new(HOUSE);
+    let connections = rig.connections(HOUSE + 1);
+    let resting: Vec<_> = connections[..HOUSE - 1]
+        .iter()
+        .map(|connection| rig.serve(rig.admit(connection).unwrap()))
+        .collect();
+    resting.iter().for_each(|caller| {
+        caller.begin_receiving();
+        caller.begin_idle();
+    });
+    rig.wait(SEC);
+    let new = rig.serve(rig.admit(&connections[HOUSE - 1]).unwrap());
+    let before = rig.server.now();
+    assert!(rig.admit(&connections[HOUSE]).is_some());
+    assert!(rig.server.now() - before < STALL_TIME_MIN / 2);
+    assert!(!is_evicted(&new));
+    let evicted = resting.iter().filter(|caller| is_evicted(caller)).count();
+    assert_eq!(evicted, 1);
+}
+
 #[test]
 fn a_request_that_is_being_answered_never_gives_way() {
     let rig = Rig::new(1);
