--- a/yewcross-common/src/streaming_http/mod.rs
+++ b/yewcross-common/src/streaming_http/mod.rs
@@ -3,16 +3,21 @@
 //!
 //! - `tracker`: counts open connections and shuts a server down.
 //! - `head_timeout`: limits how long receiving a request head may take.
+//! - `body_reader`: reads complete bodies within limits.
+//! - `answered_body`: shows when a request has been answered.
 //! - `server`: accepts connections and serves requests.
 //! - `client`: sends single requests, each on a separate connection.
 
+mod answered_body;
+mod body_reader;
 mod client;
 mod head_timeout;
 mod server;
 mod tracker;
 
+pub use body_reader::{BodyReadError, BodyReader};
 pub use client::fetch;
-pub use server::{BodyReadError, BodyReader, Handler, serve};
+pub use server::{Handler, serve};
 pub use tracker::ConnectionTracker;
 
 use crate::constants::RESPONSE_PART_BYTES;
