Watch connections without a memory limit too

The watch that closes connections without progress and logs evictions ended at once in a process without a memory limit.

--- a/yewcross-common/src/process/memory.rs
+++ b/yewcross-common/src/process/memory.rs
@@ -1,5 +1,5 @@
-//! Reports in the log how much memory a process uses relative to its limit: a process that exceeds the
-//! limit is killed by its machine and cannot say so itself.
+//! Reports in the log how much memory a process uses relative to its limit, since a process that exceeds
+//! it is killed by its machine and cannot say so itself, and what it did to stay within it.
 
 use crate::constants::MEMORY_WATCH_INTERVAL;
 use crate::overload::OverloadManager;
@@ -41,11 +41,8 @@
 
 /// Logs when the peak of the memory passes parts of the limit, when buffers were refused memory and when
 /// connections were closed to make room, and closes connections without progress, for as long as the
-/// process runs. Returns at once if there is no limit.
+/// process runs.
 pub async fn watch(runtime: Runtime, bounds: Bounds, overload: Arc<OverloadManager>) {
-    if bounds.memory_mb == 0 {
-        return;
-    }
     let mut watch = MemoryWatch {
         limit_mb: bounds.memory_mb,
         overload,
@@ -53,8 +50,8 @@
         logged_refusals: 0,
         logged_evictions: 0,
     };
-    while let Some(peak_mb) = peak_mb() {
-        watch.log_peak(&runtime, peak_mb);
+    loop {
+        watch.log_peak(&runtime);
         watch.log_refusals(&runtime);
         watch.log_evictions(&runtime);
         watch.overload.close_stalled(runtime.now());
@@ -63,7 +60,11 @@
 }
 
 impl MemoryWatch {
-    fn log_peak(&mut self, runtime: &Runtime, peak_mb: u64) {
+    /// Logs the peak, if there is a limit and the system states it.
+    fn log_peak(&mut self, runtime: &Runtime) {
+        let Some(peak_mb) = peak_mb().filter(|_| self.limit_mb > 0) else {
+            return;
+        };
         let percentage = peak_mb * 100 / self.limit_mb;
         let passed = LOGGED_PERCENTAGES
             .into_iter()
@@ -93,11 +94,11 @@
 
     fn log_evictions(&mut self, runtime: &Runtime) {
         let evictions = self.overload.evictions();
-        if evictions > self.logged_evictions {
-            let count = evictions - self.logged_evictions;
+        let count = evictions - self.logged_evictions;
+        if count > 0 {
+            let open_connections = self.overload.open_connections();
             runtime.log(&format!(
-                "{count} connections were closed to make room, {} are open",
-                self.overload.open_connections()
+                "{count} connections were closed to make room, {open_connections} are open"
             ));
         }
         self.logged_evictions = evictions;
