Limit what servers' responses hold while their callers do not read

Cause: a response whose caller does not read is not read from its server either, and the connection to the server had the system's own receive window: 130 times 128 kB. Unread bytes count on every connection of a process.

Change: connections to servers get the window of those that are accepted. Connections to peers, whose responses are always read, keep the system's.

--- a/yewcross-common/src/runtime/connection.rs
+++ b/yewcross-common/src/runtime/connection.rs
@@ -25,6 +25,8 @@
     /// Sets the size of the receive window in bytes, see [`WeakConnection::set_receive_window`]. Ignored
     /// by default.
     fn set_receive_window(&self, _bytes: usize) {}
+    /// Limits the receive window, see [`Connection::limit_receive_window`]. Ignored by default.
+    fn limit_receive_window(&self) {}
 }
 
 /// A connection to a peer. Clones share the stream and the read allowance.
@@ -64,6 +66,12 @@
         self.stream.set_send_timeout(timeout_us);
     }
 
+    /// Limits what the system keeps for the process before it reads it, as it does for the connections
+    /// that the process accepts. For connections whose reads wait for a caller.
+    pub fn limit_receive_window(&self) {
+        self.stream.limit_receive_window();
+    }
+
     /// A reference that does not keep the connection open.
     pub fn downgrade(&self) -> WeakConnection {
         WeakConnection(Arc::downgrade(&self.stream))
--- a/yewcross-common/src/runtime/os/mod.rs
+++ b/yewcross-common/src/runtime/os/mod.rs
@@ -143,7 +143,7 @@
     }
 
     fn connect(&self, address: SocketAddr) -> BoxFuture<'static, io::Result<Connection>> {
-        Box::pin(tcp::connect(self.reactor.clone(), address))
+        Box::pin(tcp::connect(self.reactor.clone(), address, self.limits))
     }
 
     fn bind(&self, address: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Listener>>> {
--- a/yewcross-common/src/runtime/os/tcp.rs
+++ b/yewcross-common/src/runtime/os/tcp.rs
@@ -21,7 +21,10 @@
 const NO_BYTES: usize = 0;
 
 /// A TCP stream of the operating system.
-struct OsTcpStream(WatchedSocket<TcpStream>);
+struct OsTcpStream {
+    socket: WatchedSocket<TcpStream>,
+    limits: OverloadLimits,
+}
 
 impl OsTcpStream {
     /// Registers a connected stream with the reactor.
@@ -29,22 +32,26 @@
         reactor: &Arc<Reactor>,
         stream: TcpStream,
         peer: SocketAddr,
+        limits: OverloadLimits,
     ) -> io::Result<Connection> {
         let socket = reactor.watch(stream, Interest::READABLE | Interest::WRITABLE)?;
-        Ok(Connection::new(Arc::new(OsTcpStream(socket)), peer))
+        Ok(Connection::new(
+            Arc::new(OsTcpStream { socket, limits }),
+            peer,
+        ))
     }
 }
 
 impl ByteStream for OsTcpStream {
     fn read(&self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
-        self.0
+        self.socket
             .poll_io(Direction::Read, cx, buf.len(), |mut stream| {
                 stream.read(buf)
             })
     }
 
     fn write(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.0
+        self.socket
             .poll_io(Direction::Write, cx, buf.len(), |mut stream| {
                 stream.write(buf)
             })
@@ -52,19 +59,25 @@
 
     fn close(&self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Fails if the peer has already closed the connection; it is closed in either case.
-        let _ = self.0.io.shutdown(std::net::Shutdown::Write);
+        let _ = self.socket.io.shutdown(std::net::Shutdown::Write);
         Poll::Ready(Ok(()))
     }
 
     fn set_send_timeout(&self, timeout_us: u64) {
         // Fails if the connection is already closed, where a timeout has no effect.
-        let _ =
-            SockRef::from(&self.0.io).set_tcp_user_timeout(Some(Duration::from_micros(timeout_us)));
+        let _ = SockRef::from(&self.socket.io)
+            .set_tcp_user_timeout(Some(Duration::from_micros(timeout_us)));
     }
 
     fn set_receive_window(&self, bytes: usize) {
         // A system that refuses keeps the window as it is.
-        let _ = SockRef::from(&self.0.io).set_recv_buffer_size(bytes);
+        let _ = SockRef::from(&self.socket.io).set_recv_buffer_size(bytes);
+    }
+
+    fn limit_receive_window(&self) {
+        if let Some(window) = self.limits.receive_window {
+            self.set_receive_window(window);
+        }
     }
 }
 
@@ -72,6 +85,7 @@
 struct OsTcpListener {
     socket: WatchedSocket<TcpListener>,
     reactor: Arc<Reactor>,
+    limits: OverloadLimits,
 }
 
 impl Listener for OsTcpListener {
@@ -88,13 +102,17 @@
             .await?;
             let (stream, peer) = accepted.ok_or(io::ErrorKind::WouldBlock)?;
             set_stream_options(SockRef::from(&stream))?;
-            OsTcpStream::register(&self.reactor, stream, peer)
+            OsTcpStream::register(&self.reactor, stream, peer, self.limits)
         })
     }
 }
 
 /// Opens a connection and returns once it is established.
-pub(super) async fn connect(reactor: Arc<Reactor>, address: SocketAddr) -> io::Result<Connection> {
+pub(super) async fn connect(
+    reactor: Arc<Reactor>,
+    address: SocketAddr,
+    limits: OverloadLimits,
+) -> io::Result<Connection> {
     let socket = reactor.watch(
         start_connect(address)?,
         Interest::READABLE | Interest::WRITABLE,
@@ -105,7 +123,8 @@
         })
     })
     .await?;
-    Ok(Connection::new(Arc::new(OsTcpStream(socket)), address))
+    let stream = OsTcpStream { socket, limits };
+    Ok(Connection::new(Arc::new(stream), address))
 }
 
 /// The result of a non-blocking connect; `WouldBlock` while it is in progress.
@@ -156,7 +175,11 @@
     socket.listen(limits.accept_backlog)?;
     let listener = TcpListener::from_std(socket.into());
     let socket = reactor.watch(listener, Interest::READABLE)?;
-    Ok(Box::new(OsTcpListener { socket, reactor }))
+    Ok(Box::new(OsTcpListener {
+        socket,
+        reactor,
+        limits: *limits,
+    }))
 }
 
 fn new_socket(address: SocketAddr) -> io::Result<Socket> {
--- a/yewcross-proxy/src/back.rs
+++ b/yewcross-proxy/src/back.rs
@@ -48,6 +48,8 @@
         address: SocketAddr,
     ) -> io::Result<BackendConnection<Unverified>> {
         let connection = runtime.connect_within(address, CONNECT_TIMEOUT).await?;
+        // Its responses wait for callers, who may not read them.
+        connection.limit_receive_window();
         let identity = Stamp {
             service: String::new(),
             server: String::new(),
--- a/yewcross-proxy/src/pool.rs
+++ b/yewcross-proxy/src/pool.rs
@@ -175,6 +175,8 @@
     ) -> io::Result<UpstreamConnection> {
         self.dials.fetch_add(1, SeqCst);
         let connection = runtime.connect_within(server.addr, timeout).await?;
+        // Its responses wait for callers, who may not read them.
+        connection.limit_receive_window();
         let progress = Arc::new(WriteProgress::default());
         let io = FuturesIo::new(TrackedConnection {
             connection,
