--- a/review/lab2/main.rs
+++ b/review/lab2/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod late_start;
 mod long_chain;
+mod long_talk;
 mod servers;
 
 fn main() {
@@ -18,6 +19,7 @@
         "header_limit" => header_limit::run,
         "late_start" => late_start::run,
         "long_chain" => long_chain::run,
+        "long_talk" => long_talk::run,
         _ => {
             eprintln!("unknown case {case}");
             std::process::exit(2);
