A stopped front passes on late only what it can finish

Cause: once the listener was to close, the server went on accepting for as long as connections followed each other within 50 ms, for up to 1 s. On a busy listener there is no such pause. Nothing behind the listener asked whether a request could still be answered, so a request whose head or body was completed late was passed on too.

Change: connections are waited for during 50 ms in all, and then only those are taken that have arrived already, for up to 0.3 s. From then on a request that is read whole is passed on only if its deadline is before the end of the process; any other is answered 503, not run.

Why this works: what is passed on was either complete 2.8 s after the SIGTERM, within the drain time of the platform, or expires before the end.

--- a/yewcross-common/src/constants/routing.rs
+++ b/yewcross-common/src/constants/routing.rs
@@ -118,6 +118,9 @@
 /// Time from the request to stop until the listener closes, in µs: the platform sends new callers
 /// elsewhere after two failed health checks.
 pub const SHUTDOWN_DRAIN_DELAY: u64 = 2_500 * MS;
+/// Longest time in µs for which the connections of the backlog are accepted once the listener is to
+/// close.
+pub const SHUTDOWN_BACKLOG_TIME: u64 = 300 * MS;
 /// Part of the grace period of a stop that is reserved, in µs, so that the process exits by itself.
 pub const SHUTDOWN_RESERVE: u64 = 500 * MS;
 /// Time for which a turn waits for the stores to open it before it is rejected, in µs; a store that
--- a/yewcross-common/src/streaming_http/server.rs
+++ b/yewcross-common/src/streaming_http/server.rs
@@ -5,7 +5,7 @@
 use super::tracker::ConnectionTracker;
 use super::{Body, full};
 use crate::configuration::route::Limits;
-use crate::constants::{CLOSING_LINGER, MS, SEC};
+use crate::constants::{CLOSING_LINGER, MS, SHUTDOWN_BACKLOG_TIME};
 use crate::overload::{CallerConnection, ConnectionPermit, WorkingGuard};
 use crate::runtime::{BoxFuture, Connection, Listener, Runtime};
 use bytes::Bytes;
@@ -27,9 +27,6 @@
 /// descriptors.
 const ACCEPT_BACKOFF: u64 = 10 * MS;
 
-/// Longest time in µs for which connections are still accepted after the shutdown begins.
-const BACKLOG_TIME_MAX: u64 = SEC;
-
 /// Handles a request from the given address. The future is dropped when the caller disconnects.
 pub type Handler =
     Arc<dyn Fn(Request<Incoming>, SocketAddr) -> BoxFuture<'static, Response<Body>> + Send + Sync>;
@@ -206,13 +203,16 @@
             None => break,
         }
     }
-    // New connections may keep coming: those of the backlog are accepted, not all that follow.
-    let backlog_end = runtime.now() + BACKLOG_TIME_MAX;
-    while let Some(Ok(connection)) = runtime.timeout(CLOSING_LINGER, listener.accept()).await {
-        admit(connection).await;
-        if runtime.now() >= backlog_end {
+    // Connections may keep coming: once the linger time is over, only those that have arrived already
+    // are accepted.
+    let shutdown_start = runtime.now();
+    while runtime.now() < shutdown_start + SHUTDOWN_BACKLOG_TIME {
+        let linger_left = (shutdown_start + CLOSING_LINGER).saturating_sub(runtime.now());
+        let accepted = runtime.timeout(linger_left, listener.accept()).await;
+        let Some(Ok(connection)) = accepted else {
             break;
-        }
+        };
+        admit(connection).await;
     }
     drop(listener);
     tracker.connection_closed();
--- a/yewcross-proxy/src/lib.rs
+++ b/yewcross-proxy/src/lib.rs
@@ -209,6 +209,7 @@
             retry_budget: Default::default(),
             counts: Default::default(),
             buffer_memory: front.buffer_memory.clone(),
+            shutdown: Default::default(),
         });
         let _ = front.relay.set(relay.clone());
         let routed = relay.clone();
@@ -503,8 +504,8 @@
     /// those of connections in the accept backlog.
     pub async fn stop(&self) {
         self.is_stopping.store(true, SeqCst);
-        if self.relay.get().is_some() {
-            return self.stop_routes().await;
+        if let Some(relay) = self.relay.get() {
+            return self.stop_routes(relay).await;
         }
         self.connections.shutdown.set();
         self.runtime.sleep(200 * MS).await;
@@ -514,17 +515,20 @@
 
     /// Reports not ready first, so that new callers are routed to other nodes; then closes the
     /// listener and waits for the requests in progress.
-    async fn stop_routes(&self) {
-        let deadline =
-            self.runtime.now() + (self.settings.bounds.grace * MS).saturating_sub(SHUTDOWN_RESERVE);
+    async fn stop_routes(&self, relay: &relay::Relay) {
+        let (started, grace) = (self.runtime.now(), self.settings.bounds.grace * MS);
+        let drain_delay = SHUTDOWN_DRAIN_DELAY.min(grace / 3);
+        let ends_at = started + grace.saturating_sub(SHUTDOWN_RESERVE);
+        relay.shutdown.begin(relay::ShutdownSchedule {
+            admits_all_until: started + drain_delay + SHUTDOWN_BACKLOG_TIME,
+            ends_at,
+        });
         self.streaming_connections.disable_keep_alive();
-        self.runtime
-            .sleep(SHUTDOWN_DRAIN_DELAY.min(self.settings.bounds.grace * MS / 3))
-            .await;
+        self.runtime.sleep(drain_delay).await;
         self.streaming_connections.begin_shutdown();
         self.runtime
             .timeout(
-                deadline.saturating_sub(self.runtime.now()),
+                ends_at.saturating_sub(self.runtime.now()),
                 self.streaming_connections.all_closed(),
             )
             .await;
--- a/yewcross-proxy/src/relay.rs
+++ b/yewcross-proxy/src/relay.rs
@@ -9,6 +9,7 @@
 //! - `stall` detects streams that have stopped, and `resume` continues a broken or stalled stream
 //!   on another server.
 //! - `turn` settles the token usage of the request's turn.
+//! - `shutdown` decides which requests are still forwarded once the front is to stop.
 
 mod admission;
 mod attempt;
@@ -17,6 +18,7 @@
 mod hedge;
 mod resume;
 mod retry_budget;
+mod shutdown;
 mod stall;
 mod streaming;
 mod turn;
@@ -28,6 +30,7 @@
 use http::{Request, Response, request};
 use hyper::body::Incoming;
 pub use retry_budget::RetryBudget;
+pub use shutdown::{Shutdown, ShutdownSchedule};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst};
 use yewcross_common::adapter::{CallerProtocol, RequestMeta, UpstreamProtocol};
@@ -86,6 +89,7 @@
     pub counts: Counts,
     /// Memory for requests, prompts and responses.
     pub buffer_memory: Arc<BufferMemory>,
+    pub shutdown: Shutdown,
 }
 
 /// One attempt of a caller, with its complete body.
--- a/yewcross-proxy/src/relay/admission.rs
+++ b/yewcross-proxy/src/relay/admission.rs
@@ -138,6 +138,14 @@
                 }
                 BodyReadError::OutOfMemory => self.out_of_memory(&route),
             })?;
+        if !self.shutdown.admits(self.runtime.now(), deadline) {
+            let reason = "this front stops before the request could be answered";
+            return Err(Rejection(
+                Code::Leaving,
+                reason,
+                self.retry_after_ms(&route),
+            ));
+        }
         strip_hop_by_hop(&mut head.headers);
         [header::CONTENT_LENGTH, header::EXPECT]
             .iter()
--- a/yewcross-testkit/examples/relay_load.rs
+++ b/yewcross-testkit/examples/relay_load.rs
@@ -222,6 +222,7 @@
             retry_budget: Default::default(),
             counts: Default::default(),
             buffer_memory: Default::default(),
+            shutdown: Default::default(),
         });
         let d = front.bind(at(7_599)).await.unwrap();
         let h: yewcross_common::streaming_http::Handler =
--- a/yewcross-testkit/tests/relay/main.rs
+++ b/yewcross-testkit/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod attempts;
 mod buffers;
+mod front_shutdown;
 mod promises;
 mod requests;
 mod resumption;
--- a/yewcross-testkit/tests/relay/requests.rs
+++ b/yewcross-testkit/tests/relay/requests.rs
@@ -124,6 +124,7 @@
                 retry_budget: Default::default(),
                 counts: Default::default(),
                 buffer_memory: Default::default(),
+                shutdown: Default::default(),
             };
             let (fresh, w2) = (Arc::new(fresh), w.clone());
             let own: SocketAddr = "10.9.9.9:81".parse().unwrap();
--- a/yewcross-testkit/tests/relay/rig.rs
+++ b/yewcross-testkit/tests/relay/rig.rs
@@ -163,6 +163,7 @@
             retry_budget: RetryBudget::new(policies),
             counts: Default::default(),
             buffer_memory: Arc::new(BufferMemory::with_limit(limit)),
+            shutdown: Default::default(),
         });
         let door: SocketAddr = "10.0.0.1:80".parse().unwrap();
         // As in a process, the server's connections and the relay share the memory for buffers.
@@ -336,10 +337,23 @@
     heads: &[(String, String)],
     body: &str,
 ) -> Heard {
-    let c = runtime.connect(to).await.unwrap();
-    let (mut s, conn) = hyper::client::conn::http1::handshake(smol_hyper::rt::FuturesIo::new(c))
-        .await
-        .unwrap();
+    let connection = runtime.connect(to).await.unwrap();
+    call_on(runtime, connection, attempt, path, heads, body).await
+}
+
+/// Sends a request on a connection that was just opened, and reads the answer.
+pub async fn call_on(
+    runtime: &Runtime,
+    connection: Connection,
+    attempt: &str,
+    path: &str,
+    heads: &[(String, String)],
+    body: &str,
+) -> Heard {
+    let (mut s, conn) =
+        hyper::client::conn::http1::handshake(smol_hyper::rt::FuturesIo::new(connection))
+            .await
+            .unwrap();
     runtime.spawn(async move {
         let _ = conn.await;
     });
