Requests go to servers' connections in small parts

Cause, in part: the HTTP library copies each part of a body that it is handed into a buffer of the connection, and that buffer keeps its largest size as long as the connection lives. A prompt was handed over whole, so each kept connection to a server held the memory of the largest prompt it had ever carried, which nothing counted.

Change: a request's body is handed over in parts of 16 kB, as responses were already.

--- a/yewcross-common/src/constants/http.rs
+++ b/yewcross-common/src/constants/http.rs
@@ -19,6 +19,6 @@
 pub const ORDER_MEMORY_FACTOR: usize = 3;
 /// Largest event of a server's stream, in bytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
-/// Largest part of a buffered response that is handed to a connection at once, in bytes: what the
+/// Largest part of an available body that is handed to a connection at once, in bytes: what the
 /// connection has not sent yet is no longer counted as buffered.
-pub const RESPONSE_PART_BYTES: usize = 16 << 10;
+pub const WRITE_PART_BYTES: usize = 16 << 10;
--- a/yewcross-common/src/streaming_http/answered_body.rs
+++ b/yewcross-common/src/streaming_http/answered_body.rs
@@ -1,7 +1,7 @@
 //! A response body that shows when its request has been answered.
 
 use super::Body;
-use crate::constants::RESPONSE_PART_BYTES;
+use crate::constants::WRITE_PART_BYTES;
 use crate::overload::WorkingGuard;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -23,7 +23,7 @@
         let is_short = body
             .size_hint()
             .exact()
-            .is_some_and(|bytes| bytes <= RESPONSE_PART_BYTES as u64);
+            .is_some_and(|bytes| bytes <= WRITE_PART_BYTES as u64);
         if is_short {
             return body;
         }
--- a/yewcross-proxy/src/pool.rs
+++ b/yewcross-proxy/src/pool.rs
@@ -1,10 +1,8 @@
 //! Pooled HTTP/1.1 connections to servers. A connection carries one request at a time and is kept
 //! idle as long as the server keeps it open.
 
-use bytes::Bytes;
 use futures_lite::{AsyncRead, AsyncWrite};
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use smol_hyper::rt::FuturesIo;
@@ -17,6 +15,7 @@
 use yewcross_common::constants::*;
 use yewcross_common::protocol::ListedServer;
 use yewcross_common::runtime::*;
+use yewcross_common::streaming_http::PartedBody;
 
 /// How much of the current request has been written to its connection, and until when its first
 /// byte may be.
@@ -89,7 +88,7 @@
 
 /// A connection to a server, idle or carrying one request.
 pub struct UpstreamConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<PartedBody>,
     progress: Arc<WriteProgress>,
     /// When it last carried a request (us of the runtime's clock).
     pub used_at: u64,
@@ -116,7 +115,7 @@
     pub async fn send_request(
         &mut self,
         runtime: &Runtime,
-        request: Request<Full<Bytes>>,
+        request: Request<PartedBody>,
         write_deadline: u64,
     ) -> Result<Response<Incoming>, SendFailure> {
         self.progress.begin_request(write_deadline);
--- a/yewcross-proxy/src/relay/attempt.rs
+++ b/yewcross-proxy/src/relay/attempt.rs
@@ -7,7 +7,7 @@
 use crate::pool::{SendFailure, UpstreamConnection};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
@@ -16,6 +16,7 @@
 use yewcross_common::configuration::route::{Mode, Route};
 use yewcross_common::constants::*;
 use yewcross_common::protocol::ListedServer;
+use yewcross_common::streaming_http::PartedBody;
 
 /// count. Idle connections to a server that may prove to be closed before a new one is opened.
 const STALE_CONNECTIONS_MAX: u32 = 3;
@@ -316,8 +317,8 @@
         &self,
         request: &ClientRequest,
         server: &ListedServer,
-    ) -> Request<Full<Bytes>> {
-        let mut upstream_request = Request::new(Full::new(request.body.clone()));
+    ) -> Request<PartedBody> {
+        let mut upstream_request = Request::new(PartedBody::from(request.body.clone()));
         *upstream_request.method_mut() = request.head.method.clone();
         *upstream_request.uri_mut() = request.head.uri.clone();
         *upstream_request.headers_mut() = request.head.headers.clone();
