--- a/yewcross-common/src/buffer_memory.rs
+++ b/yewcross-common/src/buffer_memory.rs
@@ -8,6 +8,7 @@
 use crate::notify::Notifier;
 use crate::overload::available_memory;
 use crate::process_settings::Bounds;
+use crate::runtime::Runtime;
 use bytes::Bytes;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst};
@@ -82,11 +83,7 @@
 
     fn try_reserve(&self, bytes: usize, limit: usize) -> bool {
         let reserve = |reserved: usize| reserved.checked_add(bytes).filter(|sum| *sum <= limit);
-        let is_reserved = self.reserved.fetch_update(SeqCst, SeqCst, reserve).is_ok();
-        if !is_reserved {
-            self.refusals.fetch_add(1, SeqCst);
-        }
-        is_reserved
+        self.reserved.fetch_update(SeqCst, SeqCst, reserve).is_ok()
     }
 }
 
@@ -134,10 +131,32 @@
     /// Reserves further bytes; returns whether there is memory for them.
     #[must_use]
     pub fn try_grow(&mut self, bytes: usize) -> bool {
-        let limit = match self.has_precedence {
-            true => self.memory.limit,
-            false => self.memory.limit_for(self.bytes.saturating_add(bytes)),
+        let has_grown = self.grow(bytes);
+        self.count_refusal(!has_grown);
+        has_grown
+    }
+
+    /// Like [`Reservation::try_grow`], but waits until `deadline` (µs of the runtime's clock) for memory
+    /// that others release. Fails at once where all of the memory would not be enough.
+    #[must_use]
+    pub async fn grow_until(&mut self, runtime: &Runtime, bytes: usize, deadline: u64) -> bool {
+        let is_possible = self.bytes.saturating_add(bytes) <= self.limit_for(bytes);
+        let memory = self.memory.clone();
+        let left = deadline.saturating_sub(runtime.now());
+        let has_grown = is_possible && {
+            let grow = memory.released.wait_until(|| self.grow(bytes));
+            runtime.timeout(left, grow).await.is_some()
         };
+        self.count_refusal(!has_grown);
+        has_grown
+    }
+
+    fn count_refusal(&self, is_refused: bool) {
+        self.memory.refusals.fetch_add(is_refused as u64, SeqCst);
+    }
+
+    fn grow(&mut self, bytes: usize) -> bool {
+        let limit = self.limit_for(bytes);
         let is_reserved = self.memory.try_reserve(bytes, limit);
         if is_reserved {
             self.bytes += bytes;
@@ -148,6 +167,15 @@
         is_reserved
     }
 
+    /// The limit that applies to this reservation after it has grown by `bytes`.
+    fn limit_for(&self, bytes: usize) -> usize {
+        if self.has_precedence {
+            self.memory.limit
+        } else {
+            self.memory.limit_for(self.bytes.saturating_add(bytes))
+        }
+    }
+
     /// Returns `bytes` unchanged in content; the reservation lasts as long as any copy of them.
     pub fn attach_to(self, bytes: impl AsRef<[u8]> + Send + 'static) -> Bytes {
         Bytes::from_owner(ReservedBytes {
--- a/yewcross-common/src/constants/turn_log.rs
+++ b/yewcross-common/src/constants/turn_log.rs
@@ -39,6 +39,13 @@
 /// Largest blob of one push between stores, and of one step of a rewrite, in bytes: it must not
 /// delay the sync of a turn.
 pub const TRANSFER_BATCH_BYTES: usize = 512 << 10;
+/// Largest part of a chain that a store returns when it opens a turn, in bytes; it may be empty.
+pub const OPENED_HISTORY_BYTES: usize = 64 << 10;
+/// Largest part of a chain that a store returns or receives at once, in bytes, unless a single turn is
+/// larger.
+pub const HISTORY_PAGE_BYTES: usize = 512 << 10;
+/// Longest time for which a turn waits for memory for its chain, in µs.
+pub const CHAIN_MEMORY_TIMEOUT: u64 = SEC;
 /// Upper limit on the turn ids in one request.
 pub const TURN_IDS_PER_REQUEST: usize = 4096;
 /// Bytes that may wait for the disk before a store rejects requests.
--- a/yewcross-common/src/transport/server.rs
+++ b/yewcross-common/src/transport/server.rs
@@ -154,6 +154,7 @@
             &reply.message,
             &reply.payload,
         );
+        drop(reply);
         self.metrics.record_frame(is_same_site, frame.len());
         let frame = match memory {
             Some(memory) => memory.attach_to(frame).await,
--- a/yewcross-common/src/turn_log/client/cache.rs
+++ b/yewcross-common/src/turn_log/client/cache.rs
@@ -16,7 +16,24 @@
     /// The disk whose store owns a program's ledger, by program.
     pub(super) owners: LruCache<String, String>,
     /// The chain before each open turn, oldest first, by the id of the open turn.
-    pub(super) open_chains: LruCache<String, Vec<StoredTurn>>,
+    pub(super) open_chains: LruCache<String, Vec<ChainLink>>,
+}
+
+/// A turn of a chain without its texts.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct ChainLink {
+    pub(super) id: String,
+    /// Estimated size of the stored turn in bytes.
+    pub(super) bytes: usize,
+}
+
+impl ChainLink {
+    pub(super) fn of(stored: &StoredTurn) -> ChainLink {
+        ChainLink {
+            id: stored.turn.id.clone(),
+            bytes: stored.bytes(),
+        }
+    }
 }
 
 struct CachedTurn {
@@ -29,7 +46,8 @@
 pub(super) struct CachedHistory {
     /// The turns, newest first.
     pub(super) turns: Vec<StoredTurn>,
-    /// Id of the newest turn that is not cached; empty if the chain is complete.
+    /// Id of the newest turn that is not cached, or of the turn before the wanted ones; empty if the
+    /// chain is complete.
     pub(super) missing: String,
 }
 
@@ -58,17 +76,23 @@
         }
     }
 
-    /// The cached part of the chain that ends in `id`, back to the first turn that is not cached.
-    pub(super) fn history(&mut self, id: &str) -> CachedHistory {
+    /// The cached part of the chain that ends in `id`, back to the first turn that is not cached, or to
+    /// the turn `before`.
+    pub(super) fn history(&mut self, id: &str, before: &str) -> CachedHistory {
         let mut turns = vec![];
         let mut missing = id.to_string();
-        while let Some(cached) = self.turns.get(&missing).filter(|_| !missing.is_empty()) {
+        while let Some(cached) = self.turns.get(&missing).filter(|_| missing != before) {
             missing = cached.stored.turn.prev.clone();
             turns.push(cached.stored.clone());
         }
         CachedHistory { turns, missing }
     }
 
+    /// Id of the newest turn of the chain that ends in `id` which is not cached; empty if all are.
+    pub(super) fn first_missing(&mut self, id: &str) -> String {
+        self.history(id, "").missing
+    }
+
     /// Disks that are known to store a turn. Does not count as a use of the turn for eviction.
     pub(super) fn holders(&self, id: &str) -> Vec<String> {
         self.turns
--- a/yewcross-common/src/turn_log/client/mod.rs
+++ b/yewcross-common/src/turn_log/client/mod.rs
@@ -4,13 +4,16 @@
 //! - `open`: requests a store to open a turn;
 //! - `write`: stores turns and ledger entries on a write quorum of disks;
 //! - `settlement`: charges, in the background, the tokens of turns that end without being stored;
+//! - `chain_reader`: reads the chain before a turn into reserved memory;
 //! - `cache`: caches turns and ledger owners.
 
 mod cache;
+mod chain_reader;
 mod open;
 mod settlement;
 mod write;
 
+use crate::buffer_memory::BufferMemory;
 use crate::constants::TURN_CACHE_BYTES;
 use crate::documents::cache::DocumentCache;
 use crate::membership::Membership;
@@ -35,6 +38,10 @@
     /// Site of this node.
     site: String,
     cache: Mutex<TurnCache>,
+    /// Memory for chains, and for turns while they are sent and received.
+    memory: Arc<BufferMemory>,
+    /// Held by the turn that waits for memory for its chain.
+    waiting_reader: smol::lock::Mutex<()>,
     counters: ClientCounters,
 }
 
@@ -47,6 +54,8 @@
     budget_spent: AtomicU64,
     unknown_turns: AtomicU64,
     unavailable: AtomicU64,
+    /// Turns for whose chain there was no memory.
+    out_of_memory: AtomicU64,
     /// Requests to open a turn that failed at one store and were then sent to another.
     failovers: AtomicU64,
     finishes: AtomicU64,
@@ -59,16 +68,19 @@
 }
 
 impl TurnLogClient {
-    /// Creates a client with an empty cache.
+    /// Creates a client with an empty cache. What is not cached is held in `memory`.
     pub fn new(
         members: &Arc<Membership>,
         documents: &Arc<DocumentCache>,
         settings: &ProcessSettings,
+        memory: &Arc<BufferMemory>,
     ) -> TurnLogClient {
         TurnLogClient(Arc::new(Inner {
             stores: StoreClient::new(members, documents, &settings.name, settings.bounds.lost),
             site: settings.site.clone(),
             cache: Mutex::new(TurnCache::new(cache_bytes(settings))),
+            memory: memory.clone(),
+            waiting_reader: Default::default(),
             counters: Default::default(),
         }))
     }
@@ -88,6 +100,7 @@
             ("spent", counters.budget_spent.load(Relaxed)),
             ("unknown", counters.unknown_turns.load(Relaxed)),
             ("away", counters.unavailable.load(Relaxed)),
+            ("out_of_memory", counters.out_of_memory.load(Relaxed)),
             ("moved", counters.failovers.load(Relaxed)),
             ("finishes", counters.finishes.load(Relaxed)),
             ("unkept", counters.not_stored.load(Relaxed)),
@@ -144,6 +157,7 @@
             Err(OpenTurnError::BudgetSpent) => &self.budget_spent,
             Err(OpenTurnError::UnknownTurn) => &self.unknown_turns,
             Err(OpenTurnError::Unavailable) => &self.unavailable,
+            Err(OpenTurnError::OutOfMemory) => &self.out_of_memory,
         };
         counter.fetch_add(1, Relaxed);
     }
--- a/yewcross-common/src/turn_log/client/open.rs
+++ b/yewcross-common/src/turn_log/client/open.rs
@@ -2,6 +2,8 @@
 
 use crate::constants::{STORE_HEDGE_DELAY, STORE_RETRY_DELAY, STORE_UNRESPONSIVE_HEDGES};
 use crate::turn_log::client::Inner;
+use crate::turn_log::client::cache::ChainLink;
+use crate::turn_log::client::chain_reader::{ChainRange, ReadChain};
 use crate::turn_log::client::settlement::SettleOnDrop;
 use crate::turn_log::messages::{StoredTurn, TurnLogOperation, TurnLogResponse};
 use crate::turn_log::replicas::StoreReplicas;
@@ -22,54 +24,52 @@
 }
 
 impl Inner {
+    /// Opens the turn and reads the chain before it. If the outcome is unknown, if the chain cannot be
+    /// read, or if this future is dropped, a settlement is started that releases the possible
+    /// reservation.
     pub(super) async fn open(
         self: &Arc<Self>,
         open: OpenTurn,
         deadline_us: u64,
     ) -> Result<OpenedTurn, OpenTurnError> {
-        let cached = self.cache.lock().unwrap().history(&open.prev);
-        let mut chain = cached.turns;
-        let is_complete = cached.missing.is_empty();
-        if is_complete {
+        let mut guard = SettleOnDrop::new(self, &open, 0);
+        let missing = self.cache.lock().unwrap().first_missing(&open.prev);
+        if missing.is_empty() {
             self.counters.cache_hits.fetch_add(1, Relaxed);
         }
-        if !is_complete || open.is_budgeted() {
-            let rest = self
-                .open_or_settle(&open, cached.missing, deadline_us)
-                .await?;
-            chain.extend(rest);
+        if !missing.is_empty() || open.is_budgeted() {
+            let opened = self.request_open(&open, missing, deadline_us).await;
+            if matches!(
+                opened,
+                Err(OpenTurnError::BudgetSpent | OpenTurnError::UnknownTurn)
+            ) {
+                guard.disarm();
+            }
+            opened?;
         }
-        chain.reverse();
-        let turns = chain.iter().map(|stored| stored.turn.clone()).collect();
+        let range = ChainRange {
+            last: &open.prev,
+            before: "",
+            rank_key: open.rank_key(),
+        };
+        let ReadChain { mut turns, memory } = self.read_chain(range, deadline_us).await?;
+        turns.reverse();
+        let links = turns.iter().map(ChainLink::of).collect();
+        let chain = turns.into_iter().map(|stored| stored.turn).collect();
+        guard.disarm();
         let mut cache = self.cache.lock().unwrap();
-        cache.open_chains.put(open.turn, chain);
-        Ok(OpenedTurn { chain: turns })
-    }
-
-    /// Opens the turn at a store. If the outcome is unknown, or this future is dropped, a settlement is
-    /// started that releases the possible reservation.
-    async fn open_or_settle(
-        self: &Arc<Self>,
-        open: &OpenTurn,
-        missing: String,
-        deadline_us: u64,
-    ) -> Result<Vec<StoredTurn>, OpenTurnError> {
-        let mut guard = SettleOnDrop::new(self, open, 0);
-        let rows = self.request_open(open, missing, deadline_us).await;
-        if !matches!(rows, Err(OpenTurnError::Unavailable)) {
-            guard.disarm();
-        }
-        rows
+        cache.open_chains.put(open.turn, links);
+        Ok(OpenedTurn { chain, memory })
     }
 
-    /// Sends the request to one store after another until a response is conclusive. Returns the chain
-    /// that ends in `missing`, newest first.
+    /// Sends the request to one store after another until a response is conclusive. The store returns
+    /// the end of the chain that ends in `missing`, which is cached.
     async fn request_open(
         self: &Arc<Self>,
         open: &OpenTurn,
         missing: String,
         deadline_us: u64,
-    ) -> Result<Vec<StoredTurn>, OpenTurnError> {
+    ) -> Result<(), OpenTurnError> {
         let runtime = &self.stores.runtime;
         let mut attempts = OpenAttempts::default();
         while runtime.now() < deadline_us {
@@ -95,7 +95,7 @@
             match response {
                 Some(TurnLogResponse::Opened { rows }) => {
                     self.cache_opened(open, &disk, &rows);
-                    return Ok(rows);
+                    return Ok(());
                 }
                 Some(TurnLogResponse::BudgetSpent) => return Err(OpenTurnError::BudgetSpent),
                 Some(TurnLogResponse::UnknownTurn) => return Err(OpenTurnError::UnknownTurn),
--- a/yewcross-common/src/turn_log/client/write.rs
+++ b/yewcross-common/src/turn_log/client/write.rs
@@ -1,10 +1,15 @@
 //! Stores a completed turn and the ledger entry for its tokens on a write quorum of disks.
 
+use crate::buffer_memory::Reservation;
 use crate::constants::{
-    LEDGER_RETENTION_MS, PEER_REQUEST_TIMEOUT, STORE_HEDGE_DELAY, STORE_RETRY_DELAY,
+    HISTORY_PAGE_BYTES, LEDGER_RETENTION_MS, PEER_REQUEST_TIMEOUT, SMALL_BUFFER_BYTES,
+    STORE_HEDGE_DELAY, STORE_RETRY_DELAY,
 };
+use crate::hash::hash_128;
 use crate::runtime::BoxFuture;
 use crate::turn_log::client::Inner;
+use crate::turn_log::client::cache::ChainLink;
+use crate::turn_log::client::chain_reader::ChainRange;
 use crate::turn_log::client::settlement::SettleOnDrop;
 use crate::turn_log::epoch::epoch_owner_id;
 use crate::turn_log::gather::{Gather, GatherStep};
@@ -25,13 +30,17 @@
     4 * STORE_HEDGE_DELAY
 };
 
-/// Number of requests to one disk: the turn alone, then the turn with the chain before it.
-const REQUESTS_PER_DISK: usize = 2;
+/// Copies of a turn while it is sent to a disk: the encoded request, which may have up to twice its size,
+/// and two of its frame.
+const WRITE_COPIES: usize = 4;
+
+/// The largest share of the memory for buffers that the copies of a turn may reserve, as a divisor.
+const WRITE_MEMORY_DIVISOR: usize = 8;
 
 /// A turn to store and the chain before it, oldest first.
 pub(super) struct TurnWithChain {
     stored: StoredTurn,
-    chain: Vec<StoredTurn>,
+    chain: Vec<ChainLink>,
 }
 
 /// The turn and ledger entry to write, and the deadline.
@@ -43,16 +52,12 @@
 }
 
 impl TurnWrite {
-    fn operation(&self, with_chain: bool) -> TurnLogOperation {
-        let mut rows = vec![];
-        if let Some(turn) = &self.turn {
-            if with_chain {
-                rows.extend(turn.chain.iter().cloned());
-            }
-            rows.push(turn.stored.clone());
-        }
+    /// The request that stores the turn after `chain`, which holds the end of the chain before it.
+    fn operation(&self, mut chain: Vec<StoredTurn>) -> TurnLogOperation {
+        let turn = self.turn.iter().map(|turn| turn.stored.clone());
+        chain.extend(turn);
         TurnLogOperation::StoreTurns {
-            rows,
+            rows: chain,
             ledger: self.ledger.clone(),
         }
     }
@@ -107,8 +112,12 @@
             self.counters.not_stored.fetch_add(1, Relaxed);
             return Err(OpenTurnError::Unavailable);
         }
+        let cached = StoredTurn {
+            turn: Arc::new(stored.turn.detached()),
+            ..stored
+        };
         let mut cache = self.cache.lock().unwrap();
-        cache.put(stored, holders.into_iter().collect());
+        cache.put(cached, holders.into_iter().collect());
         drop(cache);
         if is_owner_notified {
             guard.disarm();
@@ -117,13 +126,12 @@
     }
 
     /// The chain before an open turn, oldest first.
-    fn take_open_chain(&self, open: &OpenTurn) -> Vec<StoredTurn> {
+    fn take_open_chain(&self, open: &OpenTurn) -> Vec<ChainLink> {
         let mut cache = self.cache.lock().unwrap();
         let chain = cache.open_chains.pop(&open.turn);
         chain.unwrap_or_else(|| {
-            let mut chain = cache.history(&open.prev).turns;
-            chain.reverse();
-            chain
+            let turns = cache.history(&open.prev, "").turns;
+            turns.iter().rev().map(ChainLink::of).collect()
         })
     }
 
@@ -228,25 +236,164 @@
         }
     }
 
-    /// Writes to one disk; repeats the write with the chain before the turn if the disk lacks a part
-    /// of the chain.
+    /// Writes to one disk. If the disk lacks a part of the chain before the turn, the chain is stored
+    /// there, too.
     async fn write_to(&self, disk: &str, layout_version: u64, write: TurnWrite) -> TurnLogResponse {
-        let mut operation = write.operation(false);
-        for _ in 0..REQUESTS_PER_DISK {
-            let timeout_us = write
-                .deadline_us
-                .saturating_sub(self.stores.runtime.now())
-                .min(WRITE_TIMEOUT_US);
-            let response = self
-                .stores
-                .request(disk, layout_version, &operation, timeout_us)
+        let addressed = AddressedDisk {
+            disk,
+            layout_version,
+            deadline_us: write.deadline_us,
+        };
+        let response = self.store(&addressed, &write.operation(vec![])).await;
+        match (&response, &write.turn) {
+            (TurnLogResponse::MissingParent(_), Some(turn)) => {
+                self.write_with_chain(&addressed, &write, turn).await
+            }
+            _ => response,
+        }
+    }
+
+    /// Stores the chain before a turn on a disk, in pages, and the turn with the last page.
+    async fn write_with_chain(
+        &self,
+        addressed: &AddressedDisk<'_>,
+        write: &TurnWrite,
+        turn: &TurnWithChain,
+    ) -> TurnLogResponse {
+        let pages = pages_before(turn);
+        let stored_pages = match pages.len() {
+            0 | 1 => 0,
+            // The last page is sent in any case, with the turn.
+            count => self
+                .count_stored_pages(addressed, &pages)
                 .await
-                .unwrap_or(TurnLogResponse::Unavailable);
-            match response {
-                TurnLogResponse::MissingParent(_) => operation = write.operation(true),
-                response => return response,
+                .min(count - 1),
+        };
+        let mut before = match stored_pages {
+            0 => "",
+            count => last_id(pages[count - 1]),
+        };
+        for (index, page) in pages.iter().enumerate().skip(stored_pages) {
+            let range = ChainRange {
+                last: last_id(page),
+                before,
+                rank_key: &turn.stored.program,
+            };
+            before = range.last;
+            let Ok(mut read) = self.read_chain(range, write.deadline_us).await else {
+                return TurnLogResponse::Unavailable;
+            };
+            read.turns.reverse();
+            if index + 1 == pages.len() {
+                return self.store(addressed, &write.operation(read.turns)).await;
+            }
+            let operation = TurnLogOperation::StoreTurns {
+                rows: read.turns,
+                ledger: None,
+            };
+            let response = self.store(addressed, &operation).await;
+            if response != TurnLogResponse::Ok {
+                return response;
             }
         }
         TurnLogResponse::Unavailable
     }
+
+    /// Number of the first pages whose turns a disk has stored.
+    async fn count_stored_pages(
+        &self,
+        addressed: &AddressedDisk<'_>,
+        pages: &[&[ChainLink]],
+    ) -> usize {
+        let last_ids = pages.iter().map(|page| last_id(page));
+        let operation = TurnLogOperation::ContainsTurns {
+            ids: last_ids.map(|id| hash_128(id.as_bytes())).collect(),
+        };
+        match self.request_write(addressed, &operation).await {
+            TurnLogResponse::Contains(is_stored) => {
+                is_stored.iter().take_while(|is_stored| **is_stored).count()
+            }
+            _ => 0,
+        }
+    }
+
+    /// Sends turns to a disk, in reserved memory.
+    async fn store(
+        &self,
+        addressed: &AddressedDisk<'_>,
+        operation: &TurnLogOperation,
+    ) -> TurnLogResponse {
+        let bytes = match operation {
+            TurnLogOperation::StoreTurns { rows, .. } => rows.iter().map(StoredTurn::bytes).sum(),
+            _ => 0,
+        };
+        let mut memory = Reservation::new(&self.memory).with_precedence();
+        if bytes > SMALL_BUFFER_BYTES {
+            let copied_bytes =
+                (WRITE_COPIES * bytes).min(self.memory.limit() / WRITE_MEMORY_DIVISOR);
+            let runtime = &self.stores.runtime;
+            if !memory
+                .grow_until(runtime, copied_bytes, addressed.deadline_us)
+                .await
+            {
+                return TurnLogResponse::Unavailable;
+            }
+        }
+        self.request_write(addressed, operation).await
+    }
+
+    async fn request_write(
+        &self,
+        addressed: &AddressedDisk<'_>,
+        operation: &TurnLogOperation,
+    ) -> TurnLogResponse {
+        let left_us = addressed
+            .deadline_us
+            .saturating_sub(self.stores.runtime.now());
+        let timeout_us = left_us.min(WRITE_TIMEOUT_US);
+        self.stores
+            .request(
+                addressed.disk,
+                addressed.layout_version,
+                operation,
+                timeout_us,
+            )
+            .await
+            .unwrap_or(TurnLogResponse::Unavailable)
+    }
+}
+
+/// The disk that a write is sent to, under a layout version and within a deadline.
+struct AddressedDisk<'a> {
+    disk: &'a str,
+    layout_version: u64,
+    deadline_us: u64,
+}
+
+/// The chain before a turn, oldest first, in pages. The last one leaves room for the turn itself where
+/// that is possible.
+fn pages_before(turn: &TurnWithChain) -> Vec<&[ChainLink]> {
+    let chain = turn.chain.as_slice();
+    let (mut pages, mut start, mut bytes) = (vec![], 0, 0);
+    for (index, link) in chain.iter().enumerate() {
+        let following_bytes = match chain.get(index + 1) {
+            Some(_) => 0,
+            None => turn.stored.bytes(),
+        };
+        let is_full = bytes + link.bytes + following_bytes > HISTORY_PAGE_BYTES;
+        if is_full && index > start {
+            pages.push(&chain[start..index]);
+            (start, bytes) = (index, 0);
+        }
+        bytes += link.bytes;
+    }
+    if start < chain.len() {
+        pages.push(&chain[start..]);
+    }
+    pages
+}
+
+/// Id of the last turn of a page, which is not empty.
+fn last_id(page: &[ChainLink]) -> &str {
+    page.last().map_or("", |link| &link.id)
 }
--- a/yewcross-common/src/turn_log/messages.rs
+++ b/yewcross-common/src/turn_log/messages.rs
@@ -94,7 +94,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum TurnLogOperation {
     /// Reserve a turn's tokens if there is a budget, and return the chain that ends in `parent` if
-    /// that is not empty.
+    /// that is not empty: its end to senders of `WIRE_VERSION_HISTORY_PAGES`, all of it to older ones.
     OpenTurn {
         /// The program that the budget belongs to.
         program: String,
@@ -109,7 +109,8 @@
         /// Whether the store takes over the ownership of the ledger if another store has it.
         take_over: bool,
     },
-    /// Return the part that this disk stores of the chain that ends in this turn.
+    /// Return the part that this disk stores of the chain that ends in this turn: a page of it to
+    /// senders of `WIRE_VERSION_HISTORY_PAGES`, all of it to older ones.
     FindHistory {
         /// Id of the turn.
         id: String,
@@ -159,7 +160,7 @@
     NewerLayout(u64),
     /// The turn is open.
     Opened {
-        /// The turns before it in the chain, newest first.
+        /// The last turns before it in the chain, newest first.
         rows: Vec<StoredTurn>,
     },
     /// The remaining budget is smaller than the reservation.
@@ -168,7 +169,7 @@
     UnknownTurn,
     /// The store of this disk owns the program's ledger.
     Owner(String),
-    /// The part of the chain that this disk stores, newest first.
+    /// The part of the chain that this disk stores, or the end of that part, newest first.
     History(Vec<StoredTurn>),
     /// The turn is certainly not stored on this disk.
     NotStored,
@@ -182,6 +183,18 @@
     Contains(Vec<bool>),
 }
 
+impl TurnLogResponse {
+    /// Size of the turns that the response carries, in bytes.
+    pub fn turn_bytes(&self) -> usize {
+        match self {
+            TurnLogResponse::Opened { rows } | TurnLogResponse::History(rows) => {
+                rows.iter().map(StoredTurn::bytes).sum()
+            }
+            _ => 0,
+        }
+    }
+}
+
 /// Encodes a message or a log batch; empty if the encoding fails.
 pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
     postcard::to_allocvec(message).unwrap_or_default()
--- a/yewcross-common/src/turn_log/mod.rs
+++ b/yewcross-common/src/turn_log/mod.rs
@@ -25,6 +25,7 @@
 pub use replicas::StoreReplicas;
 pub use store_client::StoreClient;
 
+use crate::buffer_memory::Reservation;
 use crate::runtime::BoxFuture;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -79,11 +80,29 @@
     }
 }
 
+impl Turn {
+    /// Size of the turn's texts in bytes.
+    pub fn text_bytes(&self) -> usize {
+        self.input.len() + self.output.len()
+    }
+
+    /// The same turn with copies of its texts, which hold no memory that is reserved for a request.
+    pub fn detached(&self) -> Turn {
+        Turn {
+            input: Bytes::copy_from_slice(&self.input),
+            output: Bytes::copy_from_slice(&self.output),
+            ..self.clone()
+        }
+    }
+}
+
 /// The result of opening a turn.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Debug)]
 pub struct OpenedTurn {
     /// The turns before it in the chain, oldest first.
     pub chain: Vec<Arc<Turn>>,
+    /// The memory of their texts, to be kept as long as the chain is used.
+    pub memory: Reservation,
 }
 
 /// Why a turn was not opened. `Unavailable` is also returned if a turn is not known to be stored.
@@ -96,11 +115,13 @@
     UnknownTurn,
     /// The stores could not be reached or could not decide. A turn to be opened will not run.
     Unavailable,
+    /// There is no memory for the chain before the turn. The turn will not run.
+    OutOfMemory,
 }
 
 /// The operations of the turn log that a proxy uses. Deadlines are in us of the runtime's clock.
 pub trait TurnLogService: Send + Sync {
-    /// Reserves the turn's tokens and returns the chain before it. If it fails, the reservation is
+    /// Reserves the turn's tokens and returns the chain before it, in reserved memory. If it fails, the reservation is
     /// not charged or is released in the background.
     fn open(
         &self,
--- a/yewcross-control/src/request_handler.rs
+++ b/yewcross-control/src/request_handler.rs
@@ -9,11 +9,16 @@
 use yewcross_common::register::{RegisterReply, RegisterRequest};
 use yewcross_common::runtime::BoxFuture;
 use yewcross_common::transport::{Envelope, Reply, RequestHandler};
+use yewcross_common::turn_log::TurnLogResponse;
+use yewcross_common::turn_log::messages::encode;
 
 /// Copies of a document that are made to send it: the payload, the frame that contains it, and the bytes
 /// of that frame.
 const DOCUMENT_COPIES: usize = 3;
 
+/// The same for turns, whose encoded response may have twice their size before it is a payload.
+const TURN_COPIES: usize = 4;
+
 /// Decodes requests from other processes and encodes the responses of [`Control::handle`].
 pub(crate) struct PeerRequestHandler(pub(crate) Arc<Control>);
 
@@ -24,6 +29,7 @@
                 Some(request) if !self.0.reserve_response(&envelope, &request).await => {
                     without_payload(PeerResponse::Rejected(Code::NoMajority))
                 }
+                Some(PeerRequest::TurnLog) => self.0.handle_turn_log(envelope).await,
                 Some(request) => {
                     self.0
                         .handle(request, envelope.payload, &envelope.from)
@@ -58,6 +64,20 @@
             .await
     }
 
+    /// Handles a request to the turn log. Memory for the copies of the turns that the response carries
+    /// is reserved before they are made.
+    async fn handle_turn_log(&self, mut envelope: Envelope) -> (PeerResponse, Vec<u8>) {
+        let body = std::mem::take(&mut envelope.payload);
+        let response = self.turn_store.respond(body, envelope.version).await;
+        let copied_bytes = TURN_COPIES * response.turn_bytes();
+        let has_memory = copied_bytes == 0 || envelope.reserve_response(copied_bytes).await;
+        let response = match has_memory {
+            true => response,
+            false => TurnLogResponse::Unavailable,
+        };
+        (PeerResponse::TurnLog, encode(&response))
+    }
+
     /// Handles a request of the process named `from`. The payload is the binary data sent along
     /// with the message: a register's value, a document or a delta.
     pub async fn handle(
@@ -167,7 +187,6 @@
             PeerRequest::SweepProgress { layout, .. } => {
                 without_payload(layout::report(self, layout))
             }
-            PeerRequest::TurnLog => (PeerResponse::TurnLog, self.turn_store.handle(payload).await),
             other => self.record_store.handle(other, payload).await,
         }
     }
--- a/yewcross-proxy/src/relay.rs
+++ b/yewcross-proxy/src/relay.rs
@@ -8,6 +8,7 @@
 //! - `upstream_body` reads the body of a server's response, and `streaming` forwards it.
 //! - `stall` detects streams that have stopped, and `resume` continues a broken or stalled stream
 //!   on another server.
+//! - `prompt` is the body that is sent to servers.
 //! - `turn` settles the token usage of the request's turn.
 //! - `shutdown` decides which requests are still forwarded once the front is to stop.
 
@@ -16,6 +17,7 @@
 mod dispatch;
 mod headers;
 mod hedge;
+mod prompt;
 mod resume;
 mod retry_budget;
 mod shutdown;
@@ -26,6 +28,7 @@
 
 use crate::balance::LoadBalancer;
 use crate::pool::Pool;
+use crate::relay::prompt::Prompt;
 use bytes::Bytes;
 use http::{Request, Response, request};
 use hyper::body::Incoming;
@@ -99,9 +102,10 @@
     meta: RequestMeta,
     /// The value of the `Host` header.
     host: String,
-    /// The body that is sent to the server. On a retained route this is the prompt built from the
-    /// chain.
-    body: Bytes,
+    /// The body that the caller sent.
+    input: Bytes,
+    /// The body that is sent to the server. On a retained route it begins with the chain.
+    prompt: Prompt,
     /// When the request was received, in us of the runtime's clock.
     received_at: u64,
     /// When the request expires, in us of the runtime's clock.
--- a/yewcross-proxy/src/relay/admission.rs
+++ b/yewcross-proxy/src/relay/admission.rs
@@ -2,10 +2,10 @@
 //! turn.
 
 use super::headers::strip_hop_by_hop;
+use super::prompt::Prompt;
 use super::resume::Resumption;
-use super::turn::{OpenedTurn, build_prompt, needs_turn_log, open_turn_request, set_prompt_parts};
+use super::turn::{OpenedTurn, needs_turn_log, open_turn_request, set_prompt_parts};
 use super::{ClientRequest, Rejection, Relay};
-use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header, request};
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -37,7 +37,7 @@
                 .await;
         }
         let (mut request, route, upstream) = self.read_request(request, received_at).await?;
-        let input = request.body.clone();
+        let input = request.input.clone();
         let (mut opened_turn, previous) = self.open_turn(&mut request, &route, &upstream).await?;
 
         let request = Arc::new(request);
@@ -53,8 +53,7 @@
         let turn_to_store = route.retained.then(|| Turn {
             id: request.meta.attempt.clone(),
             prev: request.meta.previous_turn.clone(),
-            // A copy: caches keep the turn longer than the request's memory may stay reserved.
-            input: Bytes::copy_from_slice(&input),
+            input,
             server: answer.claim.target.server.clone(),
             tokens: request.meta.prompt_tokens,
             retain_ms: route.retain_ms,
@@ -157,7 +156,8 @@
                 head,
                 meta,
                 host,
-                body,
+                prompt: Prompt::from(body.clone()),
+                input: body,
                 received_at,
                 deadline,
             },
@@ -205,12 +205,12 @@
                     }
                     OpenTurnError::UnknownTurn => Rejection(Code::UnknownTurn, "no such turn", 0),
                     OpenTurnError::Unavailable => unavailable(),
+                    OpenTurnError::OutOfMemory => self.out_of_memory(route),
                 })?;
         if route.retained {
             set_prompt_parts(&mut request.meta, &opened.chain);
         }
         let tokens_per_event = self.tokens_per_event(&upstream.name).unwrap_or(1);
-        // If the prompt cannot be built, dropping the turn settles it as not run.
         let turn = OpenedTurn {
             turn_log,
             open_turn,
@@ -218,11 +218,12 @@
             is_settled: false,
             forwarded_events: 0,
         };
+        let previous = opened.chain.last().cloned();
         if route.retained {
-            request.body = build_prompt(&opened.chain, &request.body, &self.buffer_memory)
-                .map_err(|_| self.out_of_memory(route))?;
+            let input = request.input.clone();
+            request.prompt = Prompt::of_chain(&opened.chain, input, opened.memory);
         }
-        Ok((Some(turn), opened.chain.last().cloned()))
+        Ok((Some(turn), previous))
     }
 
     /// The rejection of a request for which there is no buffer memory.
--- a/yewcross-proxy/src/relay/attempt.rs
+++ b/yewcross-proxy/src/relay/attempt.rs
@@ -318,7 +318,7 @@
         request: &ClientRequest,
         server: &ListedServer,
     ) -> Request<PartedBody> {
-        let mut upstream_request = Request::new(PartedBody::from(request.body.clone()));
+        let mut upstream_request = Request::new(request.prompt.to_body());
         *upstream_request.method_mut() = request.head.method.clone();
         *upstream_request.uri_mut() = request.head.uri.clone();
         *upstream_request.headers_mut() = request.head.headers.clone();
--- a/yewcross-proxy/src/relay/turn.rs
+++ b/yewcross-proxy/src/relay/turn.rs
@@ -1,10 +1,8 @@
 //! The turn of a request: it is opened in the turn log before the request is sent, and settled
 //! however the request ends.
 
-use bytes::Bytes;
 use std::sync::Arc;
 use yewcross_common::adapter::RequestMeta;
-use yewcross_common::buffer_memory::{BufferMemory, OutOfBufferMemory, ReservedBuffer};
 use yewcross_common::configuration::route::{Mode, Route};
 use yewcross_common::hash::rendezvous_weight;
 use yewcross_common::turn_log::{OpenTurn, Turn, TurnLogService};
@@ -56,28 +54,6 @@
     }
 }
 
-/// The inputs and outputs of the chain's turns in order, followed by the new input.
-pub(super) fn build_prompt(
-    chain: &[Arc<Turn>],
-    input: &Bytes,
-    memory: &Arc<BufferMemory>,
-) -> Result<Bytes, OutOfBufferMemory> {
-    if chain.is_empty() {
-        return Ok(input.clone());
-    }
-    let earlier_parts = chain.iter().flat_map(|turn| [&turn.input, &turn.output]);
-    let parts: Vec<&[u8]> = earlier_parts
-        .map(|part| part.as_ref())
-        .chain([input.as_ref()])
-        .collect();
-    let length = parts.iter().map(|part| part.len()).sum();
-    let mut prompt = ReservedBuffer::with_capacity(memory, length)?;
-    for part in parts {
-        prompt.extend(part, Some(length))?;
-    }
-    Ok(prompt.freeze())
-}
-
 /// Where the caller states no segments of its prompt, each turn of the chain becomes one segment.
 pub(super) fn set_prompt_parts(meta: &mut RequestMeta, chain: &[Arc<Turn>]) {
     if meta.prompt_segments.is_empty() {
--- a/yewcross-state/src/anti_entropy/turns.rs
+++ b/yewcross-state/src/anti_entropy/turns.rs
@@ -1,5 +1,6 @@
 //! Transfers turns until each is on enough disks.
 
+use crate::turn_store::history_limit::HistoryLimit;
 use crate::turn_store::{TurnIndex, TurnStore};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -242,7 +243,7 @@
     /// already batch of the transfer.
     fn add_history(&mut self, index: &TurnIndex, id: &str, is_held: impl Fn(u128) -> bool) {
         let mut history: Vec<StoredTurn> = index
-            .history(id)
+            .history(id, HistoryLimit::NONE)
             .turns
             .into_iter()
             .filter(|stored| {
--- a/yewcross-state/src/turn_store/index.rs
+++ b/yewcross-state/src/turn_store/index.rs
@@ -4,6 +4,7 @@
 //! least as long as the turn itself.
 
 use crate::segment_log::{self, LogRecord, LogScan};
+use crate::turn_store::history_limit::HistoryLimit;
 use crate::turn_store::ledger::Ledger;
 use std::collections::HashMap;
 use std::io;
@@ -21,12 +22,14 @@
     newest_segment: u64,
 }
 
-/// The part of a chain that this store holds, starting from its last turn.
+/// The end of a chain, as far as this store holds it and as it was asked for.
 pub struct IndexedHistory {
     /// Newest first.
     pub turns: Vec<StoredTurn>,
-    /// Id of the newest predecessor that this store does not hold; empty if the chain is complete.
-    pub first_missing: String,
+    /// Id of the turn before them; empty if the chain is complete.
+    pub next: String,
+    /// Whether this store holds the turn before them.
+    pub holds_next: bool,
 }
 
 /// All turns and ledgers of one store.
@@ -112,18 +115,25 @@
         }
     }
 
-    /// The chain that ends in `id`, back to the first turn that this store does not hold.
-    pub fn history(&self, id: &str) -> IndexedHistory {
-        let mut turns = vec![];
-        let mut missing = id.to_string();
-        while let Some(indexed) = self.get(&missing).filter(|_| !missing.is_empty()) {
-            missing = indexed.stored.turn.prev.clone();
-            turns.push(indexed.stored.clone());
-        }
-        IndexedHistory {
-            turns,
-            first_missing: missing,
+    /// The chain that ends in `id`, back to the first turn that this store does not hold, or that would
+    /// not fit into `limit`.
+    pub fn history(&self, id: &str, limit: HistoryLimit) -> IndexedHistory {
+        let mut history = IndexedHistory {
+            turns: vec![],
+            next: id.to_string(),
+            holds_next: false,
+        };
+        let mut bytes = 0;
+        while let Some(indexed) = self.get(&history.next).filter(|_| !history.next.is_empty()) {
+            bytes += indexed.stored.bytes();
+            if !limit.admits(history.turns.len(), bytes) {
+                history.holds_next = true;
+                break;
+            }
+            history.next = indexed.stored.turn.prev.clone();
+            history.turns.push(indexed.stored.clone());
         }
+        history
     }
 
     /// Whether this or an older segment contains a record that is still indexed.
--- a/yewcross-state/src/turn_store/mod.rs
+++ b/yewcross-state/src/turn_store/mod.rs
@@ -8,12 +8,14 @@
 //! - Nothing is acknowledged before it is durable in this disk's log.
 //!
 //! Modules:
+//! - [`history_limit`] bounds what a response carries of a chain;
 //! - [`index`] holds turns and ledgers in memory, [`ledger`] is one program's ledger;
 //! - `requests` validates and dispatches requests, `open_turn` opens turns, `replication` applies
 //!   records received from other stores;
 //! - `ownership` acquires a ledger's epoch, `reservation` reserves tokens under it;
 //! - `expiry` removes records whose retention period has ended, `metrics` exports counters.
 
+pub mod history_limit;
 pub mod index;
 pub mod ledger;
 
--- a/yewcross-state/src/turn_store/open_turn.rs
+++ b/yewcross-state/src/turn_store/open_turn.rs
@@ -2,6 +2,7 @@
 //! of its parent.
 
 use crate::turn_store::TurnStore;
+use crate::turn_store::history_limit::HistoryLimit;
 use crate::turn_store::reservation::Reservation;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -23,6 +24,8 @@
     pub(super) parent: String,
     /// Whether to take over the ledger even from a live owner.
     pub(super) take_over: bool,
+    /// How much of the history is returned.
+    pub(super) history_limit: HistoryLimit,
     pub(super) deadline_us: u64,
 }
 
@@ -38,6 +41,44 @@
     Unavailable,
 }
 
+/// The part of a chain that was collected so far.
+struct CollectedHistory {
+    /// Newest first.
+    turns: Vec<StoredTurn>,
+    /// Id of the turn before them; empty at the start of the chain.
+    next: String,
+    limit: HistoryLimit,
+    bytes: usize,
+    /// Nothing is to be added: the chain has no earlier turn, or its next turn does not fit.
+    is_complete: bool,
+}
+
+impl CollectedHistory {
+    fn new(last: &str, limit: HistoryLimit) -> CollectedHistory {
+        CollectedHistory {
+            turns: vec![],
+            next: last.to_string(),
+            limit,
+            bytes: 0,
+            is_complete: false,
+        }
+    }
+
+    /// Adds turns, newest first, up to the limit.
+    fn extend(&mut self, turns: Vec<StoredTurn>) {
+        for stored in turns {
+            self.bytes += stored.bytes();
+            if !self.limit.admits(self.turns.len(), self.bytes) {
+                self.is_complete = true;
+                return;
+            }
+            self.next = stored.turn.prev.clone();
+            self.turns.push(stored);
+        }
+        self.is_complete = self.next.is_empty();
+    }
+}
+
 impl TurnStore {
     pub(super) async fn open_turn(self: &Arc<Self>, request: OpenTurnRequest) -> TurnLogResponse {
         let is_budgeted = request.budget.is_some();
@@ -48,8 +89,7 @@
             if request.parent.is_empty() {
                 Ok(vec![])
             } else {
-                self.collect_history(&request.program, &request.parent, request.deadline_us)
-                    .await
+                self.collect_history(&request).await
             }
         };
         let reserve = async {
@@ -90,42 +130,44 @@
         is_live.then_some(disk)
     }
 
-    /// The complete chain that ends in `parent`, newest first. Turns that this store does not hold
-    /// are requested from other stores.
+    /// The chain that ends in the requested parent, newest first, within the request's limit. Turns
+    /// that this store does not hold are requested from other stores.
     async fn collect_history(
         self: &Arc<Self>,
-        program: &str,
-        parent: &str,
-        deadline_us: u64,
+        request: &OpenTurnRequest,
     ) -> Result<Vec<StoredTurn>, TurnLogResponse> {
-        let key = if program.is_empty() { parent } else { program };
-        let mut turns: Vec<StoredTurn> = vec![];
-        let mut next = parent.to_string();
+        let (parent, limit) = (&request.parent, request.history_limit);
+        let key = if request.program.is_empty() {
+            parent
+        } else {
+            &request.program
+        };
+        let mut collected = CollectedHistory::new(parent, limit);
         loop {
-            let local = self.index.lock().unwrap().history(&next);
-            turns.extend(local.turns);
-            next = local.first_missing;
-            if next.is_empty() {
-                return Ok(turns);
+            let local = self.index.lock().unwrap().history(&collected.next, limit);
+            collected.extend(local.turns);
+            if collected.is_complete || local.holds_next {
+                return Ok(collected.turns);
             }
-            if self.runtime.now() >= deadline_us {
+            if self.runtime.now() >= request.deadline_us {
                 return Err(TurnLogResponse::Unavailable);
             }
-            match self.look_up(key, &next, deadline_us).await {
+            match self
+                .look_up(key, &collected.next, request.deadline_us)
+                .await
+            {
                 Lookup::Found(found) => {
-                    next = found
-                        .last()
-                        .map(|stored| stored.turn.prev.clone())
-                        .unwrap_or_default();
-                    turns.extend(found);
-                    if next.is_empty() {
-                        return Ok(turns);
+                    collected.extend(found);
+                    if collected.is_complete {
+                        return Ok(collected.turns);
                     }
                 }
                 Lookup::NewerLayout(version) => self.stores.catch_up(version).await,
-                // `UnknownTurn` only if no turn of the chain was found; an incomplete chain is not
+                // `UnknownTurn` only if no turn of the chain was found; a chain with a gap is not
                 // returned.
-                Lookup::NotStored if turns.is_empty() => return Err(TurnLogResponse::UnknownTurn),
+                Lookup::NotStored if collected.next == *parent => {
+                    return Err(TurnLogResponse::UnknownTurn);
+                }
                 Lookup::NotStored | Lookup::Unavailable => {
                     return Err(TurnLogResponse::Unavailable);
                 }
--- a/yewcross-state/src/turn_store/replication.rs
+++ b/yewcross-state/src/turn_store/replication.rs
@@ -5,6 +5,7 @@
 
 use crate::segment_log::LogRecord;
 use crate::turn_store::TurnStore;
+use crate::turn_store::history_limit::HistoryLimit;
 use crate::turn_store::index::TurnIndex;
 use async_channel::Receiver;
 use std::collections::BTreeSet;
@@ -16,12 +17,17 @@
 use yewcross_common::turn_log::{LedgerRecord, StoredTurn, TurnLogOperation, TurnLogResponse};
 
 impl TurnStore {
-    pub(super) fn find_history(&self, layout_version: u64, id: &str) -> TurnLogResponse {
+    pub(super) fn find_history(
+        &self,
+        layout_version: u64,
+        id: &str,
+        limit: HistoryLimit,
+    ) -> TurnLogResponse {
         let index = self.index.lock().unwrap();
         if layout_version < self.layout_version() {
             return TurnLogResponse::NewerLayout(self.layout_version());
         }
-        let turns = index.history(id).turns;
+        let turns = index.history(id, limit).turns;
         if !turns.is_empty() {
             TurnLogResponse::History(turns)
         } else if self.recovery_pending.load(SeqCst) {
--- a/yewcross-state/src/turn_store/requests.rs
+++ b/yewcross-state/src/turn_store/requests.rs
@@ -1,6 +1,7 @@
 //! Validates and dispatches requests to the turn log.
 
 use crate::turn_store::TurnStore;
+use crate::turn_store::history_limit::HistoryLimit;
 use crate::turn_store::open_turn::OpenTurnRequest;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::{Relaxed, SeqCst};
@@ -9,11 +10,16 @@
 use yewcross_common::turn_log::{TurnLogOperation, TurnLogRequest, TurnLogResponse};
 
 impl TurnStore {
-    /// Handles an encoded request and returns the encoded response. The request is rejected
+    /// Handles an encoded request from a sender of this frame version, and returns the encoded response.
+    pub async fn handle(self: &Arc<Self>, body: Vec<u8>, sender_version: u16) -> Vec<u8> {
+        encode(&self.respond(body, sender_version).await)
+    }
+
+    /// Handles an encoded request from a sender of this frame version. The request is rejected
     /// immediately if too many requests are in flight or the log's write queue is saturated.
-    pub async fn handle(self: &Arc<Self>, body: Vec<u8>) -> Vec<u8> {
+    pub async fn respond(self: &Arc<Self>, body: Vec<u8>, sender_version: u16) -> TurnLogResponse {
         let Some(request) = decode::<TurnLogRequest>(&body) else {
-            return encode(&TurnLogResponse::Unavailable);
+            return TurnLogResponse::Unavailable;
         };
         drop(body);
         let in_flight = self.requests_in_flight.fetch_add(1, SeqCst);
@@ -21,19 +27,22 @@
             self.counters.overloaded.fetch_add(1, Relaxed);
             TurnLogResponse::Unavailable
         } else {
-            self.answer(request).await
+            self.answer(request, sender_version).await
         };
         self.requests_in_flight.fetch_sub(1, SeqCst);
-        encode(&response)
+        response
     }
 
-    async fn answer(self: &Arc<Self>, request: TurnLogRequest) -> TurnLogResponse {
+    async fn answer(
+        self: &Arc<Self>,
+        request: TurnLogRequest,
+        sender_version: u16,
+    ) -> TurnLogResponse {
         let deadline_us = self.runtime.now() + request.timeout_us;
         if let Err(rejection) = self.check(&request).await {
             return rejection;
         }
-        self.dispatch(request.layout_version, request.operation, deadline_us)
-            .await
+        self.dispatch(request, sender_version, deadline_us).await
     }
 
     /// Rejects a request for another disk, for a failed disk, or for a disk that is not a replica in
@@ -65,11 +74,12 @@
 
     async fn dispatch(
         self: &Arc<Self>,
-        layout_version: u64,
-        operation: TurnLogOperation,
+        request: TurnLogRequest,
+        sender_version: u16,
         deadline_us: u64,
     ) -> TurnLogResponse {
-        match operation {
+        let layout_version = request.layout_version;
+        match request.operation {
             TurnLogOperation::OpenTurn {
                 program,
                 turn,
@@ -89,11 +99,14 @@
                     budget,
                     parent,
                     take_over,
+                    history_limit: HistoryLimit::opened(sender_version),
                     deadline_us,
                 };
                 self.open_turn(request).await
             }
-            TurnLogOperation::FindHistory { id } => self.find_history(layout_version, &id),
+            TurnLogOperation::FindHistory { id } => {
+                self.find_history(layout_version, &id, HistoryLimit::page(sender_version))
+            }
             TurnLogOperation::AcquireLedger { ledger } => {
                 self.promise_epoch(layout_version, ledger).await
             }
--- a/yewcross-testkit/examples/chain_load.rs
+++ b/yewcross-testkit/examples/chain_load.rs
@@ -27,7 +27,7 @@
         Box::pin(async move {
             let (t, b) = match (p.decode::<PeerRequest>(), &self.1) {
                 (Some(PeerRequest::TurnLog), Some(e)) => {
-                    (PeerResponse::TurnLog, e.handle(p.payload).await)
+                    (PeerResponse::TurnLog, e.handle(p.payload, p.version).await)
                 }
                 (Some(a), _) => (self.0.handle(a).await, vec![]),
                 _ => (PeerResponse::Ok, vec![]),
@@ -122,7 +122,12 @@
                 None => None,
             };
             if !store {
-                *client.lock().unwrap() = Some(Arc::new(TurnLogClient::new(&members, &book, &st)));
+                *client.lock().unwrap() = Some(Arc::new(TurnLogClient::new(
+                    &members,
+                    &book,
+                    &st,
+                    &Default::default(),
+                )));
             }
             let door = w.bind(st.peer).await.expect("a port");
             w.spawn(
--- a/yewcross-testkit/src/routed/tier.rs
+++ b/yewcross-testkit/src/routed/tier.rs
@@ -240,8 +240,12 @@
                 Role::Front => {
                     let front =
                         Front::open_without_leases(&runtime, settings, Arc::new(NativeFormat));
-                    let turn_log =
-                        TurnLogClient::new(&front.members, &front.documents, &front.settings);
+                    let turn_log = TurnLogClient::new(
+                        &front.members,
+                        &front.documents,
+                        &front.settings,
+                        &front.buffer_memory,
+                    );
                     let options = FrontOptions {
                         caller: Arc::new(TestAdapter),
                         upstream_protocol: Arc::new(TestAdapter),
--- a/yewcross-testkit/tests/chain.rs
+++ b/yewcross-testkit/tests/chain.rs
@@ -31,7 +31,7 @@
         Box::pin(async move {
             let (t, b) = match (p.decode::<PeerRequest>(), &self.engine) {
                 (Some(PeerRequest::TurnLog), Some(e)) => {
-                    (PeerResponse::TurnLog, e.handle(p.payload).await)
+                    (PeerResponse::TurnLog, e.handle(p.payload, p.version).await)
                 }
                 (Some(PeerRequest::TurnLog), None) | (None, _) => (
                     PeerResponse::Rejected(yewcross_common::error_code::Code::BadField),
@@ -231,7 +231,14 @@
                 Some(v) => TurnStore::start(&w, &st, &members, &book, v).await.ok(),
                 None => None,
             };
-            let client = (!store).then(|| Arc::new(TurnLogClient::new(&members, &book, &st)));
+            let client = (!store).then(|| {
+                Arc::new(TurnLogClient::new(
+                    &members,
+                    &book,
+                    &st,
+                    &Default::default(),
+                ))
+            });
             let Ok(door) = w.bind(st.peer).await else {
                 return;
             };
@@ -580,7 +587,7 @@
                 return true;
             }
             OpenTurnError::UnknownTurn => j.bad(format!("{id}: {prev} is not known")),
-            OpenTurnError::Unavailable => {
+            OpenTurnError::Unavailable | OpenTurnError::OutOfMemory => {
                 j.away += 1;
                 self.sim.append_log(&format!("{id} of {}: away", p.program));
             }
@@ -611,7 +618,7 @@
                         ..Default::default()
                     };
                     r = c.open(o, w.now() + 2 * SEC).await;
-                    if r != Err(OpenTurnError::Unavailable) {
+                    if !matches!(r, Err(OpenTurnError::Unavailable)) {
                         break;
                     }
                 }
@@ -936,7 +943,7 @@
         }),
     );
     x.w.spawn(async move {
-        let b = x.engine.unwrap().handle(a).await;
+        let b = x.engine.unwrap().handle(a, WIRE_VERSION).await;
         *g.lock().unwrap() = decode(&b);
     });
     t.pass(100);
@@ -1266,7 +1273,7 @@
                 }),
             );
             x.w.spawn(async move {
-                let b = x.engine.unwrap().handle(a).await;
+                let b = x.engine.unwrap().handle(a, WIRE_VERSION).await;
                 assert!(matches!(
                     decode(&b),
                     Some(TurnLogResponse::Ok | TurnLogResponse::LedgerAcquired(_))
--- a/yewcross-testkit/tests/relay/buffers.rs
+++ b/yewcross-testkit/tests/relay/buffers.rs
@@ -49,7 +49,7 @@
     let rig = limited(303);
     let input = "b".repeat(LIMIT / 4);
     let mut previous = String::new();
-    let statuses: Vec<u16> = (0..3)
+    let statuses: Vec<u16> = (0..4)
         .map(|number| {
             let attempt = format!("t{number}");
             let heads = [("after", previous.as_str())];
@@ -58,15 +58,15 @@
             status
         })
         .collect();
-    assert_eq!(statuses, [200, 200, 503]);
-    assert!(rig.runs("t2").is_empty());
+    assert_eq!(statuses, [200, 200, 200, 503]);
+    assert!(rig.runs("t3").is_empty());
     rig.rest(SEC);
     assert!(
         rig.memory
             .settled
             .lock()
             .unwrap()
-            .contains(&("t2".into(), 0))
+            .contains(&("t3".into(), 0))
     );
 }
 
--- a/yewcross-testkit/tests/relay/rig.rs
+++ b/yewcross-testkit/tests/relay/rig.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
-use yewcross_common::buffer_memory::BufferMemory;
+use yewcross_common::buffer_memory::{BufferMemory, Reservation};
 use yewcross_common::configuration::route::Limits;
 use yewcross_common::constants::*;
 use yewcross_common::documents::cache::DocumentCache;
@@ -26,6 +26,8 @@
 
 #[derive(Default)]
 pub struct Memory {
+    /// Memory of the chains that are returned.
+    pub buffers: Arc<BufferMemory>,
     pub turns: Mutex<BTreeMap<String, Arc<Turn>>>,
     pub settled: Mutex<Vec<(String, u64)>>,
     pub opened: AtomicUsize,
@@ -51,7 +53,13 @@
                 chain.insert(0, t.clone());
                 at = t.prev.clone();
             }
-            Ok(OpenedTurn { chain })
+            let mut memory = Reservation::new(&self.buffers);
+            let bytes = chain.iter().map(|turn| turn.text_bytes()).sum();
+            if !memory.try_grow(bytes) {
+                self.settled.lock().unwrap().push((o.turn, 0));
+                return Err(OpenTurnError::OutOfMemory);
+            }
+            Ok(OpenedTurn { chain, memory })
         })
     }
     fn finish(
@@ -69,7 +77,8 @@
                 .lock()
                 .unwrap()
                 .push((format!("kept {}", t.id), used));
-            self.turns.lock().unwrap().insert(t.id.clone(), Arc::new(t));
+            let kept = Arc::new(t.detached());
+            self.turns.lock().unwrap().insert(t.id.clone(), kept);
             Ok(())
         })
     }
@@ -148,7 +157,11 @@
         let fm = sim.add_machine("front", "z", "10.0.0.1".parse().unwrap());
         let w = sim.boot(fm);
         let floor: Arc<Floor> = Default::default();
-        let memory: Arc<Memory> = Default::default();
+        let buffer_memory = Arc::new(BufferMemory::with_limit(limit));
+        let memory = Arc::new(Memory {
+            buffers: buffer_memory.clone(),
+            ..Memory::default()
+        });
         let book = DocumentCache::new(&w);
         let relay = Arc::new(Relay {
             runtime: w.clone(),
@@ -162,7 +175,7 @@
             balance: LoadBalancer::with_policies(policies),
             retry_budget: RetryBudget::new(policies),
             counts: Default::default(),
-            buffer_memory: Arc::new(BufferMemory::with_limit(limit)),
+            buffer_memory,
             shutdown: Default::default(),
         });
         let door: SocketAddr = "10.0.0.1:80".parse().unwrap();
--- a/yewcross-testkit/tests/second_loss.rs
+++ b/yewcross-testkit/tests/second_loss.rs
@@ -35,7 +35,12 @@
 async fn keep_turns(tier: &Arc<Tier>) {
     let front = tier.front("front1").expect("the front runs");
     let startup = tier.settings.lock().unwrap()["front1"].clone();
-    let client = TurnLogClient::new(&front.members, &front.documents, &startup);
+    let client = TurnLogClient::new(
+        &front.members,
+        &front.documents,
+        &startup,
+        &Default::default(),
+    );
     for program in 0..PROGRAMS {
         let (open, turn) = first_turn(program);
         let until = tier.operator.now() + 2 * SEC;
