The output of a turn counts while it is collected

A server that sends without end, as fast as its caller reads, takes the front over its memory before the deadline.

Change: the collected output is reserved in the memory for buffers; a turn whose output does not fit is cut, as it could not be kept.

Evidence: a_turn_whose_output_does_not_fit_into_the_buffer_memory_is_cut ran to its deadline of 3 s before.

--- a/yewcross-proxy/src/relay/streaming.rs
+++ b/yewcross-proxy/src/relay/streaming.rs
@@ -18,6 +18,7 @@
 use std::sync::atomic::Ordering::SeqCst;
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
+use yewcross_common::buffer_memory::Reservation;
 use yewcross_common::runtime::*;
 use yewcross_common::streaming_http::{Body, full, full_in_parts};
 use yewcross_common::turn_log::{OpenTurnError, Turn};
@@ -61,6 +62,7 @@
             upstream: Box::new(upstream),
             opened_turn,
             turn_to_store,
+            output_memory: Reservation::new(&self.buffer_memory),
             deadline,
             resumption,
             candidates: vec![],
@@ -92,6 +94,8 @@
     EventIdsNotIncreasing,
     #[snafu(display("the server's response ended inside an event"))]
     IncompleteEvent,
+    #[snafu(display("there is no memory to keep the output of the turn"))]
+    OutOfMemory,
 }
 
 type StoreTurnFuture = BoxFuture<'static, Result<(), OpenTurnError>>;
@@ -113,6 +117,8 @@
     upstream: Box<UpstreamBody>,
     opened_turn: Option<OpenedTurn>,
     turn_to_store: Option<Turn>,
+    /// Memory of the output that is collected for the turn.
+    output_memory: Reservation,
     /// When the request expires, in us of the runtime's clock.
     deadline: u64,
     resumption: Option<Resumption>,
@@ -268,6 +274,18 @@
         Ok(())
     }
 
+    /// Reserves memory for the output that was collected, whose buffer doubles when it is full.
+    fn reserve_output(&mut self) -> Result<(), ForwardError> {
+        let collected = self.upstream.scan().map_or(0, EventScanner::data_bytes);
+        let is_reserved =
+            collected <= self.output_memory.bytes() || self.output_memory.try_grow(collected);
+        if is_reserved {
+            Ok(())
+        } else {
+            Err(ForwardError::OutOfMemory)
+        }
+    }
+
     /// The next bytes to forward, of the current server or of a candidate; none at the end of the
     /// stream.
     fn poll_bytes(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, ForwardError>> {
@@ -301,6 +319,7 @@
                 }
                 Phase::Forwarding => {
                     let bytes = ready!(self.poll_bytes(cx))?;
+                    self.reserve_output()?;
                     let events = self.upstream.events();
                     self.opened_turn
                         .iter_mut()
--- a/yewcross-proxy/src/scan.rs
+++ b/yewcross-proxy/src/scan.rs
@@ -162,6 +162,11 @@
         !self.has_decreasing_ids
     }
 
+    /// Size of the data collected so far, in bytes.
+    pub fn data_bytes(&self) -> usize {
+        self.data.len()
+    }
+
     /// Takes the data collected so far.
     pub fn take_data(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.data)
--- a/yewcross-testkit/tests/relay/buffers.rs
+++ b/yewcross-testkit/tests/relay/buffers.rs
@@ -141,3 +141,21 @@
     );
     assert_eq!(rig.relay.counts.passed.load(SeqCst), 1);
 }
+
+/// Bytes that the buffers of a front may use for the output of a turn.
+const OUTPUT_LIMIT: usize = 300;
+
+/// Guards against a server whose stream takes the front over its memory, since the output of a turn is
+/// held until the turn is kept.
+#[test]
+fn a_turn_whose_output_does_not_fit_into_the_buffer_memory_is_cut() {
+    let rig = Rig::with_buffers(308, 1, Policies::all(), OUTPUT_LIMIT);
+    rig.all(Act::Forever);
+    let heard = rig.ask("t", "/kept/stream/x", &[], "b");
+    assert_eq!((heard.status, heard.whole), (200, false));
+    assert!(heard.took < 3 * SEC, "cut at its deadline only");
+    rig.rest(SEC);
+    assert_eq!(rig.relay.buffer_memory.reserved(), 0);
+    let other = rig.ask("other", "/stream/x", &[], "b");
+    assert!(other.body.len() > heard.body.len(), "others are not cut");
+}
