--- a/yewcross-testkit/tests/relay/answers.rs
+++ b/yewcross-testkit/tests/relay/answers.rs
@@ -88,7 +88,7 @@
             (
                 rig.runs("one").len(),
                 rig.runs("two").len(),
-                rig.floor.conns.load(SeqCst)
+                rig.server_state.conns.load(SeqCst)
             ),
             (1, 1, 2),
             "{act:?}"
@@ -128,7 +128,7 @@
     rig.all(Act::OldVersion);
     let said = rig.with(move |r, w| {
         Box::pin(async move {
-            let mut c = w.connect(r.door).await.unwrap();
+            let mut c = w.connect(r.address).await.unwrap();
             let q =
                 "GET /once/x HTTP/1.1\r\nhost: h.example\r\ntry: t\r\nconnection: close\r\n\r\n";
             c.write_all(q.as_bytes()).await.unwrap();
--- a/yewcross-testkit/tests/relay/attempts.rs
+++ b/yewcross-testkit/tests/relay/attempts.rs
@@ -28,7 +28,7 @@
         let h = rig.ask("t", "/once/x", &[], "b");
         assert_eq!((h.status, h.whole), (502, true), "{act:?}");
         assert_eq!(rig.runs("t").len(), 1, "{act:?}");
-        assert_eq!(rig.floor.seen.load(SeqCst), 1, "{act:?}");
+        assert_eq!(rig.server_state.seen.load(SeqCst), 1, "{act:?}");
     }
 }
 
@@ -39,7 +39,11 @@
         (0..4).for_each(|i| rig.act(&format!("a{i}"), &[Act::NotRun(code)]));
         let h = rig.ask("t", "/once/x", &[], "b");
         assert_eq!(
-            (h.status, rig.runs("t").len(), rig.floor.seen.load(SeqCst)),
+            (
+                h.status,
+                rig.runs("t").len(),
+                rig.server_state.seen.load(SeqCst)
+            ),
             (503, 0, 3)
         );
         assert!(h.heads["back-ms"].parse::<u64>().unwrap() > 0);
@@ -96,8 +100,8 @@
         Box::pin(async move {
             let (r2, w2) = (r.clone(), w.clone());
             let one = w.spawn_all(vec![Box::pin(async move {
-                call(&w2, r2.door, "p", "/pure/x", &[], "").await
-            }) as BoxFuture<'static, Heard>]);
+                call(&w2, r2.address, "p", "/pure/x", &[], "").await
+            }) as BoxFuture<'static, Answer>]);
             w.sleep(50 * MS).await;
             r.list(3, &[r.listed(0, "a"), r.listed(1, "a")]);
             one.recv().await.unwrap()
@@ -112,7 +116,7 @@
     // The silent one is left alone.
     (0..6).for_each(|i| assert_eq!(rig.ask(&format!("q{i}"), "/pure/x", &[], "b").status, 200));
     assert!(
-        rig.floor
+        rig.server_state
             .runs
             .lock()
             .unwrap()
@@ -132,10 +136,10 @@
 fn connections_are_used_again_until_they_are_old() {
     let rig = Rig::new(60, 1);
     (0..5).for_each(|i| assert_eq!(rig.ask(&format!("t{i}"), "/once/x", &[], "b").status, 200));
-    assert_eq!(rig.floor.conns.load(SeqCst), 1);
+    assert_eq!(rig.server_state.conns.load(SeqCst), 1);
     rig.rest(UPSTREAM_IDLE_TIMEOUT);
     assert_eq!(rig.ask("late", "/once/x", &[], "b").status, 200);
-    assert_eq!(rig.floor.conns.load(SeqCst), 2);
+    assert_eq!(rig.server_state.conns.load(SeqCst), 2);
 }
 
 #[test]
@@ -168,7 +172,7 @@
         assert_eq!(h.status, 200);
     });
     assert!(
-        rig.floor
+        rig.server_state
             .runs
             .lock()
             .unwrap()
@@ -189,8 +193,8 @@
             let (r2, w2) = (r.clone(), w.clone());
             let heads = vec![("patience".to_string(), "900".to_string())];
             let one = w.spawn_all(vec![Box::pin(async move {
-                call(&w2, r2.door, "t", "/pure/x", &heads, "").await
-            }) as BoxFuture<'static, Heard>]);
+                call(&w2, r2.address, "t", "/pure/x", &heads, "").await
+            }) as BoxFuture<'static, Answer>]);
             w.sleep(60 * MS).await;
             r.configure(2, json!([route("pure", "effectful", "a", 3)]));
             r.list(3, &[r.listed(0, "a"), r.listed(1, "a")]);
@@ -213,8 +217,8 @@
         Box::pin(async move {
             let (r2, w2) = (r.clone(), w.clone());
             let one = w.spawn_all(vec![Box::pin(async move {
-                call(&w2, r2.door, "t", "/pure/x", &[], "").await
-            }) as BoxFuture<'static, Heard>]);
+                call(&w2, r2.address, "t", "/pure/x", &[], "").await
+            }) as BoxFuture<'static, Answer>]);
             w.sleep(50 * MS).await;
             r.list(3, &[r.listed(0, "a"), r.listed(1, "a")]);
             w.sleep(200 * MS).await;
@@ -240,8 +244,8 @@
             Box::pin(async move {
                 let (r2, w2) = (r.clone(), w.clone());
                 let one = w.spawn_all(vec![Box::pin(async move {
-                    call(&w2, r2.door, "t", "/pure/x", &[], "").await
-                }) as BoxFuture<'static, Heard>]);
+                    call(&w2, r2.address, "t", "/pure/x", &[], "").await
+                }) as BoxFuture<'static, Answer>]);
                 w.sleep(50 * MS).await;
                 r.list(3, &[r.listed(0, "a"), r.listed(1, "a")]);
                 one.recv().await.unwrap()
--- a/yewcross-testkit/tests/relay/buffers.rs
+++ b/yewcross-testkit/tests/relay/buffers.rs
@@ -62,7 +62,7 @@
     assert!(rig.runs("t3").is_empty());
     rig.rest(SEC);
     assert!(
-        rig.memory
+        rig.turn_log
             .settled
             .lock()
             .unwrap()
@@ -75,13 +75,13 @@
     let rig = Rig::new(304, 2);
     rig.act("model0", &[Act::EndlessEvent]);
     rig.act("model1", &[Act::EndlessEvent]);
-    *rig.floor.other.lock().unwrap() = Some(Act::Good);
-    let (floor, runtime) = (rig.floor.clone(), rig.relay.runtime.clone());
+    *rig.server_state.other.lock().unwrap() = Some(Act::Good);
+    let (server_state, runtime) = (rig.server_state.clone(), rig.relay.runtime.clone());
     runtime.clone().spawn(async move {
-        while floor.runs.lock().unwrap().is_empty() {
+        while server_state.runs.lock().unwrap().is_empty() {
             runtime.sleep(MS).await;
         }
-        floor.acts.lock().unwrap().clear();
+        server_state.acts.lock().unwrap().clear();
     });
     let heard = rig.ask("t", "/again/stream/x", &[], "b");
     assert!(
@@ -113,7 +113,7 @@
     let reserved = rig.with(move |rig, runtime| {
         Box::pin(async move {
             use futures_lite::AsyncWriteExt;
-            let mut connection = runtime.connect(rig.door).await.unwrap();
+            let mut connection = runtime.connect(rig.address).await.unwrap();
             let request = "GET /pure/x HTTP/1.1\r\nhost: h.example\r\ntry: t\r\n\r\n";
             connection.write_all(request.as_bytes()).await.unwrap();
             runtime.sleep(SEC).await;
--- a/yewcross-testkit/tests/relay/front_shutdown.rs
+++ b/yewcross-testkit/tests/relay/front_shutdown.rs
@@ -106,7 +106,7 @@
     /// When the request was sent, in µs after the request to stop.
     sent_at: u64,
     /// `None` where the connection was refused.
-    heard: Option<Heard>,
+    heard: Option<Answer>,
 }
 
 /// Opens connections at a regular interval, each with a stream of its own, until `until` µs have
--- a/yewcross-testkit/tests/relay/promises.rs
+++ b/yewcross-testkit/tests/relay/promises.rs
@@ -61,18 +61,18 @@
         let (p, crash) = (plan.clone(), rng.u64(500..2_500) * MS);
         let hs = rig.with(move |r, w| {
             Box::pin(async move {
-                let fs: Vec<BoxFuture<'static, (usize, Heard)>> = p
+                let fs: Vec<BoxFuture<'static, (usize, Answer)>> = p
                     .into_iter()
                     .enumerate()
                     .map(|(i, (id, path, at))| {
                         let (r, w) = (r.clone(), w.clone());
-                        let f: BoxFuture<'static, (usize, Heard)> = Box::pin(async move {
+                        let f: BoxFuture<'static, (usize, Answer)> = Box::pin(async move {
                             w.sleep(at).await;
                             (
                                 i,
                                 call(
                                     &w,
-                                    r.door,
+                                    r.address,
                                     &id,
                                     &path,
                                     &[("patience".into(), "900".into())],
@@ -124,7 +124,7 @@
             }
             assert!(h.took < 960 * MS, "{what}");
             if path.starts_with("/kept") {
-                let s = rig.memory.settled.lock().unwrap();
+                let s = rig.turn_log.settled.lock().unwrap();
                 let ends: Vec<_> = s
                     .iter()
                     .filter(|x| x.0 == *id || x.0 == format!("kept {id}"))
@@ -149,7 +149,7 @@
 struct Ended {
     attempt: String,
     path: String,
-    heard: Heard,
+    heard: Answer,
 }
 
 fn any_act(rng: &mut fastrand::Rng, acts: &[Act]) -> Act {
@@ -228,7 +228,7 @@
                     let f: BoxFuture<'static, Option<Ended>> = Box::pin(async move {
                         w.sleep(at).await;
                         let heads = [("patience".to_string(), "900".to_string())];
-                        let ask = call(&w, r.door, &attempt, &path, &heads, "in");
+                        let ask = call(&w, r.address, &attempt, &path, &heads, "in");
                         let patience = if leaves {
                             w.random() % (60 * MS)
                         } else {
@@ -328,7 +328,7 @@
     let (mut served, mut refused, mut lost) = (0, 0, 0);
     for seed in 0..60 {
         let (rig, ended) = play_everything(seed);
-        let runs = rig.floor.runs.lock().unwrap().clone();
+        let runs = rig.server_state.runs.lock().unwrap().clone();
         let bad: Vec<String> = ended.iter().filter_map(|e| wrong(e, &runs)).collect();
         assert!(bad.is_empty(), "seed {seed}: {bad:#?}");
         let count = |f: fn(u16) -> bool| ended.iter().filter(|e| f(e.heard.status)).count();
@@ -346,7 +346,7 @@
 #[test]
 fn every_wrong_of_a_try_is_seen() {
     let (rig, ended) = play_everything(1);
-    let runs = rig.floor.runs.lock().unwrap().clone();
+    let runs = rig.server_state.runs.lock().unwrap().clone();
     let of = |path: &str, status: u16| {
         let hit = |e: &&Ended| {
             e.path.starts_with(path) && e.heard.status == status && (status != 200 || e.heard.whole)
@@ -354,12 +354,12 @@
         ended.iter().find(hit).unwrap()
     };
     let sees = |e: &Ended, word: &str, spoil: &dyn Fn(&mut Ended, &mut Vec<Run>)| {
-        let heard = Heard {
+        let heard = Answer {
             status: e.heard.status,
             heads: e.heard.heads.clone(),
             body: e.heard.body.clone(),
             whole: e.heard.whole,
-            ..Heard::default()
+            ..Answer::default()
         };
         let mut x = Ended {
             attempt: e.attempt.clone(),
--- a/yewcross-testkit/tests/relay/requests.rs
+++ b/yewcross-testkit/tests/relay/requests.rs
@@ -38,7 +38,7 @@
             let id = id.clone();
             rig.with(move |r, w| {
                 Box::pin(async move {
-                    let mut c = w.connect(r.door).await.unwrap();
+                    let mut c = w.connect(r.address).await.unwrap();
                     let q = format!("GET {t2} HTTP/1.1\r\nhost: h.example\r\ntry: {id}\r\nconnection: close\r\n\r\n");
                     c.write_all(q.as_bytes()).await.unwrap();
                     let mut v = vec![];
@@ -57,7 +57,7 @@
             v => panic!("{t}: ran {} times", v.len()),
         }
     }
-    let ran = rig.floor.runs.lock().unwrap().len();
+    let ran = rig.server_state.runs.lock().unwrap().len();
     assert!(ran >= 7, "{ran} of the targets passed");
 }
 
@@ -69,7 +69,7 @@
     rig.list(2, &[gone, rig.listed(1, "a")]);
     (0..6).for_each(|i| assert_eq!(rig.ask(&format!("t{i}"), "/pure/x", &[], "b").status, 200));
     assert!(
-        rig.floor
+        rig.server_state
             .runs
             .lock()
             .unwrap()
@@ -144,7 +144,7 @@
                 let w = w.clone();
                 w.clone().spawn_all(vec![Box::pin(async move {
                     call(&w, own, id, "/once/x", &[], "").await
-                }) as BoxFuture<'static, Heard>])
+                }) as BoxFuture<'static, Answer>])
             };
             let one = ask("early");
             w.sleep(100 * MS).await;
@@ -179,7 +179,7 @@
     let until = |say: &'static [u8]| {
         rig.with(move |r, w| {
             Box::pin(async move {
-                let mut c = w.connect(r.door).await.unwrap();
+                let mut c = w.connect(r.address).await.unwrap();
                 let t0 = w.now();
                 c.write_all(say).await.unwrap();
                 let mut v = vec![];
@@ -203,7 +203,7 @@
         let p = path.to_string();
         let left = rig.with(move |r, w| {
             Box::pin(async move {
-                let mut c = w.connect(r.door).await.unwrap();
+                let mut c = w.connect(r.address).await.unwrap();
                 let q = format!(
                     "POST {p} HTTP/1.1\r\nhost: h.example\r\ntry: t\r\ncontent-length: 0\r\n\r\n"
                 );
@@ -214,13 +214,13 @@
             })
         });
         rig.rest(200 * MS);
-        let gone = rig.floor.gone.lock().unwrap().clone();
+        let gone = rig.server_state.gone.lock().unwrap().clone();
         assert!(
             gone.len() == 1 && gone[0] < left + 100 * MS,
             "{path}: {gone:?} {left}"
         );
         if path.starts_with("/kept") {
-            let s = rig.memory.settled.lock().unwrap().clone();
+            let s = rig.turn_log.settled.lock().unwrap().clone();
             assert!(s.len() == 1 && s[0].0 == "t" && s[0].1 >= 20, "{s:?}");
         }
     }
@@ -234,11 +234,11 @@
     rig.configure(2, json!([route("full", "effectful", "model", 1)]));
     let hs = rig.with(|r, w| {
         Box::pin(async move {
-            let fs: Vec<BoxFuture<'static, Heard>> = (0..6)
+            let fs: Vec<BoxFuture<'static, Answer>> = (0..6)
                 .map(|i| {
                     let (r, w) = (r.clone(), w.clone());
-                    let f: BoxFuture<'static, Heard> = Box::pin(async move {
-                        call(&w, r.door, &format!("t{i}"), "/full/x", &[], "").await
+                    let f: BoxFuture<'static, Answer> = Box::pin(async move {
+                        call(&w, r.address, &format!("t{i}"), "/full/x", &[], "").await
                     });
                     f
                 })
@@ -251,7 +251,7 @@
             v
         })
     });
-    let refused: Vec<&Heard> = hs.iter().filter(|h| h.status == 503).collect();
+    let refused: Vec<&Answer> = hs.iter().filter(|h| h.status == 503).collect();
     assert_eq!(
         (refused.len(), hs.iter().filter(|h| h.status == 200).count()),
         (2, 4)
--- a/yewcross-testkit/tests/relay/resumption.rs
+++ b/yewcross-testkit/tests/relay/resumption.rs
@@ -20,14 +20,14 @@
 /// Whichever server is chosen first is ill, the other one well.
 fn first_is(act: Act, seed: u64, policies: Policies) -> Rig {
     let rig = rig(seed, &[act, act], policies);
-    *rig.floor.other.lock().unwrap() = Some(Act::Good);
-    let (floor, w) = (rig.floor.clone(), rig.relay.runtime.clone());
+    *rig.server_state.other.lock().unwrap() = Some(Act::Good);
+    let (server_state, w) = (rig.server_state.clone(), rig.relay.runtime.clone());
     // Once one of the two has begun, the other forgets what it was told.
     w.clone().spawn(async move {
-        while floor.runs.lock().unwrap().is_empty() {
+        while server_state.runs.lock().unwrap().is_empty() {
             w.sleep(MS).await;
         }
-        floor.acts.lock().unwrap().clear();
+        server_state.acts.lock().unwrap().clear();
     });
     rig
 }
@@ -107,7 +107,7 @@
     assert_eq!((h.status, h.whole), (200, true));
     r.rest(100 * MS);
     assert_eq!(
-        r.floor.gone.lock().unwrap().len(),
+        r.server_state.gone.lock().unwrap().len(),
         1,
         "the loser's connection is closed"
     );
@@ -126,7 +126,7 @@
         let h = r.ask("t", "/again/stream/x", &[("patience", "900")], "b");
         assert!(!h.whole || h.status >= 500, "{act:?}");
         assert_eq!(
-            (r.runs("t").len(), r.floor.seen.load(SeqCst)),
+            (r.runs("t").len(), r.server_state.seen.load(SeqCst)),
             (2, 2),
             "{act:?}"
         );
@@ -146,7 +146,7 @@
             let h = r.ask("t", path, &[("patience", "900")], "b");
             assert!(!h.whole || h.status >= 500, "{act:?}");
             assert_eq!(
-                (r.runs("t").len(), r.floor.seen.load(SeqCst)),
+                (r.runs("t").len(), r.server_state.seen.load(SeqCst)),
                 (1, 1),
                 "{act:?} {path}"
             );
@@ -161,7 +161,7 @@
         let r = rig(219, &[Act::Lose; 4], policies);
         r.all(Act::Lose);
         (0..60).for_each(|i| drop(r.ask(&format!("t{i}"), "/again/stream/x", &[], "b")));
-        r.floor.seen.load(SeqCst)
+        r.server_state.seen.load(SeqCst)
     };
     let bounded = seen(Policies::all());
     assert!(
@@ -183,7 +183,7 @@
     assert!(h.whole);
     r.rest(100 * MS);
     assert_eq!(
-        *r.memory.settled.lock().unwrap(),
+        *r.turn_log.settled.lock().unwrap(),
         [("t".into(), 8)],
         "four events of two tokens"
     );
@@ -209,10 +209,10 @@
 fn a_paused_stream_goes_on_at_its_server_where_no_other_has_room() {
     for (seed, status) in [(230, 503), (231, 429), (232, 421)] {
         let r = first_is(Act::Pause(2, PAUSE), seed, Policies::all());
-        *r.floor.other.lock().unwrap() = Some(Act::NotRun(status));
+        *r.server_state.other.lock().unwrap() = Some(Act::NotRun(status));
         check_paused(&r, "t", "/again/stream/x", &[], &format!("{status}"));
         assert_eq!(r.runs("t").len(), 1, "{status}");
-        assert!(r.floor.gone.lock().unwrap().is_empty(), "{status}");
+        assert!(r.server_state.gone.lock().unwrap().is_empty(), "{status}");
     }
 }
 
@@ -226,24 +226,24 @@
     let r = first_is(Act::Pause(2, PAUSE), 234, Policies::all());
     r.configure(2, json!([resumable("again/stream", 1)]));
     check_paused(&r, "t", "/again/stream/x", &[], "one attempt");
-    assert_eq!(r.floor.seen.load(SeqCst), 1);
+    assert_eq!(r.server_state.seen.load(SeqCst), 1);
 
     let r = first_is(Act::Pause(2, PAUSE), 235, Policies::all());
     while r.relay.retry_budget.withdraw() {}
     check_paused(&r, "t", "/again/stream/x", &[], "no retry budget");
-    assert_eq!(r.floor.seen.load(SeqCst), 1);
+    assert_eq!(r.server_state.seen.load(SeqCst), 1);
 
     let r = rig(236, &[Act::Lose, Act::Lose], Policies::all());
-    *r.floor.other.lock().unwrap() = Some(Act::Pause(2, PAUSE));
-    let (floor, w) = (r.floor.clone(), r.relay.runtime.clone());
+    *r.server_state.other.lock().unwrap() = Some(Act::Pause(2, PAUSE));
+    let (server_state, w) = (r.server_state.clone(), r.relay.runtime.clone());
     w.clone().spawn(async move {
-        while floor.runs.lock().unwrap().is_empty() {
+        while server_state.runs.lock().unwrap().is_empty() {
             w.sleep(MS).await;
         }
-        floor.acts.lock().unwrap().clear();
+        server_state.acts.lock().unwrap().clear();
     });
     check_paused(&r, "t", "/again/stream/x", &[], "attempts spent");
-    assert_eq!(r.floor.seen.load(SeqCst), 2);
+    assert_eq!(r.server_state.seen.load(SeqCst), 2);
 }
 
 /// The same where another server takes the stream and then does not go on with it.
@@ -263,7 +263,7 @@
         (249, Act::Break(3)),
     ] {
         let r = first_is(Act::Pause(2, PAUSE), seed, Policies::all());
-        *r.floor.other.lock().unwrap() = Some(other);
+        *r.server_state.other.lock().unwrap() = Some(other);
         check_paused(&r, "t", "/again/stream/x", &[], &format!("{other:?}"));
         r.rest(100 * MS);
         let is_waiting = matches!(
@@ -271,7 +271,7 @@
             Act::Silent | Act::Stall(_) | Act::SlowStream(_) | Act::SlowNotRun(_)
         );
         if is_waiting && !matches!(other, Act::SlowNotRun(_)) {
-            let gone = r.floor.gone.lock().unwrap().len();
+            let gone = r.server_state.gone.lock().unwrap().len();
             assert_eq!(gone, 1, "{other:?} hears that it is not wanted any more");
         }
     }
@@ -290,7 +290,7 @@
         (255, 900),
     ] {
         let r = first_is(Act::Pause(2, PAUSE), seed, Policies::all());
-        *r.floor.other.lock().unwrap() = Some(Act::SlowStream(slow * MS));
+        *r.server_state.other.lock().unwrap() = Some(Act::SlowStream(slow * MS));
         let h = r.ask("t", "/again/stream/x", &[], "b");
         assert_eq!(
             (h.status, h.whole, h.body.as_str(), r.runs("t").len()),
@@ -309,7 +309,7 @@
             (true, 1, is_first as u64),
             "{slow} ms"
         );
-        assert_eq!(r.floor.gone.lock().unwrap().len(), 1, "{slow} ms");
+        assert_eq!(r.server_state.gone.lock().unwrap().len(), 1, "{slow} ms");
     }
 }
 
@@ -317,7 +317,7 @@
 #[test]
 fn a_stream_that_pauses_before_its_end_is_ended_by_the_other_server() {
     let r = first_is(Act::Pause(4, PAUSE), 256, Policies::all());
-    *r.floor.other.lock().unwrap() = Some(Act::EndsAtOnce);
+    *r.server_state.other.lock().unwrap() = Some(Act::EndsAtOnce);
     let h = r.ask("t", "/again/stream/x", &[], "b");
     assert_eq!((h.status, h.whole, h.body.as_str()), (200, true, WHOLE));
     assert!(h.took < PAUSE, "{}", h.took);
@@ -335,7 +335,7 @@
     r.list(2, &[r.listed(0, "model")]);
     let (rig, w) = (r.clone(), r.relay.runtime.clone());
     w.clone().spawn(async move {
-        while rig.floor.runs.lock().unwrap().is_empty() {
+        while rig.server_state.runs.lock().unwrap().is_empty() {
             w.sleep(MS).await;
         }
         // Two events, the pause, and half of the time until it breaks off.
@@ -357,13 +357,13 @@
     for (seed, act) in [(264, Act::Break(2)), (265, Act::Stall(2))] {
         let r = rig(seed, &[act; 3], Policies::all());
         r.configure(2, json!([resumable("again/stream", 3)]));
-        *r.floor.other.lock().unwrap() = Some(Act::Lose);
-        let (floor, w) = (r.floor.clone(), r.relay.runtime.clone());
+        *r.server_state.other.lock().unwrap() = Some(Act::Lose);
+        let (server_state, w) = (r.server_state.clone(), r.relay.runtime.clone());
         w.clone().spawn(async move {
-            while floor.runs.lock().unwrap().is_empty() {
+            while server_state.runs.lock().unwrap().is_empty() {
                 w.sleep(MS).await;
             }
-            floor.acts.lock().unwrap().clear();
+            server_state.acts.lock().unwrap().clear();
         });
         let h = r.ask("t", "/again/stream/x", &[("patience", "900")], "b");
         assert_eq!((h.status, h.whole), (200, false), "{act:?}");
@@ -380,17 +380,17 @@
     for (seed, act) in [(266, Act::Silent), (267, Act::Stall(0))] {
         let r = rig(seed, &[Act::Break(2); 3], Policies::all());
         r.configure(2, json!([resumable("again/stream", 3)]));
-        let (floor, w) = (r.floor.clone(), r.relay.runtime.clone());
-        *floor.other.lock().unwrap() = Some(act);
+        let (server_state, w) = (r.server_state.clone(), r.relay.runtime.clone());
+        *server_state.other.lock().unwrap() = Some(act);
         w.clone().spawn(async move {
-            while floor.runs.lock().unwrap().is_empty() {
+            while server_state.runs.lock().unwrap().is_empty() {
                 w.sleep(MS).await;
             }
-            floor.acts.lock().unwrap().clear();
-            while floor.runs.lock().unwrap().len() < 2 {
+            server_state.acts.lock().unwrap().clear();
+            while server_state.runs.lock().unwrap().len() < 2 {
                 w.sleep(MS).await;
             }
-            *floor.other.lock().unwrap() = Some(Act::Good);
+            *server_state.other.lock().unwrap() = Some(Act::Good);
         });
         let h = r.ask("t", "/again/stream/x", &[], "b");
         assert_eq!(
@@ -410,14 +410,14 @@
         for seed in 270..276 {
             let r = rig(seed, &[Act::Break(2); 3], Policies::all());
             r.configure(2, json!([resumable("again/stream", tries)]));
-            *r.floor.other.lock().unwrap() = Some(Act::Good);
+            *r.server_state.other.lock().unwrap() = Some(Act::Good);
             let (rig, w) = (r.clone(), r.relay.runtime.clone());
             w.clone().spawn(async move {
-                while rig.floor.runs.lock().unwrap().is_empty() {
+                while rig.server_state.runs.lock().unwrap().is_empty() {
                     w.sleep(MS).await;
                 }
-                rig.floor.acts.lock().unwrap().clear();
-                let first = rig.floor.runs.lock().unwrap()[0].server.clone();
+                rig.server_state.acts.lock().unwrap().clear();
+                let first = rig.server_state.runs.lock().unwrap()[0].server.clone();
                 let other = (0..3).find(|i| first != format!("model{i}")).unwrap();
                 rig.sim.kill(rig.machines[other], false);
             });
@@ -435,13 +435,13 @@
 #[test]
 fn a_paused_stream_outlasts_the_stop_of_its_front() {
     let r = first_is(Act::Pause(2, PAUSE), 260, Policies::all());
-    *r.floor.other.lock().unwrap() = Some(Act::NotRun(503));
-    let (gate, w) = (r.gate.clone(), r.relay.runtime.clone());
+    *r.server_state.other.lock().unwrap() = Some(Act::NotRun(503));
+    let (connections, w) = (r.connections.clone(), r.relay.runtime.clone());
     w.clone().spawn(async move {
         w.sleep(60 * MS).await;
-        gate.disable_keep_alive();
+        connections.disable_keep_alive();
         w.sleep(100 * MS).await;
-        gate.begin_shutdown();
+        connections.begin_shutdown();
     });
     check_paused(&r, "t", "/again/stream/x", &[], "stopped");
 }
@@ -456,16 +456,16 @@
     ] {
         let r = first_is(Act::Pause(2, PAUSE), seed, Policies::all());
         r.configure(2, json!([resumable("kept/again/stream", 2)]));
-        *r.floor.other.lock().unwrap() = Some(other);
+        *r.server_state.other.lock().unwrap() = Some(other);
         let h = r.ask("t", "/kept/again/stream/x", &[], "b");
         assert_eq!(
             (h.status, h.whole, h.body.as_str()),
             (200, true, WHOLE),
             "{other:?}"
         );
-        let turns = r.memory.turns.lock().unwrap();
+        let turns = r.turn_log.turns.lock().unwrap();
         assert_eq!(&turns["t"].output[..], b"t-0\nt-1\nt-2\nt-3\n", "{other:?}");
-        let settled = r.memory.settled.lock().unwrap();
+        let settled = r.turn_log.settled.lock().unwrap();
         assert_eq!(*settled, [("kept t".into(), 8)], "{other:?}");
     }
 }
@@ -477,7 +477,7 @@
     let rig = Rig::new(221, 1);
     let statuses = rig.with(|r, w| {
         Box::pin(async move {
-            let c = w.connect(r.door).await.unwrap();
+            let c = w.connect(r.address).await.unwrap();
             let io = smol_hyper::rt::FuturesIo::new(c);
             let (mut s, conn) = hyper::client::conn::http1::handshake(io).await.unwrap();
             w.spawn(async move { drop(conn.await) });
--- a/yewcross-testkit/tests/relay/rig.rs
+++ b/yewcross-testkit/tests/relay/rig.rs
@@ -24,8 +24,9 @@
 use yewcross_testkit::routed::test_adapter::TestAdapter;
 use yewcross_testkit::sim::Sim;
 
+/// The turn log: it keeps turns in memory, and does what a test asks for.
 #[derive(Default)]
-pub struct Memory {
+pub struct MemoryTurnLog {
     /// Memory of the chains that are returned.
     pub buffers: Arc<BufferMemory>,
     pub turns: Mutex<BTreeMap<String, Arc<Turn>>>,
@@ -37,7 +38,7 @@
     pub on_open: Mutex<Option<Box<dyn FnOnce() + Send>>>,
 }
 
-impl TurnLogService for Memory {
+impl TurnLogService for MemoryTurnLog {
     fn open(&self, o: OpenTurn, _: u64) -> BoxFuture<'_, Result<OpenedTurn, OpenTurnError>> {
         Box::pin(async move {
             if let Some(r) = *self.refuses.lock().unwrap() {
@@ -91,16 +92,16 @@
 pub struct Rig {
     pub sim: Sim,
     pub relay: Arc<Relay>,
-    pub floor: Arc<Floor>,
-    pub memory: Arc<Memory>,
-    pub gate: Arc<yewcross_common::streaming_http::ConnectionTracker>,
-    pub door: SocketAddr,
+    pub server_state: Arc<ServerState>,
+    pub turn_log: Arc<MemoryTurnLog>,
+    pub connections: Arc<yewcross_common::streaming_http::ConnectionTracker>,
+    pub address: SocketAddr,
     pub machines: Vec<usize>,
     pub worlds: Arc<Mutex<Vec<Runtime>>>,
 }
 
 #[derive(Debug, Default)]
-pub struct Heard {
+pub struct Answer {
     pub status: u16,
     pub heads: BTreeMap<String, String>,
     pub body: String,
@@ -156,11 +157,11 @@
         let sim = Sim::new(seed, 1_000);
         let fm = sim.add_machine("front", "z", "10.0.0.1".parse().unwrap());
         let w = sim.boot(fm);
-        let floor: Arc<Floor> = Default::default();
+        let server_state: Arc<ServerState> = Default::default();
         let buffer_memory = Arc::new(BufferMemory::with_limit(limit));
-        let memory = Arc::new(Memory {
+        let turn_log = Arc::new(MemoryTurnLog {
             buffers: buffer_memory.clone(),
-            ..Memory::default()
+            ..MemoryTurnLog::default()
         });
         let book = DocumentCache::new(&w);
         let relay = Arc::new(Relay {
@@ -169,7 +170,7 @@
             site: "z".into(),
             caller: Arc::new(TestAdapter),
             upstream_protocol: Arc::new(TestAdapter),
-            turn_log: Some(memory.clone()),
+            turn_log: Some(turn_log.clone()),
             front_count: AtomicUsize::new(1),
             pool: Default::default(),
             balance: LoadBalancer::with_policies(policies),
@@ -178,33 +179,33 @@
             buffer_memory,
             shutdown: Default::default(),
         });
-        let door: SocketAddr = "10.0.0.1:80".parse().unwrap();
+        let address: SocketAddr = "10.0.0.1:80".parse().unwrap();
         // As in a process, the server's connections and the relay share the memory for buffers.
         let overload = Arc::new(OverloadManager::with_limits(
             OverloadLimits::default(),
             relay.buffer_memory.clone(),
         ));
-        let gate = Arc::new(yewcross_common::streaming_http::ConnectionTracker::new(
+        let connections = Arc::new(yewcross_common::streaming_http::ConnectionTracker::new(
             &overload,
         ));
         let mut rig = Rig {
             sim: sim.clone(),
             relay: relay.clone(),
-            floor,
-            memory,
-            gate: gate.clone(),
-            door,
+            server_state,
+            turn_log,
+            connections: connections.clone(),
+            address,
             machines: vec![],
             worlds: Default::default(),
         };
         let (w2, b) = (w.clone(), relay.documents.clone());
         w.spawn(async move {
-            let d = w2.bind(door).await.unwrap();
+            let d = w2.bind(address).await.unwrap();
             let h: yewcross_common::streaming_http::Handler =
                 Arc::new(move |q, _| Box::pin(relay.clone().serve(q)));
             let limits: Arc<dyn Fn() -> Limits + Send + Sync> =
                 Arc::new(move || b.config.load().1.routing.limits.clone());
-            yewcross_common::streaming_http::serve(w2, d, h, limits, gate).await;
+            yewcross_common::streaming_http::serve(w2, d, h, limits, connections).await;
         });
         rig.configure(1, routes());
         (0..servers).for_each(|i| rig.server(i));
@@ -268,7 +269,7 @@
             self.worlds.lock().unwrap()[i] = self.sim.boot(self.machines[i]);
         }
         let w = self.worlds.lock().unwrap()[i].clone();
-        let (f, id, at) = (self.floor.clone(), l.server.clone(), l.addr);
+        let (f, id, at) = (self.server_state.clone(), l.server.clone(), l.addr);
         w.clone().spawn(async move {
             let d = w.bind(at).await.unwrap();
             while let Ok(c) = d.accept().await {
@@ -278,7 +279,7 @@
     }
 
     pub fn act(&self, server: &str, acts: &[Act]) {
-        self.floor
+        self.server_state
             .acts
             .lock()
             .unwrap()
@@ -288,11 +289,11 @@
     }
 
     pub fn all(&self, a: Act) {
-        *self.floor.other.lock().unwrap() = Some(a);
+        *self.server_state.other.lock().unwrap() = Some(a);
     }
 
     pub fn runs(&self, attempt: &str) -> Vec<Run> {
-        self.floor
+        self.server_state
             .runs
             .lock()
             .unwrap()
@@ -328,13 +329,13 @@
             .expect("the caller came to its end")
     }
 
-    pub fn ask(&self, attempt: &str, path: &str, heads: &[(&str, &str)], body: &str) -> Heard {
+    pub fn ask(&self, attempt: &str, path: &str, heads: &[(&str, &str)], body: &str) -> Answer {
         let (a, p, b) = (attempt.to_string(), path.to_string(), body.to_string());
         let hs: Vec<(String, String)> = heads
             .iter()
             .map(|h| (h.0.to_string(), h.1.to_string()))
             .collect();
-        self.with(move |r, w| Box::pin(async move { call(&w, r.door, &a, &p, &hs, &b).await }))
+        self.with(move |r, w| Box::pin(async move { call(&w, r.address, &a, &p, &hs, &b).await }))
     }
 
     pub fn rest(&self, us: u64) {
@@ -349,7 +350,7 @@
     path: &str,
     heads: &[(String, String)],
     body: &str,
-) -> Heard {
+) -> Answer {
     let connection = runtime.connect(to).await.unwrap();
     call_on(runtime, connection, attempt, path, heads, body).await
 }
@@ -362,7 +363,7 @@
     path: &str,
     heads: &[(String, String)],
     body: &str,
-) -> Heard {
+) -> Answer {
     let (mut s, conn) =
         hyper::client::conn::http1::handshake(smol_hyper::rt::FuturesIo::new(connection))
             .await
@@ -383,18 +384,18 @@
         .send_request(q.body(Full::new(Bytes::from(body.to_string()))).unwrap())
         .await
     else {
-        return Heard::default();
+        return Answer::default();
     };
     let heads = r
         .headers()
         .iter()
         .map(|(k, v)| (k.to_string(), v.to_str().unwrap().to_string()))
         .collect();
-    let mut h = Heard {
+    let mut h = Answer {
         status: r.status().as_u16(),
         heads,
         whole: true,
-        ..Heard::default()
+        ..Answer::default()
     };
     let mut b = r.into_body();
     while let Some(f) = b.frame().await {
--- a/yewcross-testkit/tests/relay/server.rs
+++ b/yewcross-testkit/tests/relay/server.rs
@@ -89,7 +89,7 @@
 }
 
 #[derive(Default)]
-pub struct Floor {
+pub struct ServerState {
     pub acts: Mutex<BTreeMap<String, VecDeque<Act>>>,
     pub runs: Mutex<Vec<Run>>,
     /// Requests that reached a server, run or not.
@@ -181,17 +181,22 @@
     connection: Connection,
     buffer: Vec<u8>,
     id: String,
-    floor: Arc<Floor>,
+    server_state: Arc<ServerState>,
 }
 
-pub async fn serve_one(runtime: Runtime, connection: Connection, id: String, floor: Arc<Floor>) {
-    floor.conns.fetch_add(1, SeqCst);
+pub async fn serve_one(
+    runtime: Runtime,
+    connection: Connection,
+    id: String,
+    server_state: Arc<ServerState>,
+) {
+    server_state.conns.fetch_add(1, SeqCst);
     let mut served = Served {
         runtime,
         connection,
         buffer: vec![],
         id,
-        floor,
+        server_state,
     };
     while let Some(request) = served.read().await {
         let act = served.next_act(&request);
@@ -239,16 +244,16 @@
 
     /// What is done with a request, which is written down if it runs.
     fn next_act(&self, request: &Received) -> Act {
-        self.floor.seen.fetch_add(1, SeqCst);
-        let mut acts = self.floor.acts.lock().unwrap();
+        self.server_state.seen.fetch_add(1, SeqCst);
+        let mut acts = self.server_state.acts.lock().unwrap();
         let told = acts.get_mut(&self.id).and_then(|acts| acts.pop_front());
         let act = told
-            .or(*self.floor.other.lock().unwrap())
+            .or(*self.server_state.other.lock().unwrap())
             .unwrap_or(Act::Good);
         let is_meant = ["", self.id.as_str()].contains(&request.head("for"));
         let act = if is_meant { act } else { Act::NotRun(421) };
         if !matches!(act, Act::NotRun(_) | Act::SlowNotRun(_)) {
-            self.floor.runs.lock().unwrap().push(Run {
+            self.server_state.runs.lock().unwrap().push(Run {
                 server: self.id.clone(),
                 attempt: request.attempt().into(),
                 target: request.first_line.split(' ').nth(1).unwrap().into(),
@@ -397,7 +402,11 @@
     }
 
     fn note_leave<T>(&self) -> Option<T> {
-        self.floor.gone.lock().unwrap().push(self.runtime.now());
+        self.server_state
+            .gone
+            .lock()
+            .unwrap()
+            .push(self.runtime.now());
         None
     }
 }
--- a/yewcross-testkit/tests/relay/stopping.rs
+++ b/yewcross-testkit/tests/relay/stopping.rs
@@ -44,22 +44,25 @@
             } else {
                 ("2900", SEC)
             };
-            let (taken, seen) = (rig.relay.counts.all()["taken"], rig.floor.seen.load(SeqCst));
+            let (taken, seen) = (
+                rig.relay.counts.all()["taken"],
+                rig.server_state.seen.load(SeqCst),
+            );
             let h = rig.with(move |r, w| {
                 Box::pin(async move {
                     let (r2, w2) = (r.clone(), w.clone());
                     let heads = vec![("patience".to_string(), patience.to_string())];
                     let one = w.spawn_all(vec![Box::pin(async move {
-                        call(&w2, r2.door, "t", "/once/x", &heads, "b").await
+                        call(&w2, r2.address, "t", "/once/x", &heads, "b").await
                     })
-                        as BoxFuture<'static, Heard>]);
+                        as BoxFuture<'static, Answer>]);
                     w.sleep(step * 10).await;
                     let front = r.sim.find("front");
                     r.sim.freeze(front);
                     w.sleep(20 * MS).await;
                     let (had, ran) = (
                         r.relay.counts.all()["taken"] > taken,
-                        r.floor.seen.load(SeqCst) > seen,
+                        r.server_state.seen.load(SeqCst) > seen,
                     );
                     w.sleep(still).await;
                     change(&r);
@@ -110,18 +113,18 @@
             let one = {
                 let (r, w2) = (r.clone(), w.clone());
                 w.spawn_all(vec![Box::pin(async move {
-                    call(&w2, r.door, "slow", "/once/x", &[], "").await
-                }) as BoxFuture<'static, Heard>])
+                    call(&w2, r.address, "slow", "/once/x", &[], "").await
+                }) as BoxFuture<'static, Answer>])
             };
             w.sleep(100 * MS).await;
-            r.gate.disable_keep_alive();
-            let during = call(&w, r.door, "during", "/once/x", &[], "").await;
-            r.gate.begin_shutdown();
+            r.connections.disable_keep_alive();
+            let during = call(&w, r.address, "during", "/once/x", &[], "").await;
+            r.connections.begin_shutdown();
             // In the backlog at this moment.
-            let last = call(&w, r.door, "last", "/once/x", &[], "").await;
+            let last = call(&w, r.address, "last", "/once/x", &[], "").await;
             let slow = one.recv().await.unwrap();
-            r.gate.all_closed().await;
-            (during, last, slow, w.connect(r.door).await.is_err())
+            r.connections.all_closed().await;
+            (during, last, slow, w.connect(r.address).await.is_err())
         })
     });
     assert_eq!(
@@ -139,7 +142,7 @@
     let rig = Rig::new(91, 1);
     let t = rig.with(|r, w| {
         Box::pin(async move {
-            let mut c = w.connect(r.door).await.unwrap();
+            let mut c = w.connect(r.address).await.unwrap();
             c.write_all(b"GET /pure/x HTTP/1.1\r\nhost: h.example\r\ntry: t\r\n\r\n")
                 .await
                 .unwrap();
@@ -148,10 +151,10 @@
             assert!(n > 0);
             w.sleep(50 * MS).await;
             let t0 = w.now();
-            r.gate.begin_shutdown();
+            r.connections.begin_shutdown();
             let rest = c.read(&mut b).await;
             assert!(matches!(rest, Ok(0)), "{rest:?}");
-            r.gate.all_closed().await;
+            r.connections.all_closed().await;
             w.now() - t0
         })
     });
--- a/yewcross-testkit/tests/relay/streams.rs
+++ b/yewcross-testkit/tests/relay/streams.rs
@@ -14,14 +14,14 @@
 fn a_turn_of_known_length_does_not_look_complete_before_it_is_kept() {
     let rig = Rig::new(95, 1);
     rig.all(Act::Counted);
-    *rig.memory.finish_fails.lock().unwrap() = true;
+    *rig.turn_log.finish_fails.lock().unwrap() = true;
     let h = rig.ask("t1", "/kept/stream/x", &[], "in");
     // Head and body may go out at once: then the connection ends without either.
     assert!(!h.whole && matches!(h.status, 0 | 200), "{h:?}");
-    *rig.memory.finish_fails.lock().unwrap() = false;
+    *rig.turn_log.finish_fails.lock().unwrap() = false;
     let h = rig.ask("t2", "/kept/stream/x", &[], "in");
     assert_eq!((h.status, h.whole), (200, true), "{h:?}");
-    assert!(rig.memory.turns.lock().unwrap().contains_key("t2"));
+    assert!(rig.turn_log.turns.lock().unwrap().contains_key("t2"));
 }
 
 /// Tokens are counted as the service counts them that ran the turn, also where its route has moved
@@ -42,7 +42,7 @@
             .apply("config", 2, Ballot::default(), config("a"))
     );
     let (book, moved) = (rig.relay.documents.clone(), config("model"));
-    *rig.memory.on_open.lock().unwrap() = Some(Box::new(move || {
+    *rig.turn_log.on_open.lock().unwrap() = Some(Box::new(move || {
         assert!(book.apply("config", 3, Ballot::default(), moved))
     }));
     let h = rig.ask(
@@ -57,7 +57,7 @@
         "{h:?}"
     );
     assert_eq!(
-        *rig.memory.settled.lock().unwrap(),
+        *rig.turn_log.settled.lock().unwrap(),
         [("kept t1".into(), 20)]
     );
 }
@@ -80,7 +80,7 @@
     h.at.windows(2)
         .for_each(|w| assert!((15 * MS..30 * MS).contains(&(w[1] - w[0])), "{:?}", h.at));
     let out = "t1-0\nt1-1\nt1-2\nt1-3\n";
-    let t = rig.memory.turns.lock().unwrap()["t1"].clone();
+    let t = rig.turn_log.turns.lock().unwrap()["t1"].clone();
     assert_eq!(
         (t.input.as_ref(), t.output.as_ref(), t.tokens),
         (&b"in1;"[..], out.as_bytes(), 108)
@@ -99,7 +99,7 @@
     );
     assert_eq!(r[0].server, t.server, "a chain stays where its prefix is");
     assert_eq!(
-        *rig.memory.settled.lock().unwrap(),
+        *rig.turn_log.settled.lock().unwrap(),
         [("kept t1".into(), 8), ("kept t2".into(), 8)]
     );
 }
@@ -107,10 +107,10 @@
 #[test]
 fn a_turn_that_cannot_be_kept_does_not_look_complete() {
     let rig = Rig::new(71, 1);
-    *rig.memory.finish_fails.lock().unwrap() = true;
+    *rig.turn_log.finish_fails.lock().unwrap() = true;
     let h = rig.ask("t1", "/kept/stream/x", &[], "in");
     assert_eq!((h.status, h.whole, h.at.len()), (200, false, 4));
-    assert_eq!(*rig.memory.settled.lock().unwrap(), [("t1".into(), 8)]);
+    assert_eq!(*rig.turn_log.settled.lock().unwrap(), [("t1".into(), 8)]);
 }
 
 #[test]
@@ -121,9 +121,9 @@
         (OpenTurnError::Unavailable, 503),
     ] {
         let rig = Rig::new(72, 1);
-        *rig.memory.refuses.lock().unwrap() = Some(r);
+        *rig.turn_log.refuses.lock().unwrap() = Some(r);
         assert_eq!(rig.ask("t1", "/kept/stream/x", &[], "in").status, status);
-        assert_eq!(rig.floor.seen.load(SeqCst), 0);
+        assert_eq!(rig.server_state.seen.load(SeqCst), 0);
     }
 }
 
@@ -136,16 +136,16 @@
         (h.status, h.whole, h.at.len(), rig.runs("t1").len()),
         (200, false, 3, 1)
     );
-    assert_eq!(*rig.memory.settled.lock().unwrap(), [("t1".into(), 6)]);
+    assert_eq!(*rig.turn_log.settled.lock().unwrap(), [("t1".into(), 6)]);
     let rig = Rig::new(74, 2);
     rig.all(Act::Lose);
     let h = rig.ask("t1", "/kept/stream/x", &[], "in");
     assert_eq!((h.status, rig.runs("t1").len()), (502, 1));
-    assert_eq!(*rig.memory.settled.lock().unwrap(), [("t1".into(), 0)]);
+    assert_eq!(*rig.turn_log.settled.lock().unwrap(), [("t1".into(), 0)]);
     let rig = Rig::new(75, 1);
     rig.all(Act::NotRun(503));
     assert_eq!(rig.ask("t1", "/kept/stream/x", &[], "in").status, 503);
-    assert_eq!(*rig.memory.settled.lock().unwrap(), [("t1".into(), 0)]);
+    assert_eq!(*rig.turn_log.settled.lock().unwrap(), [("t1".into(), 0)]);
 }
 
 #[test]
