A stopping core answers what it has begun to read

What operators saw: an order whose body arrived while its core stopped got a closed connection.

Change: it waits for its requests as long as a front does, until 0.5 s before bounds.grace.

--- a/yewcross-common/src/process_settings.rs
+++ b/yewcross-common/src/process_settings.rs
@@ -1,6 +1,6 @@
 //! Process settings: the startup file, which is read and validated before any socket is bound.
 
-use crate::constants::{MS, START_TIMEOUT_MS, WIRE_VERSION, WIRE_VERSION_MIN};
+use crate::constants::{MS, SHUTDOWN_RESERVE, START_TIMEOUT_MS, WIRE_VERSION, WIRE_VERSION_MIN};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::net::SocketAddr;
@@ -114,6 +114,14 @@
     pub files: u64,
 }
 
+impl Bounds {
+    /// Time in µs from the termination signal until a process that still answers requests ends by
+    /// itself.
+    pub fn shutdown_time(&self) -> u64 {
+        (self.grace * MS).saturating_sub(SHUTDOWN_RESERVE)
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Bounds {
